Lay out the workspace, typed state and ports

Cause: an empty repository. The three packages, the four library layers and the checks come first so that every later change is judged by them. Ruled out: a fifth common package, which would have no rule of its own.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+BIN := $(VENV)/bin
+SOURCES := packages
+export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src
+
+.PHONY: demo test setup format check lint types layers unit
+
+demo: setup
+	$(BIN)/berylcart demo
+
+test: check unit
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	python3.11 -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
+	touch $@
+
+format: setup
+	$(BIN)/ruff format $(SOURCES) spec
+	$(BIN)/ruff check --fix $(SOURCES) spec
+
+check: lint types layers
+
+lint: setup
+	$(BIN)/ruff format --check $(SOURCES) spec
+	$(BIN)/ruff check $(SOURCES) spec
+
+types: setup
+	$(BIN)/mypy packages/berylcart/src packages/berylcart-daemon/src packages/berylcart-tools/src
+
+layers: setup
+	$(BIN)/lint-imports
+
+unit: setup
+	$(BIN)/pytest
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The berylcartd daemon: one entry of the serving system."""
--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Operator tools, stand-ins and experiments."""
--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the upstreams."""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts for serving multi-stage model pipelines."""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decide routing, claims, membership and configuration."""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between typed messages and their wire forms."""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold plain data and the pure functions over it."""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connect the ports to sockets."""
