Add the in-memory log and event lines

Cause: configuration and claims need a log port to be tested against on a paused clock before the stand-in exists. Ruled out: mocking each call, which would not show lost answers after an effect.

--- /dev/null
+++ b/packages/berylcart/src/berylcart/events.py
@@ -0,0 +1,50 @@
+"""Log one key=value line for each event."""
+
+import json
+import re
+from enum import Enum
+
+from absl import logging
+
+PLAIN_VALUE = re.compile(r"[\w.:/+@,-]+")
+
+Value = str | int | float | bool | None
+
+
+def format_value(value: Value) -> str:
+    """Write a value bare when it is one plain word, else quoted.
+
+    >>> format_value(3), format_value("lahore-1"), format_value("two words")
+    ('3', 'lahore-1', '"two words"')
+    """
+    if isinstance(value, Enum):
+        value = value.value
+    text = str(value)
+    if PLAIN_VALUE.fullmatch(text):
+        return text
+    return json.dumps(text)
+
+
+def format_event(name: str, **fields: Value) -> str:
+    """Join an event's name and fields into one line.
+
+    >>> format_event("config.applied", version=3, detail="two words")
+    'event=config.applied version=3 detail="two words"'
+    """
+    pairs = [f"{key}={format_value(value)}" for key, value in fields.items()]
+    return " ".join([f"event={name}", *pairs])
+
+
+def info(name: str, **fields: Value) -> None:
+    """Log an event of normal operation."""
+    logging.info("%s", format_event(name, **fields))
+
+
+def warning(name: str, **fields: Value) -> None:
+    """Log an event that an operator may want to look at."""
+    logging.warning("%s", format_event(name, **fields))
+
+
+def error(name: str, **fields: Value) -> None:
+    """Log a fault that needs an operator."""
+    logging.error("%s", format_event(name, **fields))
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/memory_log.py
@@ -0,0 +1,122 @@
+"""Keep an append-only log in memory, for embedding and for tests."""
+
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import anyio
+
+from berylcart.state.errors import (
+    LogAmbiguousError,
+    LogGapError,
+    LogUnavailableError,
+)
+from berylcart.state.records import LogEntry, LogPage, Record
+
+MS_PER_S = 1000
+
+
+def now_ms() -> int:
+    """Read the runtime's clock in milliseconds."""
+    return int(anyio.current_time() * MS_PER_S)
+
+
+class MemoryStream:
+    """Hold one stream's retained entries and wake its readers."""
+
+    def __init__(self) -> None:
+        self.entries: deque[LogEntry] = deque()
+        self.end_offset = 0
+        self.changed = anyio.Event()
+
+    @property
+    def start_offset(self) -> int:
+        """Give the oldest retained offset."""
+        return self.entries[0].offset if self.entries else self.end_offset
+
+    def append(self, record: Record, time_ms: int) -> int:
+        """Add one record and return its offset."""
+        offset = self.end_offset
+        self.entries.append(LogEntry(offset, time_ms, record))
+        self.end_offset += 1
+        self.changed.set()
+        self.changed = anyio.Event()
+        return offset
+
+    def expire_before(self, time_ms: int) -> None:
+        """Drop the entries older than a time."""
+        while self.entries and self.entries[0].time_ms < time_ms:
+            self.entries.popleft()
+
+    def page(self, offset: int, limit: int) -> LogPage:
+        """Copy the entries from an offset on."""
+        start = self.start_offset
+        first = max(0, offset - start)
+        last = min(first + limit, len(self.entries))
+        entries = tuple(self.entries[i] for i in range(first, last))
+        return LogPage(start, self.end_offset, entries)
+
+
+class MemoryLog:
+    """Implement the Log port in memory, with switchable failures.
+
+    Set is_down for an outage, lost_answers to drop the answers of the next
+    appends after their effect, and delay_ms to slow every call.
+    """
+
+    def __init__(
+        self,
+        retention_ms: int | None = None,
+        clock_ms: Callable[[], int] = now_ms,
+    ) -> None:
+        self.streams: dict[str, MemoryStream] = {}
+        self.retention_ms = retention_ms
+        self.clock_ms = clock_ms
+        self.is_down = False
+        self.lost_answers = 0
+        self.delay_ms = 0
+        self.append_calls = 0
+
+    def stream(self, name: str) -> MemoryStream:
+        """Find a stream, with expired entries dropped."""
+        stream = self.streams.setdefault(name, MemoryStream())
+        if self.retention_ms is not None:
+            stream.expire_before(self.clock_ms() - self.retention_ms)
+        return stream
+
+    async def append(self, stream: str, records: Sequence[Record]) -> int:
+        """Append records in order and return the first one's offset."""
+        await anyio.sleep(self.delay_ms / MS_PER_S)
+        if self.is_down:
+            raise LogUnavailableError("the log is down")
+        self.append_calls += 1
+        target = self.stream(stream)
+        first_offset = target.end_offset
+        for record in records:
+            target.append(record, self.clock_ms())
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            raise LogAmbiguousError("the answer to an append was lost")
+        return first_offset
+
+    async def read(
+        self, stream: str, offset: int, *, wait_ms: int, limit: int
+    ) -> LogPage:
+        """Read from an offset, waiting up to wait_ms for a first entry.
+
+        An offset of -1 asks for the bounds alone.
+        """
+        await anyio.sleep(self.delay_ms / MS_PER_S)
+        if self.is_down:
+            raise LogUnavailableError("the log is down")
+        target = self.stream(stream)
+        if offset < 0:
+            return LogPage(target.start_offset, target.end_offset, ())
+        if offset >= target.end_offset:
+            with anyio.move_on_after(wait_ms / MS_PER_S):
+                await target.changed.wait()
+            target = self.stream(stream)
+        if self.is_down:
+            raise LogUnavailableError("the log went down")
+        if offset < target.start_offset:
+            raise LogGapError(offset, target.start_offset)
+        return target.page(offset, limit)
