--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/http_client.py
@@ -0,0 +1,196 @@
+"""Send HTTP requests and tell unsent ones from interrupted ones."""
+
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from types import TracebackType
+from typing import Any, NamedTuple, Self
+
+import anyio
+import httpcore
+
+from berylcart.state.errors import BerylcartError, Code, Ran
+
+MS_PER_S = 1000
+MAX_CONNECTIONS = 1000
+MAX_IDLE_CONNECTIONS = 200
+# Shorter than the usual five seconds of servers, so that a connection is
+# seldom reused while its server closes it.
+IDLE_EXPIRY_S = 2.0
+CONNECT_TIMEOUT_MS = 1000
+MAX_BODY_BYTES = 16 << 20
+SENDING_EVENT = "http11.send_request_headers.started"
+
+FAILURES = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.UnsupportedProtocol,
+    OSError,
+    TimeoutError,
+)
+
+
+class HttpError(BerylcartError):
+    """Report an HTTP call without a whole answer.
+
+    is_sent says whether any byte of the request may have been written.
+    """
+
+    def __init__(self, detail: str, *, is_sent: bool) -> None:
+        ran = Ran.UNKNOWN if is_sent else Ran.NO
+        super().__init__(Code.PEER_UNAVAILABLE, detail, ran=ran)
+        self.is_sent = is_sent
+
+
+class HttpTimeoutError(HttpError):
+    """Report an HTTP call that took longer than its timeout."""
+
+
+class HttpRequest(NamedTuple):
+    """Describe one request; address is IP:PORT, body is JSON."""
+
+    method: str
+    address: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    timeout_ms: int = 5000
+
+
+class HttpAnswer(NamedTuple):
+    """Hold one whole answer; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class HttpStream(NamedTuple):
+    """Hold an answer whose body is still arriving."""
+
+    status: int
+    headers: Mapping[str, str]
+    chunks: AsyncIterator[bytes]
+
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Read the rest of the body; raises HttpError over the limit."""
+        body = bytearray()
+        async for chunk in self.chunks:
+            body += chunk
+            if len(body) > max_bytes:
+                raise HttpError("the answer is too large", is_sent=True)
+        return bytes(body)
+
+
+def retry_after_ms(headers: Mapping[str, str]) -> int | None:
+    """Read the Retry-After header, which counts whole seconds.
+
+    >>> retry_after_ms({"retry-after": "2"}), retry_after_ms({})
+    (2000, None)
+    """
+    text = headers.get("retry-after", "")
+    if not (text.isascii() and text.isdigit() and len(text) < 10):
+        return None
+    return int(text) * MS_PER_S
+
+
+def read_headers(pairs: list[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Read headers with their names in lower case.
+
+    >>> read_headers([(b"Retry-After", b"1")])
+    {'retry-after': '1'}
+    """
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in pairs
+    }
+
+
+class SendWatch:
+    """Note whether a request may have begun to be written."""
+
+    def __init__(self) -> None:
+        self.is_sent = False
+
+    async def __call__(self, event: str, info: Mapping[str, Any]) -> None:
+        """Take one trace event of httpcore."""
+        if event == SENDING_EVENT:
+            self.is_sent = True
+
+
+class HttpClient:
+    """Send requests over kept connections; close it with aclose."""
+
+    def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=IDLE_EXPIRY_S,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Give the client itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close every connection."""
+        await self.aclose()
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self.pool.aclose()
+
+    async def request(self, request: HttpRequest) -> HttpAnswer:
+        """Send a request and read its whole answer; raises HttpError."""
+        async with self.stream(request) as stream:
+            body = await stream.read_body()
+            return HttpAnswer(stream.status, stream.headers, body)
+
+    @asynccontextmanager
+    async def stream(self, request: HttpRequest) -> AsyncGenerator[HttpStream]:
+        """Send a request and read its answer as it arrives.
+
+        Raises HttpError. Leaving the block early closes the connection.
+        """
+        watch = SendWatch()
+        try:
+            with anyio.fail_after(request.timeout_ms / MS_PER_S):
+                async with self.open(request, watch) as response:
+                    yield HttpStream(
+                        response.status,
+                        read_headers(response.headers),
+                        response.aiter_stream(),
+                    )
+        except (httpcore.TimeoutException, TimeoutError):
+            raise HttpTimeoutError(
+                f"no whole answer within {request.timeout_ms} ms",
+                is_sent=watch.is_sent,
+            ) from None
+        except FAILURES as error:
+            raise HttpError(
+                f"{type(error).__name__}: {error}", is_sent=watch.is_sent
+            ) from error
+
+    @asynccontextmanager
+    async def open(
+        self, request: HttpRequest, watch: SendWatch
+    ) -> AsyncGenerator[httpcore.Response]:
+        """Open an answer through the pool."""
+        connect_ms = min(CONNECT_TIMEOUT_MS, request.timeout_ms)
+        headers = [("Content-Type", "application/json"), *request.headers]
+        async with self.pool.stream(
+            request.method,
+            f"http://{request.address}{request.path}",
+            headers=headers,
+            content=request.body,
+            extensions={
+                "timeout": {"connect": connect_ms / MS_PER_S},
+                "trace": watch,
+            },
+        ) as response:
+            yield response
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/log_client.py
@@ -0,0 +1,125 @@
+"""Read and append to the platform's log service over HTTP."""
+
+from collections.abc import Sequence
+from urllib.parse import quote
+
+from berylcart.protocol.json_values import MessageError
+from berylcart.protocol.log_messages import (
+    read_appended,
+    read_bounds,
+    read_page,
+    write_append,
+)
+from berylcart.state.errors import (
+    LogAmbiguousError,
+    LogGapError,
+    LogUnavailableError,
+)
+from berylcart.state.records import LogPage, Record
+from berylcart.transport.http_client import (
+    HttpAnswer,
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    retry_after_ms,
+)
+
+APPEND_TIMEOUT_MS = 2000
+READ_TIMEOUT_MS = 2000
+
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_UNAVAILABLE = (429, 503)
+STATUS_REJECTED = (400, 404, 413)
+
+
+def records_path(stream: str) -> str:
+    """Write the path of a stream's records.
+
+    >>> records_path("config")
+    '/v1/streams/config/records'
+    """
+    return f"/v1/streams/{quote(stream, safe='')}/records"
+
+
+def unavailable(answer: HttpAnswer) -> LogUnavailableError:
+    """Describe an answer that says that the call had no effect."""
+    return LogUnavailableError(
+        f"the log answered {answer.status}", retry_after_ms(answer.headers)
+    )
+
+
+class HttpLog:
+    """Implement the Log port over HTTP; address is IP:PORT."""
+
+    def __init__(
+        self,
+        address: str,
+        client: HttpClient,
+        *,
+        append_timeout_ms: int = APPEND_TIMEOUT_MS,
+        read_timeout_ms: int = READ_TIMEOUT_MS,
+    ) -> None:
+        self.address = address
+        self.client = client
+        self.append_timeout_ms = append_timeout_ms
+        self.read_timeout_ms = read_timeout_ms
+
+    async def append(self, stream: str, records: Sequence[Record]) -> int:
+        """Append records in order and return the first one's offset.
+
+        Raises LogUnavailableError when nothing was appended, and
+        LogAmbiguousError when the answer was lost.
+        """
+        request = HttpRequest(
+            "POST",
+            self.address,
+            records_path(stream),
+            write_append(records),
+            timeout_ms=self.append_timeout_ms,
+        )
+        try:
+            answer = await self.client.request(request)
+        except HttpError as error:
+            if error.is_sent:
+                raise LogAmbiguousError(error.detail) from error
+            raise LogUnavailableError(error.detail) from error
+        if answer.status in (*STATUS_UNAVAILABLE, *STATUS_REJECTED):
+            raise unavailable(answer)
+        if answer.status != STATUS_OK:
+            raise LogAmbiguousError(f"the log answered {answer.status}")
+        try:
+            return read_appended(answer.body, len(records))
+        except MessageError as error:
+            raise LogAmbiguousError(error.detail) from error
+
+    async def read(
+        self, stream: str, offset: int, *, wait_ms: int, limit: int
+    ) -> LogPage:
+        """Read from an offset, waiting up to wait_ms for a first entry.
+
+        Raises LogUnavailableError, and LogGapError when the offset expired.
+        An offset of -1 asks for the bounds alone.
+        """
+        query = f"offset={offset}&wait_ms={wait_ms}&limit={limit}"
+        request = HttpRequest(
+            "GET",
+            self.address,
+            f"{records_path(stream)}?{query}",
+            timeout_ms=wait_ms + self.read_timeout_ms,
+        )
+        try:
+            answer = await self.client.request(request)
+            return read_answer(answer, offset)
+        except (HttpError, MessageError) as error:
+            raise LogUnavailableError(error.detail) from error
+
+
+def read_answer(answer: HttpAnswer, offset: int) -> LogPage:
+    """Read the answer to a read; raises LogGapError and MessageError."""
+    if answer.status == STATUS_GONE:
+        bounds = read_bounds(answer.body)
+        raise LogGapError(offset, bounds["start_offset"])
+    if answer.status != STATUS_OK:
+        raise unavailable(answer)
+    return read_page(answer.body, offset)
--- /dev/null
+++ b/packages/berylcart/tests/protocol/test_record_codec.py
@@ -0,0 +1,85 @@
+"""Check that records survive their wire form and nothing else does."""
+
+import contextlib
+
+import pytest
+from berylcart.protocol.json_values import MessageError, read_json, write_json
+from berylcart.protocol.record_codec import (
+    decode_entry,
+    decode_record,
+    encode_record,
+)
+from berylcart.state.records import (
+    Checkpoint,
+    Claim,
+    DutyClaim,
+    Outcome,
+    Publication,
+    Release,
+    Verdict,
+)
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+VERDICTS = (Verdict("p1", 0, 1, ""), Verdict("p2", 1, None, "no base"))
+
+RECORDS = [
+    Publication("p1", None, 1, "text"),
+    Publication("p2", 3, 1, "text"),
+    Checkpoint(9, 1, 1, "text", VERDICTS),
+    Claim("digest", "lahore", "booking", "vm-1/2", "claim-1", "print"),
+    Outcome("digest", "claim-1", "yes", 0, "answer"),
+    Release("digest", "claim-1"),
+    DutyClaim("pool", "vm-1/2"),
+]
+
+CLAIM = encode_record(RECORDS[3])
+CHECKPOINT = encode_record(RECORDS[2])
+
+BROKEN = [
+    None,
+    [],
+    {},
+    {"kind": "novel"},
+    {"kind": []},
+    {**CLAIM, "extra": 1},
+    {name: CLAIM[name] for name in CLAIM if name != "claimant"},
+    {**CLAIM, "claimant": 1},
+    {**CHECKPOINT, "version": "1"},
+    {**CHECKPOINT, "version": True},
+    {**CHECKPOINT, "version": 1.0},
+    {**CHECKPOINT, "verdicts": [["p1", 0, 1, ""]]},
+]
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+
+
+@pytest.mark.parametrize("record", RECORDS)
+def test_record_survives_its_wire_form(record):
+    wire = write_json(encode_record(record))
+    assert decode_record(read_json(wire)) == record
+
+
+@pytest.mark.parametrize("value", BROKEN)
+def test_unreadable_value_keeps_its_offset(value):
+    entry = decode_entry(4, 5, value)
+    assert entry[:3] == (4, 5, None)
+    assert entry.detail
+
+
+@seed(1)
+@given(value=JSON, name=st.sampled_from(sorted(CHECKPOINT)))
+def test_no_field_value_breaks_the_decoder(value, name):
+    entry = decode_entry(0, 0, {**CHECKPOINT, name: value})
+    assert (entry.record is None) == bool(entry.detail)
+
+
+@seed(2)
+@given(body=st.binary())
+def test_any_bytes_are_json_or_a_message_error(body):
+    with contextlib.suppress(MessageError):
+        read_json(body)
