Add the peer protocol, its port and its gRPC transport

Daemons need one typed port for probes, state exchange, configuration pulls and collected answers. The messages are NamedTuples in the state layer; protobuf stays behind protocol.peer_codec. Code is generated with 'make proto', whose mapped include path gives berylcart.protocol imports.

grpclib has no limit on a received message: it reads the length and then that many bytes, reopening the window. The server checks the length before the body (test_oversized_message_is_refused_and_service_goes_on). Replies to a client are not limited yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SOURCES := packages
 export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src
 
-.PHONY: demo test setup format check lint types layers unit
+.PHONY: demo test setup format check lint types layers unit proto
 
 demo: setup
 	$(BIN)/berylcart demo
@@ -35,3 +35,11 @@
 
 unit: setup
 	$(BIN)/pytest
+
+proto: setup
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc \
+		-Iberylcart/protocol=proto \
+		--python_out=packages/berylcart/src \
+		--pyi_out=packages/berylcart/src \
+		--grpclib_python_out=packages/berylcart/src \
+		berylcart/protocol/peer.proto
--- /dev/null
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -0,0 +1,236 @@
+"""Translate peer messages to and from protobuf."""
+
+from berylcart.protocol import peer_pb2 as pb
+from berylcart.state.leaving_marks import LeavingMark
+from berylcart.state.member_table import Member, MemberState
+from berylcart.state.peer_messages import (
+    AnswerQuery,
+    AnswerState,
+    ConfigFreshness,
+    ConfigOffer,
+    ConfigQuery,
+    Demand,
+    Gossip,
+    MemberNews,
+    Ping,
+    PingRequest,
+    StoredAnswer,
+)
+from berylcart.state.records import Checkpoint, Verdict
+
+MAX_AGE_MS = 2**32 - 1
+
+
+def clamp_age(age_ms: int) -> int:
+    """Fit an age into the 32 bits of the wire.
+
+    >>> clamp_age(-5), clamp_age(7), clamp_age(2**40) == MAX_AGE_MS
+    (0, 7, True)
+    """
+    return min(max(age_ms, 0), MAX_AGE_MS)
+
+
+def encode_member(news: MemberNews) -> pb.MemberMessage:
+    """Encode one member."""
+    member = news.member
+    return pb.MemberMessage(
+        daemon_id=member.daemon_id,
+        incarnation=member.incarnation,
+        state=int(member.state),  # type: ignore[arg-type]
+        beat=member.beat,
+        peer_address=member.peer_address,
+        http_address=member.http_address,
+        place=member.place,
+        load=member.load,
+        config_version=member.config_version,
+        config_offset=member.config_offset,
+        heard_age_ms=clamp_age(news.heard_age_ms),
+    )
+
+
+def decode_member(message: pb.MemberMessage) -> MemberNews:
+    """Decode one member; raises ValueError on an unknown state."""
+    member = Member(
+        daemon_id=message.daemon_id,
+        incarnation=message.incarnation,
+        peer_address=message.peer_address,
+        http_address=message.http_address,
+        place=message.place,
+        state=MemberState(message.state),
+        beat=message.beat,
+        load=message.load,
+        config_version=message.config_version,
+        config_offset=message.config_offset,
+    )
+    return MemberNews(member, message.heard_age_ms)
+
+
+def encode_demand(demand: Demand) -> pb.DemandMessage:
+    """Encode one daemon's demand for a workspace."""
+    return pb.DemandMessage(
+        daemon_id=demand.daemon_id,
+        workspace=demand.workspace,
+        in_flight=demand.in_flight,
+        age_ms=clamp_age(demand.age_ms),
+    )
+
+
+def decode_demand(message: pb.DemandMessage) -> Demand:
+    """Decode one daemon's demand for a workspace."""
+    return Demand(
+        message.daemon_id, message.workspace, message.in_flight, message.age_ms
+    )
+
+
+def encode_gossip(gossip: Gossip) -> pb.GossipMessage:
+    """Encode a sender's view."""
+    return pb.GossipMessage(
+        sender=encode_member(MemberNews(gossip.sender, 0)),
+        members=[encode_member(news) for news in gossip.members],
+        leaving=[
+            pb.LeavingMessage(vm_id=mark.vm_id, incarnation=mark.incarnation)
+            for mark in gossip.leaving
+        ],
+        demand=[encode_demand(demand) for demand in gossip.demand],
+        config_version=gossip.config.version,
+        config_offset=gossip.config.as_of_offset,
+        config_age_ms=clamp_age(gossip.config.age_ms),
+    )
+
+
+def decode_gossip(message: pb.GossipMessage) -> Gossip:
+    """Decode a sender's view; raises ValueError when it is malformed."""
+    return Gossip(
+        sender=decode_member(message.sender).member,
+        members=tuple(decode_member(item) for item in message.members),
+        leaving=tuple(
+            LeavingMark(item.vm_id, item.incarnation)
+            for item in message.leaving
+        ),
+        demand=tuple(decode_demand(item) for item in message.demand),
+        config=ConfigFreshness(
+            message.config_version,
+            message.config_offset,
+            message.config_age_ms,
+        ),
+    )
+
+
+def encode_ping(ping: Ping) -> pb.PingMessage:
+    """Encode a probe."""
+    return pb.PingMessage(
+        target_id=ping.target_id, gossip=encode_gossip(ping.gossip)
+    )
+
+
+def decode_ping(message: pb.PingMessage) -> Ping:
+    """Decode a probe; raises ValueError when it is malformed."""
+    return Ping(message.target_id, decode_gossip(message.gossip))
+
+
+def encode_ping_request(request: PingRequest) -> pb.PingRequestMessage:
+    """Encode a request for an indirect probe."""
+    return pb.PingRequestMessage(
+        target_id=request.target_id,
+        target_address=request.target_address,
+        timeout_ms=clamp_age(request.timeout_ms),
+    )
+
+
+def decode_ping_request(message: pb.PingRequestMessage) -> PingRequest:
+    """Decode a request for an indirect probe."""
+    return PingRequest(
+        message.target_id, message.target_address, message.timeout_ms
+    )
+
+
+def encode_config_query(query: ConfigQuery) -> pb.PullConfigMessage:
+    """Encode a question for a newer configuration."""
+    return pb.PullConfigMessage(
+        known_version=query.known_version, known_offset=query.known_offset
+    )
+
+
+def decode_config_query(message: pb.PullConfigMessage) -> ConfigQuery:
+    """Decode a question for a newer configuration."""
+    return ConfigQuery(message.known_version, message.known_offset)
+
+
+def encode_verdict(verdict: Verdict) -> pb.VerdictMessage:
+    """Encode one verdict."""
+    return pb.VerdictMessage(
+        publish_id=verdict.publish_id,
+        offset=verdict.offset,
+        version=verdict.version,
+        reason=verdict.reason,
+    )
+
+
+def decode_verdict(message: pb.VerdictMessage) -> Verdict:
+    """Decode one verdict."""
+    version = message.version if message.HasField("version") else None
+    return Verdict(message.publish_id, message.offset, version, message.reason)
+
+
+def encode_config_offer(offer: ConfigOffer) -> pb.ConfigMessage:
+    """Encode a configuration, or that there is no newer one."""
+    if offer.checkpoint is None:
+        return pb.ConfigMessage(is_newer=False)
+    checkpoint = offer.checkpoint
+    return pb.ConfigMessage(
+        is_newer=True,
+        version=checkpoint.version,
+        as_of_offset=checkpoint.as_of_offset,
+        format_version=checkpoint.format_version,
+        text=checkpoint.text,
+        verdicts=[encode_verdict(item) for item in checkpoint.verdicts],
+        age_ms=clamp_age(offer.age_ms),
+    )
+
+
+def decode_config_offer(message: pb.ConfigMessage) -> ConfigOffer:
+    """Decode a configuration, or that there is no newer one."""
+    if not message.is_newer:
+        return ConfigOffer(None)
+    checkpoint = Checkpoint(
+        as_of_offset=message.as_of_offset,
+        version=message.version,
+        format_version=message.format_version,
+        text=message.text,
+        verdicts=tuple(decode_verdict(item) for item in message.verdicts),
+    )
+    return ConfigOffer(checkpoint, message.age_ms)
+
+
+def encode_answer_query(query: AnswerQuery) -> pb.CollectAnswerMessage:
+    """Encode a question for a stored answer."""
+    return pb.CollectAnswerMessage(
+        key_digest=query.key_digest,
+        claim_id=query.claim_id,
+        workspace=query.workspace,
+    )
+
+
+def decode_answer_query(message: pb.CollectAnswerMessage) -> AnswerQuery:
+    """Decode a question for a stored answer."""
+    return AnswerQuery(message.key_digest, message.claim_id, message.workspace)
+
+
+def encode_answer(answer: StoredAnswer) -> pb.AnswerMessage:
+    """Encode a stored answer."""
+    return pb.AnswerMessage(
+        state=int(answer.state),  # type: ignore[arg-type]
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+    )
+
+
+def decode_answer(message: pb.AnswerMessage) -> StoredAnswer:
+    """Decode a stored answer; raises ValueError on an unknown state."""
+    return StoredAnswer(
+        AnswerState(message.state),
+        message.status,
+        message.content_type,
+        message.body,
+    )
--- /dev/null
+++ b/packages/berylcart/src/berylcart/state/member_table.py
@@ -0,0 +1,96 @@
+"""Merge what daemons report about one another."""
+
+from collections.abc import Iterable, Mapping
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class MemberState(IntEnum):
+    """Rank the states; within one incarnation the higher one wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Member(NamedTuple):
+    """Describe one daemon as of one beat of one of its incarnations.
+
+    load is the share of the daemon's capacity in use. The daemon raises its
+    beat whenever it publishes fresh details of itself.
+    """
+
+    daemon_id: str
+    incarnation: int
+    peer_address: str
+    http_address: str
+    place: str
+    state: MemberState = MemberState.ALIVE
+    beat: int = 0
+    load: float = 0.0
+    config_version: int = 0
+    config_offset: int = -1
+
+    @property
+    def is_live(self) -> bool:
+        """Say whether the member counts as running."""
+        return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+def order_key(member: Member) -> tuple[object, ...]:
+    """Rank reports: by incarnation, then state, then beat, then the rest.
+
+    >>> old = Member("d1", 1, "a", "b", "p", MemberState.DEAD)
+    >>> new = Member("d1", 2, "a", "b", "p")
+    >>> order_key(old) < order_key(new)
+    True
+    """
+    return (member.incarnation, member.state, member.beat, member)
+
+
+def merge(left: Member, right: Member) -> Member:
+    """Keep the newer of two reports about one daemon.
+
+    >>> alive = Member("d1", 1, "a", "b", "p", beat=7)
+    >>> dead = alive._replace(state=MemberState.DEAD, beat=3)
+    >>> merge(alive, dead).state.name
+    'DEAD'
+    >>> merge(dead, alive._replace(incarnation=2)).state.name
+    'ALIVE'
+    """
+    return max(left, right, key=order_key)
+
+
+def merge_tables(
+    left: Mapping[str, Member], right: Iterable[Member]
+) -> dict[str, Member]:
+    """Merge reports into a table, giving a new one.
+
+    >>> d1 = Member("d1", 1, "a", "b", "p")
+    >>> merge_tables({"d1": d1}, [d1._replace(beat=2)])["d1"].beat
+    2
+    """
+    table = dict(left)
+    for member in right:
+        known = table.get(member.daemon_id)
+        table[member.daemon_id] = merge(known, member) if known else member
+    return table
+
+
+def refute(me: Member, report: Member) -> Member:
+    """Raise the own incarnation above a report that says otherwise.
+
+    >>> me = Member("d1", 1, "a", "b", "p")
+    >>> refute(me, me._replace(state=MemberState.SUSPECT)).incarnation
+    2
+    >>> refute(me, me._replace(incarnation=5)).incarnation
+    6
+    >>> refute(me, me).incarnation
+    1
+    """
+    if report.incarnation > me.incarnation:
+        return me._replace(incarnation=report.incarnation + 1)
+    if report.incarnation == me.incarnation and report.state > me.state:
+        return me._replace(incarnation=report.incarnation + 1)
+    return me
--- /dev/null
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -0,0 +1,99 @@
+"""Define the typed messages that daemons send one another."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from berylcart.state.leaving_marks import LeavingMark
+from berylcart.state.member_table import Member
+from berylcart.state.records import Checkpoint
+
+
+class MemberNews(NamedTuple):
+    """Report a member and how long ago the member itself was heard."""
+
+    member: Member
+    heard_age_ms: int
+
+
+class Demand(NamedTuple):
+    """Report how much work of a workspace one daemon has in flight."""
+
+    daemon_id: str
+    workspace: str
+    in_flight: int
+    age_ms: int = 0
+
+
+class ConfigFreshness(NamedTuple):
+    """State a configuration version and how recently the log confirmed it.
+
+    The log had been read up to offset as_of_offset age_ms ago.
+    """
+
+    version: int = 0
+    as_of_offset: int = -1
+    age_ms: int = 0
+
+
+class Gossip(NamedTuple):
+    """Carry a sender's view, whole or in part."""
+
+    sender: Member
+    members: tuple[MemberNews, ...] = ()
+    leaving: tuple[LeavingMark, ...] = ()
+    demand: tuple[Demand, ...] = ()
+    config: ConfigFreshness = ConfigFreshness()
+
+
+class Ping(NamedTuple):
+    """Probe the daemon that should be listening at an address."""
+
+    target_id: str
+    gossip: Gossip
+
+
+class PingRequest(NamedTuple):
+    """Ask a peer to probe a third daemon."""
+
+    target_id: str
+    target_address: str
+    timeout_ms: int
+
+
+class ConfigQuery(NamedTuple):
+    """Ask a peer for a configuration newer than the one known."""
+
+    known_version: int
+    known_offset: int
+
+
+class ConfigOffer(NamedTuple):
+    """Carry a newer configuration, or None when the peer is not ahead."""
+
+    checkpoint: Checkpoint | None
+    age_ms: int = 0
+
+
+class AnswerQuery(NamedTuple):
+    """Ask a claimant for the answer of a claimed request."""
+
+    key_digest: str
+    claim_id: str
+    workspace: str
+
+
+class AnswerState(IntEnum):
+    """Say what the claimant holds for a claim."""
+
+    UNKNOWN = 0
+    PENDING = 1
+    STORED = 2
+
+
+class StoredAnswer(NamedTuple):
+    """Carry the stored answer of a claimed request, once there is one."""
+
+    state: AnswerState
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -0,0 +1,154 @@
+"""Serve the calls of other daemons over gRPC."""
+
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from google.protobuf.message import DecodeError
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from berylcart.coordination.peer_port import PeerHandlers
+from berylcart.protocol import peer_codec as codec
+from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol.peer_grpc import PeerBase
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.transport.peer_client import MAX_MESSAGE_BYTES, split_address
+
+
+def limit_message(stream: Any) -> None:
+    """Refuse a message over MAX_MESSAGE_BYTES before it is buffered.
+
+    grpclib has no such limit; it reads the length, then that many bytes.
+    """
+    wire = stream._stream
+    read: Callable[[int], Awaitable[bytes]] = wire.recv_data
+
+    async def read_limited(size: int) -> bytes:
+        if size > MAX_MESSAGE_BYTES:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "message too large")
+        return await read(size)
+
+    wire.recv_data = read_limited
+
+
+async def receive(stream: Any, decode: Callable[[Any], Any]) -> Any:
+    """Read a request; raises GRPCError when it is too large or malformed."""
+    limit_message(stream)
+    try:
+        message = await stream.recv_message()
+        if message is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no message")
+        return decode(message)
+    except (ValueError, DecodeError) as error:
+        raise GRPCError(Status.INVALID_ARGUMENT, "malformed") from error
+
+
+async def answer(
+    stream: Any,
+    decode: Callable[[Any], Any],
+    handle: Callable[[Any], Awaitable[Any]],
+    encode: Callable[[Any], Any],
+) -> None:
+    """Read one request, handle it and send its reply."""
+    request = await receive(stream, decode)
+    try:
+        reply = await handle(request)
+    except BerylcartError as error:
+        raise GRPCError(Status.UNAVAILABLE, str(error)) from error
+    await stream.send_message(encode(reply))
+
+
+class PeerService(PeerBase):
+    """Translate gRPC calls to the handlers' typed ones."""
+
+    def __init__(self, handlers: PeerHandlers) -> None:
+        self._handlers = handlers
+
+    async def Ping(self, stream: Any) -> None:  # noqa: N802
+        """Answer a probe."""
+        await answer(
+            stream,
+            codec.decode_ping,
+            self._handlers.on_ping,
+            codec.encode_gossip,
+        )
+
+    async def PingRequest(self, stream: Any) -> None:  # noqa: N802
+        """Probe a third daemon for a peer."""
+        await answer(
+            stream,
+            codec.decode_ping_request,
+            self._handlers.on_ping_request,
+            lambda is_reached: pb.PingRequestReply(is_reached=is_reached),
+        )
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        """Swap the whole membership state."""
+        await answer(
+            stream,
+            codec.decode_gossip,
+            self._handlers.on_exchange,
+            codec.encode_gossip,
+        )
+
+    async def PullConfig(self, stream: Any) -> None:  # noqa: N802
+        """Give the configuration to a peer that is behind."""
+        await answer(
+            stream,
+            codec.decode_config_query,
+            self._handlers.on_pull_config,
+            codec.encode_config_offer,
+        )
+
+    async def CollectAnswer(self, stream: Any) -> None:  # noqa: N802
+        """Give the stored answer of a claimed request."""
+        await answer(
+            stream,
+            codec.decode_answer_query,
+            self._handlers.on_collect_answer,
+            codec.encode_answer,
+        )
+
+
+class PeerServer:
+    """Listen for peers on an IP:PORT address; port 0 picks a free one."""
+
+    def __init__(self, handlers: PeerHandlers, address: str) -> None:
+        self._server = Server([PeerService(handlers)])
+        self._socket = bind(address)
+
+    @property
+    def address(self) -> str:
+        """Give the IP:PORT address listened at."""
+        host, port = self._socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Accept connections."""
+        await self._server.start(sock=self._socket)
+
+    async def close(self) -> None:
+        """Stop listening and wait for the calls in progress."""
+        self._server.close()
+        await self._server.wait_closed()
+
+
+def bind(address: str) -> socket.socket:
+    """Bind a socket; raises BerylcartError when the address is in use."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError as error:
+        listener.close()
+        if error.errno != errno.EADDRINUSE:
+            raise
+        raise BerylcartError(
+            Code.ADDRESS_IN_USE, f"peer address {address}"
+        ) from error
+    return listener
--- /dev/null
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -0,0 +1,204 @@
+"""Check peer calls over real loopback sockets."""
+
+import asyncio
+
+import pytest
+from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol.peer_grpc import PeerStub
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.leaving_marks import LeavingMark
+from berylcart.state.member_table import Member, MemberState
+from berylcart.state.peer_messages import (
+    AnswerQuery,
+    AnswerState,
+    ConfigFreshness,
+    ConfigOffer,
+    ConfigQuery,
+    Demand,
+    Gossip,
+    MemberNews,
+    Ping,
+    PingRequest,
+    StoredAnswer,
+)
+from berylcart.state.records import Checkpoint, Verdict
+from berylcart.transport.peer_client import (
+    MAX_MESSAGE_BYTES,
+    GrpcPeers,
+    open_channel,
+)
+from berylcart.transport.peer_server import PeerServer
+from grpclib.exceptions import GRPCError
+
+BOUND_MS = 10_000
+ME = Member("d1", 3, "127.0.0.1:1", "127.0.0.1:2", "lahore-1", beat=4)
+GOSSIP = Gossip(
+    ME,
+    (MemberNews(ME._replace(daemon_id="d2", state=MemberState.DEAD), 70),),
+    (LeavingMark("vm-1", 9),),
+    (Demand("d1", "w1", 5, 30),),
+    ConfigFreshness(7, 40, 12),
+)
+CHECKPOINT = Checkpoint(
+    40,
+    7,
+    1,
+    "text",
+    (Verdict("p1", 39, 7, ""), Verdict("p2", 40, None, "conflict")),
+)
+ANSWER = StoredAnswer(AnswerState.STORED, 200, "application/json", b"{}")
+
+
+class EchoHandlers:
+    """Answer each call with fixed content, or stall."""
+
+    def __init__(self):
+        self.seen = []
+        self.stall = asyncio.Event()
+        self.stall.set()
+
+    async def on_ping(self, ping):
+        """Echo the gossip once not stalled."""
+        self.seen.append(ping)
+        await self.stall.wait()
+        return ping.gossip
+
+    async def on_ping_request(self, request):
+        """Say that the third daemon answered."""
+        self.seen.append(request)
+        return True
+
+    async def on_exchange(self, gossip):
+        """Echo the gossip."""
+        return gossip
+
+    async def on_pull_config(self, query):
+        """Offer a fixed checkpoint."""
+        if query.known_version < 7:
+            return ConfigOffer(CHECKPOINT, 5)
+        return ConfigOffer(None)
+
+    async def on_collect_answer(self, query):
+        """Give a fixed answer, or fail."""
+        if query.claim_id == "lost":
+            raise BerylcartError(Code.INTERNAL, "failed")
+        return ANSWER
+
+
+def serve(scenario):
+    """Run a scenario against a server on a free port."""
+
+    async def run():
+        handlers = EchoHandlers()
+        server = PeerServer(handlers, "127.0.0.1:0")
+        await server.start()
+        peers = GrpcPeers()
+        try:
+            await scenario(peers, server, handlers)
+        finally:
+            peers.close()
+            await server.close()
+
+    asyncio.run(run())
+
+
+def test_messages_arrive_whole():
+    async def scenario(peers, server, handlers):
+        address = server.address
+        ping = Ping("d9", GOSSIP)
+        assert await peers.ping(address, ping, timeout_ms=BOUND_MS) == GOSSIP
+        assert handlers.seen == [ping]
+        request = PingRequest("d9", "127.0.0.1:9", 400)
+        assert await peers.ping_request(address, request, timeout_ms=BOUND_MS)
+        assert handlers.seen[-1] == request
+        reply = await peers.exchange(address, GOSSIP, timeout_ms=BOUND_MS)
+        assert reply == GOSSIP
+        offer = await peers.pull_config(
+            address, ConfigQuery(6, 0), timeout_ms=BOUND_MS
+        )
+        assert offer == ConfigOffer(CHECKPOINT, 5)
+        offer = await peers.pull_config(
+            address, ConfigQuery(7, 40), timeout_ms=BOUND_MS
+        )
+        assert offer == ConfigOffer(None)
+        query = AnswerQuery("k", "c", "w")
+        answer = await peers.collect_answer(
+            address, query, timeout_ms=BOUND_MS
+        )
+        assert answer == ANSWER
+
+    serve(scenario)
+
+
+def test_failures_carry_the_peer_code():
+    async def scenario(peers, server, handlers):
+        lost = AnswerQuery("k", "lost", "w")
+        with pytest.raises(BerylcartError) as caught:
+            await peers.collect_answer(
+                server.address, lost, timeout_ms=BOUND_MS
+            )
+        assert caught.value.code is Code.PEER_UNAVAILABLE
+        handlers.stall = asyncio.Event()
+        with pytest.raises(BerylcartError) as caught:
+            await peers.ping(server.address, Ping("d", GOSSIP), timeout_ms=50)
+        assert caught.value.code is Code.PEER_UNAVAILABLE
+
+    serve(scenario)
+
+
+def test_closed_port_is_unavailable():
+    async def scenario(peers, server, handlers):
+        address = server.address
+        await server.close()
+        with pytest.raises(BerylcartError):
+            await peers.ping(address, Ping("d", GOSSIP), timeout_ms=BOUND_MS)
+
+    serve(scenario)
+
+
+def test_oversized_message_is_refused_and_service_goes_on():
+    async def scenario(peers, server, handlers):
+        channel = open_channel(server.address)
+        message = pb.PingMessage(target_id="x" * (MAX_MESSAGE_BYTES + 1))
+        with pytest.raises(GRPCError):
+            await PeerStub(channel).Ping(message, timeout=BOUND_MS / 1000)
+        channel.close()
+        assert handlers.seen == []
+        ping = Ping("d9", GOSSIP)
+        assert await peers.ping(server.address, ping, timeout_ms=BOUND_MS)
+
+    serve(scenario)
+
+
+def test_unknown_enum_value_is_refused():
+    async def scenario(peers, server, handlers):
+        channel = open_channel(server.address)
+        message = pb.GossipMessage(sender=pb.MemberMessage(state=77))
+        with pytest.raises(GRPCError):
+            await PeerStub(channel).Exchange(message, timeout=BOUND_MS / 1000)
+        channel.close()
+
+    serve(scenario)
+
+
+def test_taken_address_is_named():
+    async def scenario(peers, server, handlers):
+        with pytest.raises(BerylcartError) as caught:
+            PeerServer(handlers, server.address)
+        assert caught.value.code is Code.ADDRESS_IN_USE
+
+    serve(scenario)
+
+
+def test_channels_are_bounded():
+    async def scenario(peers, server, handlers):
+        few = GrpcPeers(max_channels=1)
+        other = PeerServer(handlers, "127.0.0.1:0")
+        await other.start()
+        for address in (server.address, other.address, server.address):
+            await few.ping(address, Ping("d", GOSSIP), timeout_ms=BOUND_MS)
+        assert len(few._channels) == 1
+        few.close()
+        await other.close()
+
+    serve(scenario)
