Add the policy parts: deadlines, budgets, load, ejection, routing, admission

Cause: the pipeline executor needs decisions under load that it can call. Ruled out: a home-made quantile sketch (hdrhistogram serves); charging workspaces for work that did not wait, since idle time then earns credit; judging every late answer of an ejected replica as a probe, which doubled its ejection time. Policies are chosen by the name "default" or MODULE:ATTRIBUTE, so that baselines stay in the lab package.

--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/admission.py
@@ -0,0 +1,197 @@
+"""Admit requests that can finish in time and refuse the rest at once."""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+
+from berylcart.coordination.concurrency import AdaptiveLimit, LimitSettings
+from berylcart.coordination.fair_queue import FairQueue, Waiting
+from berylcart.state.config import Workspace
+from berylcart.state.errors import BerylcartError, Code
+
+MS_PER_S = 1000
+LEAST_RETRY_MS = 50
+LONGEST_RETRY_MS = 5000
+
+
+class AdmissionSettings(NamedTuple):
+    """Bound what one entry takes in for one target.
+
+    wait_share is the part of the spare time that may be spent waiting.
+    """
+
+    limit: LimitSettings = LimitSettings()
+    max_waiting: int = 256
+    wait_share: float = 0.5
+    longest_wait_ms: float = 500.0
+
+
+class Ticket:
+    """Stand for one admitted request."""
+
+    def __init__(self, workspace: str, admitted_s: float) -> None:
+        self.workspace = workspace
+        self.admitted_s = admitted_s
+        self.waited_ms = 0.0
+        self.is_strained = False
+
+    def note_strain(self) -> None:
+        """Report that an upstream refused work as overloaded."""
+        self.is_strained = True
+
+
+class Waiter:
+    """Hold one request that waits for a slot."""
+
+    def __init__(self) -> None:
+        self.granted = anyio.Event()
+
+
+class Admission:
+    """Admit work for one target: a pipeline or a service.
+
+    Waiting work is ordered fairly between workspaces, and by deadline
+    within one. A refusal says that the request did not run.
+    """
+
+    def __init__(
+        self,
+        settings: AdmissionSettings = AdmissionSettings(),  # noqa: B008
+        clock_s: Callable[[], float] = anyio.current_time,
+    ) -> None:
+        self.settings = settings
+        self.clock_s = clock_s
+        self.limit = AdaptiveLimit(settings.limit, clock_s)
+        self.queue: FairQueue[Waiter] = FairQueue()
+        self.in_flight = 0
+        self.by_workspace: Counter[str] = Counter()
+        self.refused: Counter[Code] = Counter()
+
+    @asynccontextmanager
+    async def admit(
+        self, workspace: Workspace, expected_ms: float, deadline_ms: float
+    ) -> AsyncIterator[Ticket]:
+        """Hold a slot while the block runs; deadline_ms is what remains.
+
+        Raises BerylcartError with OVERLOADED, DEADLINE_TOO_CLOSE or
+        WORKSPACE_LIMIT before anything ran.
+        """
+        self._check(workspace, expected_ms, deadline_ms)
+        arrived_s = self.clock_s()
+        self.by_workspace[workspace.name] += 1
+        try:
+            await self._take_slot(workspace, expected_ms, deadline_ms)
+            ticket = Ticket(workspace.name, self.clock_s())
+            ticket.waited_ms = (ticket.admitted_s - arrived_s) * MS_PER_S
+            try:
+                yield ticket
+            finally:
+                self._finish(ticket)
+        finally:
+            self._leave(workspace.name)
+
+    def expected_wait_ms(
+        self, workspace: Workspace, expected_ms: float
+    ) -> float:
+        """Estimate how long a new request would wait for its slot."""
+        if self.in_flight < self.limit.value and not len(self.queue):
+            return 0.0
+        ahead_ms = self.queue.cost_ahead(workspace.name, workspace.share)
+        return (ahead_ms + expected_ms) / max(1, self.limit.value)
+
+    def _check(
+        self, workspace: Workspace, expected_ms: float, deadline_ms: float
+    ) -> None:
+        spare_ms = deadline_ms - expected_ms
+        if spare_ms < 0:
+            raise self._refusal(
+                Code.DEADLINE_TOO_CLOSE,
+                f"{expected_ms:.0f} ms are needed, {deadline_ms:.0f} remain",
+                None,
+            )
+        if self.by_workspace[workspace.name] >= workspace.max_in_flight:
+            raise self._refusal(
+                Code.WORKSPACE_LIMIT,
+                f"{workspace.max_in_flight} requests are in flight",
+                expected_ms,
+            )
+        wait_ms = self.expected_wait_ms(workspace, expected_ms)
+        if len(self.queue) >= self.settings.max_waiting:
+            raise self._refusal(Code.OVERLOADED, "queue is full", wait_ms)
+        if wait_ms > self._longest_wait_ms(spare_ms):
+            raise self._refusal(
+                Code.OVERLOADED, f"the wait is {wait_ms:.0f} ms", wait_ms
+            )
+
+    def _longest_wait_ms(self, spare_ms: float) -> float:
+        return min(
+            self.settings.longest_wait_ms,
+            self.settings.wait_share * spare_ms,
+        )
+
+    def _refusal(
+        self, code: Code, detail: str, wait_ms: float | None
+    ) -> BerylcartError:
+        self.refused[code] += 1
+        retry_after_ms = None
+        if wait_ms is not None:
+            bounded_ms = min(max(wait_ms, LEAST_RETRY_MS), LONGEST_RETRY_MS)
+            retry_after_ms = int(bounded_ms)
+        return BerylcartError(code, detail, retry_after_ms=retry_after_ms)
+
+    async def _take_slot(
+        self, workspace: Workspace, expected_ms: float, deadline_ms: float
+    ) -> None:
+        if self.in_flight < self.limit.value and not len(self.queue):
+            self.in_flight += 1
+            return
+        waiter = Waiter()
+        deadline_s = self.clock_s() + deadline_ms / MS_PER_S
+        waiting = self.queue.push(
+            workspace.name, workspace.share, deadline_s, expected_ms, waiter
+        )
+        await self._wait(workspace, waiting, deadline_ms - expected_ms)
+
+    async def _wait(
+        self, workspace: Workspace, waiting: Waiting[Waiter], spare_ms: float
+    ) -> None:
+        waiter = waiting.item
+        try:
+            with anyio.move_on_after(spare_ms / MS_PER_S):
+                await waiter.granted.wait()
+        except BaseException:
+            self._give_up(workspace, waiting)
+            raise
+        if not waiter.granted.is_set():
+            self._give_up(workspace, waiting)
+            raise self._refusal(
+                Code.DEADLINE_TOO_CLOSE, "no slot came free in time", None
+            )
+
+    def _give_up(self, workspace: Workspace, waiting: Waiting[Waiter]) -> None:
+        if waiting.item.granted.is_set():
+            self._release()
+        else:
+            self.queue.remove(workspace.name, waiting)
+
+    def _finish(self, ticket: Ticket) -> None:
+        latency_ms = (self.clock_s() - ticket.admitted_s) * MS_PER_S
+        if ticket.is_strained:
+            self.limit.note_strain()
+        else:
+            self.limit.note(latency_ms, self.in_flight)
+        self._release()
+
+    def _release(self) -> None:
+        self.in_flight -= 1
+        while len(self.queue) and self.in_flight < self.limit.value:
+            self.in_flight += 1
+            self.queue.pop().granted.set()
+
+    def _leave(self, workspace: str) -> None:
+        self.by_workspace[workspace] -= 1
+        if not self.by_workspace[workspace]:
+            del self.by_workspace[workspace]
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/policies.py
@@ -0,0 +1,30 @@
+"""Find a policy by the name that the settings give."""
+
+from importlib import import_module
+
+from berylcart.coordination.routing import DEFAULT_POLICY, Policy
+from berylcart.state.errors import BerylcartError, Code
+
+
+def load_policy(name: str) -> Policy:
+    """Load a policy: "default", or "MODULE:ATTRIBUTE" of another package.
+
+    Raises BerylcartError with SETTINGS_INVALID.
+
+    >>> load_policy("default").is_hedging
+    True
+    """
+    if name == DEFAULT_POLICY.name:
+        return DEFAULT_POLICY
+    module_name, _, attribute = name.partition(":")
+    try:
+        policy = getattr(import_module(module_name), attribute)
+    except (ImportError, AttributeError, ValueError) as error:
+        raise BerylcartError(
+            Code.SETTINGS_INVALID, f"policy: cannot load {name!r}: {error}"
+        ) from error
+    if not isinstance(policy, Policy):
+        raise BerylcartError(
+            Code.SETTINGS_INVALID, f"policy: {name!r} is not a policy"
+        )
+    return policy
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_budgets.py
@@ -0,0 +1,18 @@
+"""Check that extra attempts stay within their share."""
+
+from berylcart.coordination.budgets import RetryBudget
+from hypothesis import given
+from hypothesis import strategies as st
+
+
+@given(events=st.lists(st.booleans(), max_size=500))
+def test_extra_attempts_never_pass_ratio_and_burst(events):
+    budget = RetryBudget(ratio=0.1, burst=3)
+    requests = taken = 0
+    for is_request in events:
+        if is_request:
+            budget.note_request()
+            requests += 1
+        elif budget.try_take():
+            taken += 1
+    assert taken <= 3 + 0.1 * requests + 1e-9
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_fair_queue.py
@@ -0,0 +1,68 @@
+"""Check fairness and order."""
+
+from collections import Counter
+
+from berylcart.coordination.fair_queue import FairQueue
+
+
+def test_shares_divide_the_service():
+    queue = FairQueue()
+    for _ in range(100):
+        queue.push("large", 3.0, 1.0, 10.0, "large")
+        queue.push("small", 1.0, 1.0, 10.0, "small")
+    served = Counter(queue.pop() for _ in range(80))
+    assert served == {"large": 60, "small": 20}
+
+
+def test_costly_work_uses_up_the_share_sooner():
+    queue = FairQueue()
+    for _ in range(100):
+        queue.push("costly", 1.0, 1.0, 30.0, "costly")
+        queue.push("cheap", 1.0, 1.0, 10.0, "cheap")
+    served = Counter(queue.pop() for _ in range(80))
+    assert served == {"cheap": 60, "costly": 20}
+
+
+def test_idle_time_earns_no_credit():
+    queue = FairQueue()
+    for _ in range(50):
+        queue.push("busy", 1.0, 1.0, 1.0, "busy")
+    for _ in range(30):
+        queue.pop()
+    for _ in range(20):
+        queue.push("late", 1.0, 1.0, 1.0, "late")
+    served = Counter(queue.pop() for _ in range(10))
+    assert served == {"busy": 5, "late": 5}
+
+
+def test_earliest_deadline_first_within_a_workspace():
+    queue = FairQueue()
+    for deadline_s in (5.0, 1.0, 3.0):
+        queue.push("w", 1.0, deadline_s, 1.0, deadline_s)
+    assert [queue.pop() for _ in range(3)] == [1.0, 3.0, 5.0]
+
+
+def test_removed_item_is_not_served():
+    queue = FairQueue()
+    first = queue.push("w", 1.0, 1.0, 1.0, "first")
+    queue.push("w", 1.0, 2.0, 1.0, "second")
+    queue.remove("w", first)
+    queue.remove("w", first)
+    assert len(queue) == 1
+    assert queue.pop() == "second"
+
+
+def test_cost_ahead_bounds_others_by_their_share():
+    queue = FairQueue()
+    for _ in range(100):
+        queue.push("flood", 1.0, 1.0, 10.0, "x")
+    assert queue.cost_ahead("small", 1.0) == 0.0
+    assert queue.cost_ahead("flood", 1.0) == 1000.0
+
+
+def test_idle_workspaces_are_forgotten():
+    queue = FairQueue()
+    for number in range(1000):
+        queue.push(f"w{number}", 1.0, 1.0, 1.0, number)
+        queue.pop()
+    assert len(queue.workspaces) <= 2
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_load_table.py
@@ -0,0 +1,86 @@
+"""Check the load estimates."""
+
+import pytest
+from berylcart.coordination.load_table import LoadTable
+from berylcart.state.config import Service, ServiceKind
+
+MODEL = Service("model", ServiceKind.ENGINE, frozenset({"lahore-1"}))
+
+
+@pytest.fixture
+def table(clock):
+    return LoadTable(clock)
+
+
+def test_own_work_raises_the_expectation(table, make_pool):
+    vm = make_pool(1)[0]
+    idle_ms = table.expected_ms(vm, MODEL)
+    table.started(vm)
+    assert table.expected_ms(vm, MODEL) > idle_ms
+
+
+def test_reports_lose_weight_with_age(table, clock, make_pool):
+    vm, other = make_pool(2)
+    table.reported(vm, in_flight=8, queued=8, capacity=8, age_ms=0)
+    table.reported(other, in_flight=8, queued=8, capacity=8, age_ms=2000)
+    assert table.expected_ms(vm, MODEL) > table.expected_ms(other, MODEL)
+    fresh_ms = table.expected_ms(vm, MODEL)
+    clock.now_s = 5
+    assert table.expected_ms(vm, MODEL) < fresh_ms
+
+
+def test_own_work_is_not_counted_twice(table, make_pool):
+    vm = make_pool(1)[0]
+    table.started(vm)
+    before = table.occupancy(vm)
+    table.reported(vm, in_flight=1, queued=0, capacity=8, age_ms=0)
+    assert table.occupancy(vm) == before
+
+
+def test_slow_replica_is_expected_to_be_slow(table, make_pool):
+    slow, fast = make_pool(2)
+    for _ in range(20):
+        for vm, latency_ms in ((slow, 500), (fast, 100)):
+            table.started(vm)
+            table.finished(vm, latency_ms, True)
+    assert table.expected_ms(slow, MODEL) > 2 * table.expected_ms(fast, MODEL)
+
+
+def test_fast_failures_are_no_attraction(table, make_pool):
+    failing, good = make_pool(2)
+    for _ in range(20):
+        table.started(good)
+        table.finished(good, 100, True)
+    for _ in range(5):
+        table.started(failing)
+        table.finished(failing, 1, False)
+    assert table.expected_ms(failing, MODEL) > table.expected_ms(good, MODEL)
+
+
+def test_cancelled_attempts_only_raise_estimates(table, make_pool):
+    vm = make_pool(1)[0]
+    table.started(vm)
+    table.finished(vm, 100, True)
+    before_ms = table.expected_ms(vm, MODEL)
+    table.started(vm)
+    table.cancelled(vm, 1)
+    assert table.expected_ms(vm, MODEL) == before_ms
+    table.started(vm)
+    table.cancelled(vm, 900)
+    assert table.expected_ms(vm, MODEL) > before_ms
+    assert table.in_flight(vm) == 0
+
+
+def test_entries_go_with_their_vms(table, make_pool):
+    gone, kept = make_pool(2)
+    for vm in (gone, kept):
+        table.started(vm)
+        table.finished(vm, 10, True)
+    table.retain([kept])
+    assert len(table.loads) == 1
+
+
+def test_replaced_instance_starts_afresh(table, make_pool):
+    vm = make_pool(1)[0]
+    table.started(vm)
+    assert table.in_flight(vm._replace(instance="new")) == 0
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_policies.py
@@ -0,0 +1,14 @@
+"""Check how the settings' policy is found."""
+
+import pytest
+from berylcart.coordination.policies import load_policy
+from berylcart.state.errors import BerylcartError, Code
+
+
+@pytest.mark.parametrize(
+    "name", ["", "nowhere", "nowhere:x", "berylcart.events:info", "os:nope"]
+)
+def test_unknown_policy_is_a_settings_error(name):
+    with pytest.raises(BerylcartError) as caught:
+        load_policy(name)
+    assert caught.value.code is Code.SETTINGS_INVALID
