--- a/packages/berylcart/src/berylcart/coordination/concurrency.py
+++ b/packages/berylcart/src/berylcart/coordination/concurrency.py
@@ -17,7 +17,7 @@
 class LimitSettings(NamedTuple):
     """Bound the adaptive limit."""
 
-    initial: int = 32
+    initial: int = 16
     lowest: int = 2
     highest: int = 512
     slowdown_tolerance: float = SLOWDOWN_TOLERANCE
