Claim non-idempotent requests on the log

A request with an Idempotency-Key may run only after its claim was read back as the first for the key in log order.

The age of a key is judged from the log's time on the claim record after it was read back; a key may carry its issue time (issued_ms, new field of Claim with a default). A reader that starts late refuses keys that it cannot judge.

--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/claim_reader.py
@@ -0,0 +1,74 @@
+"""Tail the claim stream into the ledger, across gaps and outages."""
+
+import math
+from collections.abc import Callable
+
+import anyio
+
+from berylcart import events
+from berylcart.coordination.ports import Log
+from berylcart.state.claim_ledger import (
+    BEGINNING_MS,
+    ClaimLedger,
+    ClaimRules,
+    Judgement,
+)
+from berylcart.state.errors import LogGapError, LogUnavailableError
+from berylcart.state.records import CLAIM_STREAM, LogEntry
+
+MS_PER_S = 1000
+READ_LIMIT = 1000
+READ_WAIT_MS = 10_000
+READ_TIMEOUT_S = 15
+RETRY_S = 0.2
+
+OnEntry = Callable[[LogEntry, Judgement | None], None]
+
+
+class ClaimReader:
+    """Fold the claim stream in offset order; call run() in a task."""
+
+    def __init__(self, log: Log, rules: ClaimRules, on_entry: OnEntry) -> None:
+        self.log = log
+        self.rules = rules
+        self.on_entry = on_entry
+        self.ledger = ClaimLedger(rules, covered_since_ms=None)
+        self.position = -1
+        self.caught_up = anyio.Event()
+        self.read_at = -math.inf
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            try:
+                with anyio.fail_after(READ_TIMEOUT_S):
+                    await self._read_next()
+            except LogGapError as gap:
+                events.warning("claims.gap", start_offset=gap.start_offset)
+                self.position = -1
+            except (LogUnavailableError, TimeoutError):
+                await anyio.sleep(RETRY_S)
+
+    async def _read_next(self) -> None:
+        if self.position < 0:
+            await self._start()
+        page = await self.log.read(
+            CLAIM_STREAM,
+            self.position,
+            wait_ms=READ_WAIT_MS if self.caught_up.is_set() else 0,
+            limit=READ_LIMIT,
+        )
+        for entry in page.entries:
+            self.position = entry.offset + 1
+            self.on_entry(entry, self.ledger.fold(entry))
+        self.read_at = anyio.current_time()
+        if self.position >= page.end_offset:
+            self.caught_up.set()
+        await anyio.lowlevel.checkpoint()
+
+    async def _start(self) -> None:
+        """Begin at the oldest retained record with nothing yet known."""
+        bounds = await self.log.read(CLAIM_STREAM, -1, wait_ms=0, limit=1)
+        whole = bounds.start_offset == 0
+        self.ledger = ClaimLedger(self.rules, BEGINNING_MS if whole else None)
+        self.position = bounds.start_offset
--- /dev/null
+++ b/packages/berylcart/src/berylcart/state/claim_keys.py
@@ -0,0 +1,68 @@
+"""Read idempotency keys and reduce them and bodies to digests."""
+
+import hashlib
+import re
+import secrets
+from typing import NamedTuple
+
+DATED_KEY = re.compile(r"t([1-9]\d{0,14})-[0-9A-Za-z_-]{16,64}")
+DIGEST_BYTES = 16
+RANDOM_BYTES = 16
+
+
+class IdempotencyKey(NamedTuple):
+    """Hold a key's digest and the log time of its issue, 0 if plain."""
+
+    digest: str
+    issued_ms: int
+
+
+def digest(*parts: str) -> str:
+    """Hash parts, each apart from the next.
+
+    >>> digest("a", "bc") == digest("ab", "c")
+    False
+    """
+    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        data = part.encode()
+        state.update(len(data).to_bytes(8, "big"))
+        state.update(data)
+    return state.hexdigest()
+
+
+def fingerprint(body: bytes) -> str:
+    """Hash a request's body.
+
+    >>> fingerprint(b"hem") == fingerprint(b"hem")
+    True
+    """
+    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def issue_key(log_time_ms: int) -> str:
+    """Issue a dated key from a log time.
+
+    >>> issued_ms(issue_key(1700))
+    1700
+    """
+    return f"t{max(1, log_time_ms)}-{secrets.token_hex(RANDOM_BYTES)}"
+
+
+def issued_ms(key: str) -> int:
+    """Read the log time that a dated key carries, 0 for a plain key.
+
+    >>> issued_ms("t1700-0123456789abcdef"), issued_ms("booking-17")
+    (1700, 0)
+    """
+    match = DATED_KEY.fullmatch(key)
+    return int(match.group(1)) if match else 0
+
+
+def read_key(
+    key: str, workspace: str, service: str, stage: str = ""
+) -> IdempotencyKey:
+    """Scope a key to its workspace, its service and a pipeline's stage."""
+    return IdempotencyKey(
+        digest(workspace, service, stage, key), issued_ms(key)
+    )
--- /dev/null
+++ b/packages/berylcart/src/berylcart/state/claim_ledger.py
@@ -0,0 +1,219 @@
+"""Fold claim records in log order into who may run which request."""
+
+from enum import StrEnum
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from berylcart.state.records import Claim, LogEntry, Outcome, Release
+
+BEGINNING_MS = -(1 << 62)
+EXPIRY_BUCKET_MS = 60_000
+
+
+class ClaimRules(NamedTuple):
+    """Set how long claims are honoured, in the log's own time."""
+
+    claim_keep_ms: int = 6 * 3_600_000
+    skew_ms: int = 5_000
+
+
+class Verdict(StrEnum):
+    """List what the fold decides about one claim record."""
+
+    GRANTED = "granted"
+    DUPLICATE = "duplicate"
+    CONFLICT = "conflict"
+    EXPIRED = "expired"
+    UNJUDGED = "unjudged"
+
+
+class Holder(NamedTuple):
+    """Describe the claim that holds a key and, once known, its outcome."""
+
+    claim_id: str
+    claimant: str
+    fingerprint: str
+    expires_ms: int
+    ran: str = ""
+    code: int = 0
+    answer_digest: str = ""
+
+
+class Judgement(NamedTuple):
+    """Give the verdict on a claim and the key's holder after it."""
+
+    verdict: Verdict
+    holder: Holder | None
+
+
+def expiry_ms(claim: Claim, time_ms: int, rules: ClaimRules) -> int:
+    """Give the log time after which a claim's key is forgotten.
+
+    The expiry of a dated key depends on the key alone, so every claim that
+    could follow a forgotten one is itself too old.
+
+    >>> rules = ClaimRules(claim_keep_ms=1000, skew_ms=0)
+    >>> dated = Claim("k", "w", "s", "d1/1", "d1/1.1", "f", issued_ms=70)
+    >>> expiry_ms(dated, 90, rules)
+    1070
+    >>> expiry_ms(dated._replace(issued_ms=0), 90, rules)
+    1090
+    """
+    return (claim.issued_ms or time_ms) + rules.claim_keep_ms
+
+
+def is_out_of_date(claim: Claim, time_ms: int, rules: ClaimRules) -> bool:
+    """Say whether a dated key is too old, or issued in the future.
+
+    >>> rules = ClaimRules(claim_keep_ms=1000, skew_ms=5)
+    >>> dated = Claim("k", "w", "s", "d1/1", "d1/1.1", "f", issued_ms=70)
+    >>> [is_out_of_date(dated, time, rules) for time in (64, 65, 1070, 1071)]
+    [True, False, False, True]
+    """
+    if not claim.issued_ms:
+        return False
+    if claim.issued_ms > time_ms + rules.skew_ms:
+        return True
+    return time_ms > expiry_ms(claim, time_ms, rules)
+
+
+def earliest_rival_ms(claim: Claim, time_ms: int, rules: ClaimRules) -> int:
+    """Give the earliest log time of a claim that could precede this one.
+
+    >>> rules = ClaimRules(claim_keep_ms=1000, skew_ms=5)
+    >>> dated = Claim("k", "w", "s", "d1/1", "d1/1.1", "f", issued_ms=70)
+    >>> earliest_rival_ms(dated, 90, rules)
+    65
+    >>> earliest_rival_ms(dated._replace(issued_ms=0), 90, rules)
+    -910
+    """
+    if claim.issued_ms:
+        return claim.issued_ms - rules.skew_ms
+    return time_ms - rules.claim_keep_ms
+
+
+def judge(
+    claim: Claim,
+    time_ms: int,
+    holder: Holder | None,
+    covered_since_ms: int,
+    rules: ClaimRules,
+) -> Verdict:
+    """Judge a claim read at a log time against the key's holder.
+
+    Every record later than covered_since_ms has been read.
+    """
+    if is_out_of_date(claim, time_ms, rules):
+        return Verdict.EXPIRED
+    if holder is not None:
+        if holder.fingerprint != claim.fingerprint:
+            return Verdict.CONFLICT
+        return Verdict.DUPLICATE
+    if covered_since_ms >= earliest_rival_ms(claim, time_ms, rules):
+        return Verdict.UNJUDGED
+    return Verdict.GRANTED
+
+
+def time_mark() -> Release:
+    """Make a record that carries nothing but the log's time."""
+    return Release("", "")
+
+
+class ClaimLedger:
+    """Hold the keys claimed within the last claim_keep_ms of log time.
+
+    covered_since_ms is the log time after which nothing went unread; it is
+    BEGINNING_MS for a stream read from its first record, and None until a
+    first record shows where a shortened stream begins.
+    """
+
+    def __init__(
+        self,
+        rules: ClaimRules,
+        covered_since_ms: int | None = BEGINNING_MS,
+    ) -> None:
+        self.rules = rules
+        self.covered_since_ms = covered_since_ms
+        self.log_time_ms = 0
+        self.holders: dict[str, Holder] = {}
+        self.expiries: dict[int, list[str]] = {}
+
+    def holder(self, key_digest: str) -> Holder | None:
+        """Find the claim that holds a key."""
+        holder = self.holders.get(key_digest)
+        if holder is None or holder.expires_ms < self.log_time_ms:
+            return None
+        return holder
+
+    def judge_now(self, claim: Claim) -> Verdict:
+        """Judge a claim as if it were read at the newest log time."""
+        covered_ms = self.covered_since_ms
+        if covered_ms is None:
+            return Verdict.UNJUDGED
+        return judge(
+            claim,
+            self.log_time_ms,
+            self.holder(claim.key_digest),
+            covered_ms,
+            self.rules,
+        )
+
+    def fold(self, entry: LogEntry) -> Judgement | None:
+        """Apply the next entry; a claim gets a judgement."""
+        if self.covered_since_ms is None:
+            self.covered_since_ms = entry.time_ms
+        self._advance(entry.time_ms)
+        return self._apply(entry.record)
+
+    @singledispatchmethod
+    def _apply(self, record: object) -> Judgement | None:
+        return None
+
+    @_apply.register
+    def _(self, record: Claim) -> Judgement:
+        verdict = self.judge_now(record)
+        if verdict in (Verdict.GRANTED, Verdict.UNJUDGED):
+            self._hold(record)
+        return Judgement(verdict, self.holder(record.key_digest))
+
+    @_apply.register
+    def _(self, record: Outcome) -> None:
+        holder = self.holder(record.key_digest)
+        if holder is None or holder.claim_id != record.claim_id:
+            return
+        self.holders[record.key_digest] = holder._replace(
+            ran=record.ran,
+            code=record.code,
+            answer_digest=record.answer_digest,
+        )
+
+    @_apply.register
+    def _(self, record: Release) -> None:
+        holder = self.holder(record.key_digest)
+        if holder is not None and holder.claim_id == record.claim_id:
+            del self.holders[record.key_digest]
+
+    def _hold(self, claim: Claim) -> None:
+        expires_ms = expiry_ms(claim, self.log_time_ms, self.rules)
+        self.holders[claim.key_digest] = Holder(
+            claim.claim_id, claim.claimant, claim.fingerprint, expires_ms
+        )
+        bucket = expires_ms // EXPIRY_BUCKET_MS
+        self.expiries.setdefault(bucket, []).append(claim.key_digest)
+
+    def _advance(self, time_ms: int) -> None:
+        if time_ms <= self.log_time_ms:
+            return
+        passed = self.log_time_ms // EXPIRY_BUCKET_MS
+        self.log_time_ms = time_ms
+        current = time_ms // EXPIRY_BUCKET_MS
+        if current == passed:
+            return
+        for bucket in [old for old in self.expiries if old < current]:
+            self._forget(self.expiries.pop(bucket))
+
+    def _forget(self, key_digests: list[str]) -> None:
+        for key in key_digests:
+            holder = self.holders.get(key)
+            if holder is not None and holder.expires_ms < self.log_time_ms:
+                del self.holders[key]
--- a/packages/berylcart/src/berylcart/state/records.py
+++ b/packages/berylcart/src/berylcart/state/records.py
@@ -39,7 +39,10 @@
 
 
 class Claim(NamedTuple):
-    """Claim the sole right to run a non-idempotent request."""
+    """Claim the sole right to run a non-idempotent request.
+
+    issued_ms is the log time that a dated key carries, 0 for a plain key.
+    """
 
     key_digest: str
     workspace: str
@@ -47,6 +50,7 @@
     claimant: str
     claim_id: str
     fingerprint: str
+    issued_ms: int = 0
 
 
 class Outcome(NamedTuple):
