--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/checkpoint_duty.py
@@ -0,0 +1,126 @@
+"""Append a checkpoint before the newest one expires."""
+
+import math
+import random
+from collections.abc import Callable
+
+import anyio
+
+from berylcart import events
+from berylcart.coordination.config_recovery import find_checkpoint_time_ms
+from berylcart.coordination.log_clock import read_log_time_ms
+from berylcart.coordination.ports import Log
+from berylcart.state.errors import (
+    LogAmbiguousError,
+    LogGapError,
+    LogUnavailableError,
+)
+from berylcart.state.records import CONFIG_STREAM, Checkpoint
+
+CHECKPOINTS_PER_RETENTION = 3
+RECORDS_PER_CHECKPOINT = 64
+RECORDS_WINDOW_S = 60.0
+RETRY_S = 5.0
+JITTER_STEEPNESS = 8.0
+MS_PER_S = 1000
+
+
+def biased_delay_s(window_s: float, fraction: float) -> float:
+    """Spread delays so that few of many daemons come first.
+
+    The delay's distribution rises exponentially towards the window's end, so
+    the expected number of early daemons hardly depends on their number.
+
+    >>> [round(biased_delay_s(60, fraction)) for fraction in (0, 0.1, 0.5, 1)]
+    [0, 43, 55, 60]
+    """
+    scale = math.expm1(JITTER_STEEPNESS)
+    return window_s * math.log1p(fraction * scale) / JITTER_STEEPNESS
+
+
+class CheckpointDuty:
+    """Append checkpoints in jittered turns with the other daemons.
+
+    take_checkpoint gives the state to append, or None when there is none.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        take_checkpoint: Callable[[], Checkpoint | None],
+        retention_s: float,
+        source: random.Random,
+    ) -> None:
+        self.log = log
+        self.take_checkpoint = take_checkpoint
+        self.every_s = retention_s / CHECKPOINTS_PER_RETENTION
+        self.window_s = self.every_s / 2
+        self.source = source
+        self.due_at_s = math.inf
+        self.records = 0
+        self.changed = anyio.Event()
+
+    def note_checkpoint(self) -> None:
+        """Put the duty off: some daemon's checkpoint was read."""
+        self.records = 0
+        self.plan(self.every_s, self.window_s)
+
+    def note_record(self) -> None:
+        """Count a record; many of them bring the duty forward."""
+        self.records += 1
+        if self.records == RECORDS_PER_CHECKPOINT:
+            self.plan(0, min(RECORDS_WINDOW_S, self.window_s))
+
+    def plan(self, after_s: float, window_s: float) -> None:
+        """Fall due after a time and a random share of a window."""
+        delay_s = biased_delay_s(window_s, self.source.random())
+        self.due_at_s = anyio.current_time() + after_s + delay_s
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Append a checkpoint whenever one falls due."""
+        await self.plan_first()
+        while True:
+            with anyio.move_on_after(self.due_at_s - anyio.current_time()):
+                await self.changed.wait()
+                continue
+            await self.append()
+
+    async def plan_first(self) -> None:
+        """Learn the age of the newest checkpoint from the log."""
+        while self.due_at_s == math.inf:
+            try:
+                age_s = await self.find_age_s()
+            except (LogUnavailableError, LogAmbiguousError, LogGapError):
+                await anyio.sleep(RETRY_S * self.source.uniform(0.5, 1.5))
+                continue
+            if self.due_at_s == math.inf:
+                self.plan(max(0.0, self.every_s - age_s), self.window_s)
+
+    async def find_age_s(self) -> float:
+        """Measure the newest checkpoint's age; infinite without one."""
+        time_ms = await find_checkpoint_time_ms(self.log)
+        if time_ms is None:
+            return math.inf
+        return (await read_log_time_ms(self.log) - time_ms) / MS_PER_S
+
+    async def append(self) -> None:
+        """Append one checkpoint, or try again soon."""
+        checkpoint = self.take_checkpoint()
+        if checkpoint is None:
+            self.plan(0, self.window_s)
+            return
+        try:
+            offset = await self.log.append(CONFIG_STREAM, [checkpoint])
+        except (LogUnavailableError, LogAmbiguousError) as error:
+            events.warning("config.checkpoint_failed", detail=str(error))
+            self.plan(RETRY_S, min(RECORDS_WINDOW_S, self.window_s))
+            return
+        events.info(
+            "config.checkpoint",
+            offset=offset,
+            as_of_offset=checkpoint.as_of_offset,
+            version=checkpoint.version,
+        )
+        self.note_checkpoint()
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/config_keeper.py
@@ -0,0 +1,303 @@
+"""Keep the configuration in force up to date."""
+
+import random
+from typing import NamedTuple
+
+import anyio
+from tenacity import (
+    AsyncRetrying,
+    RetryCallState,
+    retry_if_exception_type,
+    wait_random_exponential,
+)
+
+from berylcart import events
+from berylcart.coordination.checkpoint_duty import CheckpointDuty
+from berylcart.coordination.config_lease import ConfigLease
+from berylcart.coordination.config_recovery import PAGE_RECORDS, find_start
+from berylcart.coordination.ports import Log
+from berylcart.state.config import Configuration
+from berylcart.state.config_fold import (
+    INITIAL_STATE,
+    FoldState,
+    checkpoint_of,
+    fold,
+    state_of,
+)
+from berylcart.state.config_text import ConfigTextError
+from berylcart.state.errors import (
+    BerylcartError,
+    Code,
+    LogGapError,
+    LogUnavailableError,
+)
+from berylcart.state.records import (
+    CONFIG_STREAM,
+    Checkpoint,
+    LogEntry,
+    LogPage,
+    Verdict,
+)
+
+MS_PER_S = 1000
+LEASE_S = 10.0
+RETENTION_S = 86_400.0
+POLLS_PER_LEASE = 4
+READ_TIMEOUT_S = 5.0
+BACKOFF_START_S = 0.1
+BACKOFF_MAX_S = 2.0
+
+
+class Snapshot(NamedTuple):
+    """Hold the configuration in force and what it rests on.
+
+    verified_at_s is the runtime's time at which it was last known to be the
+    newest, minus infinity if never.
+    """
+
+    version: int
+    as_of_offset: int
+    configuration: Configuration
+    verified_at_s: float
+
+
+class ConfigKeeper:
+    """Follow the configuration stream and give the version in force."""
+
+    def __init__(
+        self,
+        log: Log,
+        *,
+        lease_s: float = LEASE_S,
+        retention_s: float = RETENTION_S,
+        has_checkpoint_duty: bool = True,
+        seed: int | None = None,
+    ) -> None:
+        self._log = log
+        self._state = INITIAL_STATE
+        self._has_start = False
+        self._is_caught_up = False
+        self._changed = anyio.Event()
+        self._wait_ms = int(lease_s * MS_PER_S / POLLS_PER_LEASE)
+        self._has_checkpoint_duty = has_checkpoint_duty
+        self.lease = ConfigLease(lease_s)
+        self._duty = CheckpointDuty(
+            log, self._take_checkpoint, retention_s, random.Random(seed)
+        )
+
+    @property
+    def current(self) -> Snapshot:
+        """Give the version in force; version 0 before the first."""
+        state = self._state
+        return Snapshot(
+            state.version,
+            state.next_offset,
+            state.configuration,
+            self.lease.verified_at_s,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether there is a configuration that may be served from."""
+        return (
+            self._is_caught_up
+            and self._state.unknown_format is None
+            and self._state.version > 0
+        )
+
+    @property
+    def is_current(self) -> bool:
+        """Say whether new work may be taken under this configuration."""
+        return self.is_ready and self.lease.holds(
+            self._state.next_offset, anyio.current_time()
+        )
+
+    def check_current(self) -> None:
+        """Raise FORMAT_UNKNOWN, NOT_READY or CONFIG_STALE unless current."""
+        unknown_format = self._state.unknown_format
+        if unknown_format is not None:
+            detail = f"the configuration has format {unknown_format}"
+            raise BerylcartError(Code.FORMAT_UNKNOWN, detail)
+        if not self.is_ready:
+            raise BerylcartError(Code.NOT_READY, "no configuration yet")
+        if not self.is_current:
+            detail = "neither the log nor most of the daemons answer"
+            raise BerylcartError(Code.CONFIG_STALE, detail)
+
+    def verdict(self, publish_id: str) -> Verdict | None:
+        """Find the verdict on a publication, if it was folded."""
+        return self._state.find_verdict(publish_id)
+
+    def checkpoint(self) -> Checkpoint:
+        """Give the state that a peer may be offered."""
+        return checkpoint_of(self._state)
+
+    def offer(self, checkpoint: Checkpoint) -> bool:
+        """Take over a peer's state if it is newer; say whether it was."""
+        try:
+            state = state_of(checkpoint)
+        except ConfigTextError as error:
+            events.warning("config.offer_refused", detail=str(error))
+            return False
+        return self._adopt(state, "peer")
+
+    def heard_freshness(
+        self,
+        peer_id: str,
+        as_of_offset: int,
+        age_ms: int,
+        live_count: int,
+        *,
+        asked_at_s: float,
+    ) -> None:
+        """Note a peer's answer to a question asked at asked_at_s.
+
+        as_of_offset is how far the peer has folded, age_ms the time since it
+        knew this to be the newest, live_count the number of daemons that the
+        newest VM list shows live.
+        """
+        self.lease.live_count = live_count
+        self.lease.hear(peer_id, as_of_offset, asked_at_s)
+        if as_of_offset <= self._state.next_offset:
+            self.lease.verify(asked_at_s - age_ms / MS_PER_S)
+
+    async def wait_for(self, version: int) -> Snapshot:
+        """Wait until a version or a later one is in force."""
+        while self._state.version < version:
+            await self._changed.wait()
+        return self.current
+
+    async def wait_for_verdict(self, publish_id: str) -> Verdict:
+        """Wait until a publication was accepted or rejected."""
+        while True:
+            verdict = self.verdict(publish_id)
+            if verdict is not None:
+                return verdict
+            await self._changed.wait()
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow)
+            if self._has_checkpoint_duty:
+                tasks.start_soon(self._duty.run)
+
+    async def _follow(self) -> None:
+        """Read one page after another, backing off while the log is down."""
+        retrying = AsyncRetrying(
+            sleep=anyio.sleep,
+            wait=wait_random_exponential(BACKOFF_START_S, BACKOFF_MAX_S),
+            retry=retry_if_exception_type(LogUnavailableError),
+            before_sleep=log_outage,
+        )
+        while True:
+            await retrying(self._step)
+
+    async def _step(self) -> None:
+        """Load a state to start from, or fold the next page."""
+        if not self._has_start or self._state.unknown_format is not None:
+            await self._load()
+            return
+        try:
+            await self._fold_page()
+        except LogGapError as error:
+            events.warning("config.gap", detail=str(error))
+            await self._load()
+
+    async def _load(self) -> None:
+        """Start from a checkpoint beyond the state held."""
+        try:
+            with anyio.fail_after(READ_TIMEOUT_S):
+                state = await find_start(self._log)
+        except (LogGapError, TimeoutError) as error:
+            raise LogUnavailableError(f"no start found: {error}") from error
+        if state is None or not self._adopt(state, "log"):
+            raise LogUnavailableError("no checkpoint joins the records")
+
+    async def _fold_page(self) -> None:
+        """Wait for a page of records and fold it."""
+        asked_at_s = anyio.current_time()
+        page = await self._read()
+        if page.end_offset < self._state.next_offset:
+            raise LogUnavailableError(
+                f"the log ends at {page.end_offset}, "
+                f"before {self._state.next_offset}"
+            )
+        for entry in page.entries:
+            self._fold_entry(entry)
+        if self._state.next_offset == page.end_offset:
+            self._is_caught_up = True
+            self.lease.verify(asked_at_s)
+
+    async def _read(self) -> LogPage:
+        """Read the next page, with a limit on the time it may take."""
+        timeout_s = self._wait_ms / MS_PER_S + READ_TIMEOUT_S
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._log.read(
+                    CONFIG_STREAM,
+                    self._state.next_offset,
+                    wait_ms=self._wait_ms,
+                    limit=PAGE_RECORDS,
+                )
+        except TimeoutError as error:
+            detail = f"no answer within {timeout_s} s"
+            raise LogUnavailableError(detail) from error
+
+    def _fold_entry(self, entry: LogEntry) -> None:
+        """Fold one entry unless a peer's offer is already beyond it."""
+        if entry.offset != self._state.next_offset:
+            return
+        self._set_state(fold(self._state, entry), "log")
+        if isinstance(entry.record, Checkpoint):
+            self._duty.note_checkpoint()
+        else:
+            self._duty.note_record()
+
+    def _adopt(self, state: FoldState, source: str) -> bool:
+        """Replace the state held by one that is beyond it."""
+        held = self._state
+        if self._has_start and state.next_offset <= held.next_offset:
+            return False
+        if state.version < held.version:
+            events.warning("config.lower_version", source=source)
+            return False
+        self._has_start = True
+        self._is_caught_up = self._is_caught_up or source == "peer"
+        self._set_state(state, source)
+        return True
+
+    def _set_state(self, state: FoldState, source: str) -> None:
+        """Put a state in force and wake whoever waits for one."""
+        held = self._state
+        self._state = state
+        if state.version != held.version:
+            events.info(
+                "config.applied",
+                version=state.version,
+                as_of_offset=state.next_offset,
+                source=source,
+            )
+        if state.unknown_format != held.unknown_format:
+            events.error(
+                "config.format_unknown", format_version=state.unknown_format
+            )
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _take_checkpoint(self) -> Checkpoint | None:
+        """Give the state to append, if it is one that others may use."""
+        is_known = self._state.unknown_format is None
+        if not self._is_caught_up or not is_known:
+            return None
+        return self.checkpoint()
+
+
+def log_outage(retry: RetryCallState) -> None:
+    """Log that the configuration can't be read now."""
+    error = retry.outcome.exception() if retry.outcome else None
+    events.warning(
+        "config.log_unavailable",
+        attempt=retry.attempt_number,
+        detail=str(error),
+    )
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_config_keeper.py
@@ -0,0 +1,96 @@
+"""Check the keeper against failures of the log and of daemons."""
+
+import anyio
+import pytest
+import trio
+from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.records import CONFIG_STREAM, Publication
+from berylcart.transport.memory_log import MemoryLog
+from trio.testing import MockClock
+
+TEXT = 'format = 1\n[place.a]\nregion = "r{}"\n'
+
+
+def run(scenario):
+    """Run a scenario on a clock that jumps over every sleep."""
+    return trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def publication(number, base=None, format_version=1):
+    """Build a publication whose text names its number."""
+    text = TEXT.format(number)
+    return Publication(f"p{number}", base, format_version, text)
+
+
+async def publish(log, number, base=None):
+    """Append one publication."""
+    await log.append(CONFIG_STREAM, [publication(number, base)])
+
+
+def test_keeper_follows_the_log():
+    async def scenario():
+        log = MemoryLog()
+        keeper = ConfigKeeper(log, seed=1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keeper.run)
+            assert not keeper.is_ready
+            await publish(log, 1)
+            await publish(log, 2, base=0)
+            snapshot = await keeper.wait_for(1)
+            verdict = await keeper.wait_for_verdict("p2")
+            assert snapshot.configuration.places["a"].region == "r1"
+            assert verdict.version is None
+            assert keeper.is_current
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_keeper_without_log_or_peers_stops_after_the_lease():
+    async def scenario():
+        log = MemoryLog()
+        keeper = ConfigKeeper(log, lease_s=10, seed=1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keeper.run)
+            await publish(log, 1)
+            await keeper.wait_for(1)
+            log.is_down = True
+            await anyio.sleep(11)
+            assert keeper.is_ready
+            with pytest.raises(BerylcartError) as caught:
+                keeper.check_current()
+            assert caught.value.code is Code.CONFIG_STALE
+            log.is_down = False
+            await anyio.sleep(6)
+            keeper.check_current()
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_frozen_keeper_recovers_through_a_checkpoint():
+    async def scenario():
+        log = MemoryLog(retention_ms=60_000)
+        keeper = ConfigKeeper(log, retention_s=60, seed=1)
+        frozen = ConfigKeeper(log, retention_s=60, seed=2)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keeper.run)
+            await publish(log, 1)
+            with anyio.move_on_after(5):
+                await frozen.run()
+            await publish(log, 2)
+            await anyio.sleep(600)
+            assert frozen.current.version == 1
+            assert not frozen.is_current
+            tasks.start_soon(frozen.run)
+            await frozen.wait_for(2)
+            await publish(log, 3, base=2)
+            await frozen.wait_for(3)
+            await keeper.wait_for(3)
+            assert frozen.current.configuration == (
+                keeper.current.configuration
+            )
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
