--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the subcommands of berylcart, one a module."""
--- a/packages/berylcart/src/berylcart/coordination/config_keeper.py
+++ b/packages/berylcart/src/berylcart/coordination/config_keeper.py
@@ -128,6 +128,11 @@
         """Find the verdict on a publication, if it was folded."""
         return self._state.find_verdict(publish_id)
 
+    @property
+    def verdicts(self) -> tuple[Verdict, ...]:
+        """Give the verdicts that are kept, the oldest first."""
+        return self._state.verdicts
+
     def checkpoint(self) -> Checkpoint:
         """Give the state that a peer may be offered."""
         return checkpoint_of(self._state)
@@ -175,6 +180,11 @@
                 return verdict
             await self._changed.wait()
 
+    async def wait_caught_up(self) -> None:
+        """Wait until the log was read to its end, or a peer's state taken."""
+        while not self._is_caught_up:
+            await self._changed.wait()
+
     async def run(self) -> None:
         """Follow the log until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -226,8 +236,8 @@
         for entry in page.entries:
             self._fold_entry(entry)
         if self._state.next_offset == page.end_offset:
-            self._is_caught_up = True
             self.lease.verify(asked_at_s)
+            self._set_caught_up()
 
     async def _read(self) -> LogPage:
         """Read the next page, with a limit on the time it may take."""
@@ -263,10 +273,17 @@
             events.warning("config.lower_version", source=source)
             return False
         self._has_start = True
-        self._is_caught_up = self._is_caught_up or source == "peer"
         self._set_state(state, source)
+        if source == "peer":
+            self._set_caught_up()
         return True
 
+    def _set_caught_up(self) -> None:
+        """Allow the state to be served from."""
+        if not self._is_caught_up:
+            self._is_caught_up = True
+            self._wake()
+
     def _set_state(self, state: FoldState, source: str) -> None:
         """Put a state in force and wake whoever waits for one."""
         held = self._state
@@ -282,6 +299,10 @@
             events.error(
                 "config.format_unknown", format_version=state.unknown_format
             )
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wake whoever waits for a change."""
         self._changed.set()
         self._changed = anyio.Event()
 
--- a/packages/berylcart/src/berylcart/state/config_text.py
+++ b/packages/berylcart/src/berylcart/state/config_text.py
@@ -17,7 +17,7 @@
 from berylcart.state.config_tables import TABLES
 from berylcart.state.errors import BerylcartError, Code
 
-MAX_TEXT_BYTES = 8 * 1024 * 1024
+MAX_TEXT_BYTES = 4 * 1024 * 1024
 SHOWN_FAULTS = 3
 
 
