--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies with real processes under load and failures."""
--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/load_client.py
@@ -0,0 +1,237 @@
+"""Send open-loop calls to entries and judge every answer."""
+
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from typing import Any, NamedTuple
+
+import anyio
+from berylcart.protocol.json_values import MessageError
+from berylcart.protocol.sse import EventParser
+from berylcart.state.errors import Code
+from berylcart.transport.http_client import (
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    HttpStream,
+)
+from pydantic_core import from_json
+
+from berylcart_tools.experiments.arrivals import Arrival
+from berylcart_tools.experiments.outcomes import Outcome, StageSample
+
+MS_PER_S = 1000
+NO_ANSWER = -1
+STATUS_OK = 200
+GRACE_MS = 1000
+ENTRIES_TIMEOUT_MS = 500
+FAREWELL_CODES = (Code.DRAINING, Code.NOT_READY, Code.CONFIG_STALE)
+NO_JSON: dict[str, Any] = {}
+
+
+class Received(NamedTuple):
+    """Hold what came back for one call."""
+
+    code: int
+    answer: dict[str, Any] = NO_JSON
+    first_token_ms: float | None = None
+    texts: tuple[str, ...] = ()
+
+
+class EntryList:
+    """Ask the entries which of them to use, and keep the answer a while."""
+
+    def __init__(
+        self, client: HttpClient, seeds: Sequence[str], random: Random
+    ) -> None:
+        self.client = client
+        self.seeds = tuple(seeds)
+        self.random = random
+        self.entries: dict[str, tuple[str, ...]] = {}
+        self.stale_at_s: dict[str, float] = {}
+
+    async def pick(self, workspace: str) -> str:
+        """Pick an entry for a workspace."""
+        if anyio.current_time() >= self.stale_at_s.get(workspace, 0.0):
+            self.stale_at_s[workspace] = anyio.current_time() + 1.0
+            await self.refresh(workspace)
+        return self.random.choice(self.entries.get(workspace) or self.seeds)
+
+    async def refresh(self, workspace: str) -> None:
+        """Fetch the list, from one seed after another."""
+        path = f"/v1/entries?workspace={workspace}"
+        for seed in self.random.sample(self.seeds, len(self.seeds)):
+            request = HttpRequest(
+                "GET", seed, path, timeout_ms=ENTRIES_TIMEOUT_MS
+            )
+            try:
+                answer = await self.client.request(request)
+                found = from_json(answer.body)
+                entries = tuple(e["address"] for e in found["entries"])
+                keep_ms = found["keep_ms"]
+            except (HttpError, ValueError, KeyError, TypeError):
+                continue
+            if entries:
+                self.entries[workspace] = entries
+                until_s = anyio.current_time() + keep_ms / MS_PER_S
+                self.stale_at_s[workspace] = until_s
+                return
+
+    def drop(self, workspace: str, address: str) -> None:
+        """Use an entry no longer that turned out to be gone."""
+        entries = self.entries.get(workspace, ())
+        self.entries[workspace] = tuple(e for e in entries if e != address)
+
+
+def make_request(address: str, arrival: Arrival) -> HttpRequest:
+    """Write the HTTP request of one call."""
+    kind = arrival.kind
+    headers = [
+        ("Workspace", arrival.workspace),
+        ("Deadline-Ms", str(kind.deadline_ms)),
+        ("Content-Type", "application/json"),
+    ]
+    if kind.is_keyed:
+        headers.append(("Idempotency-Key", key_of(arrival)))
+    if kind.is_stream:
+        headers.append(("Accept", "text/event-stream"))
+    path = "pipelines" if kind.is_pipeline else "services"
+    return HttpRequest(
+        "POST",
+        address,
+        f"/v1/{path}/{kind.target}",
+        json.dumps(arrival.payload).encode(),
+        tuple(headers),
+        kind.deadline_ms + GRACE_MS,
+    )
+
+
+def key_of(arrival: Arrival) -> str:
+    """Give a call its idempotency key."""
+    return f"{arrival.workspace}-{arrival.kind.target}-{arrival.number}"
+
+
+async def read_stream(stream: HttpStream, sent_s: float) -> Received:
+    """Read a stream up to its last event."""
+    parser = EventParser()
+    texts: list[str] = []
+    first_ms = None
+    async for part in stream.chunks:
+        for event in parser.feed(part):
+            data = from_json(event.data)
+            if event.name == "error":
+                return Received(int(data["code"]))
+            if event.name == "done":
+                return Received(0, data, first_ms, tuple(texts))
+            if first_ms is None:
+                first_ms = (anyio.current_time() - sent_s) * MS_PER_S
+            if int(event.event_id) != len(texts):
+                return Received(NO_ANSWER)
+            texts.append(data["text"])
+    return Received(NO_ANSWER)
+
+
+async def receive(stream: HttpStream, sent_s: float) -> Received:
+    """Read whatever comes back."""
+    if stream.status == STATUS_OK:
+        kind = stream.headers.get("content-type", "")
+        if kind.startswith("text/event-stream"):
+            return await read_stream(stream, sent_s)
+        return Received(0, from_json(await stream.read_body()))
+    return Received(int(from_json(await stream.read_body())["code"]))
+
+
+def is_whole(arrival: Arrival, received: Received) -> bool:
+    """Check that an answer is whole and belongs to its call."""
+    if received.code != 0:
+        return False
+    output = received.answer.get("output")
+    tokens = arrival.payload.get("max_tokens")
+    if tokens is None:
+        return output is not None
+    stages = received.answer.get("stages", [])
+    if not isinstance(output, dict) or not stages:
+        return False
+    text = output.get("text")
+    if arrival.kind.is_stream and text != "".join(received.texts):
+        return False
+    return bool(text) and stages[-1]["tokens"] <= tokens
+
+
+def read_stages(received: Received) -> tuple[StageSample, ...]:
+    """Read what each stage took."""
+    return tuple(
+        StageSample(
+            stage["service"],
+            stage["latency_ms"],
+            stage["attempts"],
+            stage["seconds"],
+        )
+        for stage in received.answer.get("stages", [])
+    )
+
+
+class LoadClient:
+    """Send each call at its time, however the ones before it fare."""
+
+    def __init__(self, client: HttpClient, entries: EntryList) -> None:
+        self.client = client
+        self.entries = entries
+        self.outcomes: list[Outcome] = []
+
+    async def run(
+        self,
+        arrivals: Sequence[Arrival],
+        on_tick: Callable[[float], Awaitable[None]] | None = None,
+    ) -> list[Outcome]:
+        """Send all calls and wait for the last answer."""
+        start_s = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            for arrival in arrivals:
+                wait_s = start_s + arrival.at_s - anyio.current_time()
+                if wait_s > 0:
+                    await anyio.sleep(wait_s)
+                if on_tick is not None:
+                    await on_tick(arrival.at_s)
+                tasks.start_soon(self.call, arrival, start_s + arrival.at_s)
+        return self.outcomes
+
+    async def call(self, arrival: Arrival, intended_s: float) -> None:
+        """Send one call and record its outcome."""
+        address = await self.entries.pick(arrival.workspace)
+        sent_s = anyio.current_time()
+        received = await self.send(arrival, address)
+        if received.code in (NO_ANSWER, *FAREWELL_CODES):
+            self.entries.drop(arrival.workspace, address)
+        self.outcomes.append(
+            make_outcome(arrival, received, intended_s, sent_s)
+        )
+
+    async def send(self, arrival: Arrival, address: str) -> Received:
+        """Send one call to one entry and read its answer."""
+        sent_s = anyio.current_time()
+        try:
+            request = make_request(address, arrival)
+            async with self.client.stream(request) as stream:
+                return await receive(stream, sent_s)
+        except (HttpError, MessageError, ValueError, KeyError, TypeError):
+            return Received(NO_ANSWER)
+
+
+def make_outcome(
+    arrival: Arrival, received: Received, intended_s: float, sent_s: float
+) -> Outcome:
+    """Judge one call; its latency counts from the intended time."""
+    kind = arrival.kind
+    return Outcome(
+        workspace=arrival.workspace,
+        target=kind.target,
+        at_s=arrival.at_s,
+        latency_ms=(anyio.current_time() - intended_s) * MS_PER_S,
+        lag_ms=max(0.0, (sent_s - intended_s) * MS_PER_S),
+        deadline_ms=kind.deadline_ms,
+        code=received.code,
+        is_whole=is_whole(arrival, received),
+        first_token_ms=received.first_token_ms,
+        stages=read_stages(received),
+    )
--- /dev/null
+++ b/packages/berylcart-tools/tests/experiments/test_processes.py
@@ -0,0 +1,35 @@
+"""Check that processes start, are seen to die, and are stopped."""
+
+import anyio
+import pytest
+from berylcart_tools.experiments.processes import ProcessGroup, free_ports
+
+
+def test_free_ports_differ():
+    assert len(set(free_ports(20))) == 20
+
+
+@pytest.mark.processes
+def test_group_stops_what_it_started(tmp_path):
+    async def scenario():
+        group = ProcessGroup(tmp_path)
+        group.start("idle", "http.server", ["0", "--bind", "127.0.0.1"])
+        assert group.count_running() == 1
+        process = group.started["idle"].process
+        await group.stop()
+        assert process.poll() is not None
+
+    anyio.run(scenario)
+
+
+@pytest.mark.processes
+def test_death_is_reported_with_its_output(tmp_path):
+    async def scenario():
+        group = ProcessGroup(tmp_path)
+        group.start("broken", "no_such_module", [])
+        group.started["broken"].process.wait()
+        with pytest.raises(RuntimeError, match="no_such_module"):
+            group.check_alive()
+        await group.stop()
+
+    anyio.run(scenario)
--- a/packages/berylcart/src/berylcart/coordination/policies.py
+++ b/packages/berylcart/src/berylcart/coordination/policies.py
@@ -7,11 +7,11 @@
 
 
 def load_policy(name: str) -> Policy:
-    """Load a policy: "default", or "MODULE:ATTRIBUTE" of another package.
+    """Load a policy: "berylcart", or "MODULE:ATTRIBUTE" of another package.
 
     Raises BerylcartError with SETTINGS_INVALID.
 
-    >>> load_policy("default").is_hedging
+    >>> load_policy("berylcart").is_hedging
     True
     """
     if name == DEFAULT_POLICY.name:
--- a/packages/berylcart/src/berylcart/coordination/routing.py
+++ b/packages/berylcart/src/berylcart/coordination/routing.py
@@ -136,4 +136,4 @@
     is_retrying: bool = True
 
 
-DEFAULT_POLICY = Policy("default", Router)
+DEFAULT_POLICY = Policy("berylcart", Router)
