--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/report.py
@@ -0,0 +1,47 @@
+"""Draw plots and print a table of experiments."""
+
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+
+@cappa.command(
+    name="report", help="Print a table of experiments and draw plots."
+)
+@dataclass
+class Report:
+    """Hold the command line of a report."""
+
+    directory: Annotated[
+        Path, cappa.Arg(help="Directory with the JSON of experiments.")
+    ]
+    plots: Annotated[
+        Path | None, cappa.Arg(long=True, help="Directory for the plots.")
+    ] = None
+
+    def __call__(self) -> int:
+        """Print the table, and draw plots where a directory is given."""
+        from berylcart.state.errors import BerylcartError, Code
+        from berylcart_tools.experiments.report import (
+            draw_all,
+            load_experiments,
+            table_of,
+            workspace_table,
+        )
+
+        experiments = load_experiments(self.directory)
+        if not experiments:
+            raise BerylcartError(
+                Code.BAD_REQUEST, f"no experiments in {self.directory}"
+            )
+        sys.stdout.write(table_of(experiments))
+        for experiment in experiments:
+            name = f"{experiment['deployment']} {experiment['scenario']}"
+            sys.stdout.write(f"\n{name}\n\n{workspace_table(experiment)}")
+        if self.plots is not None:
+            self.plots.mkdir(parents=True, exist_ok=True)
+            draw_all(experiments, self.plots)
+        return 0
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/arrivals.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/arrivals.py
@@ -28,6 +28,7 @@
     max_tokens: int = 0
     deadline_ms: int = 3000
     prefixes: int = 0
+    prefix_words: int = PREFIX_WORDS
 
 
 class Mix(NamedTuple):
@@ -67,7 +68,7 @@
     if not kind.prefixes:
         return f"question {number}"
     prefix = int(kind.prefixes * random.random() ** 2)
-    words = Random(prefix).choices(WORDS, k=PREFIX_WORDS)
+    words = Random(prefix).choices(WORDS, k=kind.prefix_words)
     return f"{' '.join(words)} question {number}"
 
 
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/load_client.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/load_client.py
@@ -174,9 +174,12 @@
 class LoadClient:
     """Send each call at its time, however the ones before it fare."""
 
-    def __init__(self, client: HttpClient, entries: EntryList) -> None:
+    def __init__(
+        self, client: HttpClient, entries: EntryList, delay_ms: float = 0.0
+    ) -> None:
         self.client = client
         self.entries = entries
+        self.delay_s = delay_ms / MS_PER_S
         self.outcomes: list[Outcome] = []
 
     async def run(
@@ -200,7 +203,9 @@
         """Send one call and record its outcome."""
         address = await self.entries.pick(arrival.workspace)
         sent_s = anyio.current_time()
+        await anyio.sleep(self.delay_s)
         received = await self.send(arrival, address)
+        await anyio.sleep(self.delay_s)
         if received.code in (NO_ANSWER, *FAREWELL_CODES):
             self.entries.drop(arrival.workspace, address)
         self.outcomes.append(
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
@@ -63,6 +63,16 @@
             )
         self.started[name] = Started(name, process, log_path)
 
+    def restart(
+        self, name: str, module: str, arguments: Sequence[str]
+    ) -> None:
+        """Start a process again, killing it where it still runs."""
+        old = self.started[name].process
+        if old.poll() is None:
+            old.kill()
+        old.wait()
+        self.start(name, module, arguments)
+
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.started[name].process.send_signal(number)
--- /dev/null
+++ b/packages/berylcart-tools/tests/experiments/test_report.py
@@ -0,0 +1,47 @@
+"""Check tables and plots of experiments."""
+
+import json
+
+from berylcart_tools.experiments.outcomes import Outcome, summarise
+from berylcart_tools.experiments.report import (
+    draw_all,
+    load_experiments,
+    table_of,
+    workspace_table,
+)
+from berylcart_tools.experiments.runner import (
+    Experiment,
+    PolicyRun,
+    count_cost,
+)
+
+
+def experiment():
+    outcomes = [Outcome("clerks", "model", 0.0, 10.0, 0.0, 100, 0, True)]
+    run = PolicyRun(
+        policy="berylcart",
+        summary=summarise(outcomes, 1.0),
+        cost=count_cost(outcomes, {"model": 1}, 0.0),
+    )
+    return Experiment(
+        scenario="steady",
+        deployment="authority",
+        seed=1,
+        rate=1.0,
+        duration_s=1.0,
+        runs=[run],
+    )
+
+
+def test_table_has_one_row_a_policy(tmp_path):
+    (tmp_path / "a.json").write_text(json.dumps(experiment()))
+    experiments = load_experiments(tmp_path)
+    table = table_of(experiments)
+    assert table.count("\n") == 3
+    assert "| 1.0000 |" in table
+    assert "| clerks | 1.0000 |" in workspace_table(experiments[0])
+
+
+def test_plots_are_written(tmp_path):
+    paths = draw_all([experiment()], tmp_path)
+    assert all(path.stat().st_size > 1000 for path in paths)
