Add stand-ins for the platform and the upstreams

Log, VM list, weight store, engine, stage pools and plain services serve docs/PLATFORM.md over HTTP, each as a coroutine or as a process. Their failures are switched over the admin call; the witness lists what ran.

The tests go through the clients, so they check both sides: an outage and a lost answer never read as "did not run", a refusal, another instance and a closed port do.

uvicorn has no way to close a connection without an answer, so that a dropped answer closes the transport of the caller's connection. A 500 was ruled out, because it is an answer.

--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Define the commands of the berylcart binary."""
--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/standin.py
@@ -0,0 +1,210 @@
+"""Start one stand-in as a process of its own."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Annotated
+
+import cappa
+
+if TYPE_CHECKING:
+    from berylcart_tools.standins.registration import UpstreamSettings
+
+ANY_ADDRESS = "127.0.0.1:0"
+
+Address = Annotated[str, cappa.Arg(long=True, help="IP:PORT to listen on")]
+Flag = Annotated[bool, cappa.Arg(long=True)]
+Number = Annotated[int, cappa.Arg(long=True)]
+Real = Annotated[float, cappa.Arg(long=True)]
+Text = Annotated[str, cappa.Arg(long=True)]
+
+
+def finish(status: int) -> None:
+    """Leave the process with a status other than 0."""
+    if status:
+        raise cappa.Exit(code=status)
+
+
+@cappa.command(name="log")
+@dataclass
+class LogCommand:
+    """Stand in for the log service."""
+
+    address: Address = ANY_ADDRESS
+    retention_ms: Number = 0
+    appends_per_s: Real = 300.0
+
+    def __call__(self) -> None:
+        """Serve until stopped."""
+        from berylcart_tools.standins.log import LogSettings, serve_log
+        from berylcart_tools.standins.process import run_process
+
+        settings = LogSettings(
+            self.address, self.retention_ms, self.appends_per_s
+        )
+        finish(run_process(serve_log, settings))
+
+
+@cappa.command(name="vm-list")
+@dataclass
+class VmListCommand:
+    """Stand in for the VM list."""
+
+    address: Address = ANY_ADDRESS
+    lag_ms: Number = 1000
+
+    def __call__(self) -> None:
+        """Serve until stopped."""
+        from berylcart_tools.standins.process import run_process
+        from berylcart_tools.standins.vm_list import (
+            VmListSettings,
+            serve_vm_list,
+        )
+
+        settings = VmListSettings(self.address, self.lag_ms)
+        finish(run_process(serve_vm_list, settings))
+
+
+@cappa.command(name="weight-store")
+@dataclass
+class WeightStoreCommand:
+    """Stand in for the weight store."""
+
+    address: Address = ANY_ADDRESS
+    loads_per_s: Real = 1.0
+    load_s: Real = 0.5
+
+    def __call__(self) -> None:
+        """Serve until stopped."""
+        from berylcart_tools.standins.process import run_process
+        from berylcart_tools.standins.weight_store import (
+            WeightStoreSettings,
+            serve_weight_store,
+        )
+
+        settings = WeightStoreSettings(
+            self.address, self.loads_per_s, self.load_s
+        )
+        finish(run_process(serve_weight_store, settings))
+
+
+@dataclass
+class UpstreamCommand:
+    """Hold what every upstream takes."""
+
+    service: Text
+    place: Text
+    vm_id: Text
+    address: Address = ANY_ADDRESS
+    vm_list: Text = ""
+    incarnation: Number = 0
+    load_lag_ms: Number = 200
+    capacity: Number = 16
+    max_queued: Number = 64
+
+    def upstream(self) -> "UpstreamSettings":
+        """Gather the settings of an upstream."""
+        from berylcart_tools.standins.registration import UpstreamSettings
+
+        return UpstreamSettings(
+            self.service,
+            self.place,
+            self.vm_id,
+            self.address,
+            self.vm_list,
+            self.incarnation,
+            self.load_lag_ms,
+            self.capacity,
+            self.max_queued,
+        )
+
+
+@cappa.command(name="plain")
+@dataclass
+class PlainCommand(UpstreamCommand):
+    """Stand in for a plain service."""
+
+    step_ms: Real = 5.0
+
+    def __call__(self) -> None:
+        """Serve until stopped."""
+        from berylcart_tools.standins.plain import PlainSettings, serve_plain
+        from berylcart_tools.standins.process import run_process
+
+        settings = PlainSettings(self.upstream(), self.step_ms)
+        finish(run_process(serve_plain, settings))
+
+
+@cappa.command(name="pool")
+@dataclass
+class PoolCommand(UpstreamCommand):
+    """Stand in for an encoder, a retriever or a reranker."""
+
+    kind: Text = "encoder"
+    step_ms: Real = 4.0
+
+    def __call__(self) -> None:
+        """Serve until stopped."""
+        from berylcart.state.config import ServiceKind
+
+        from berylcart_tools.standins.pool import PoolSettings, serve_pool
+        from berylcart_tools.standins.process import run_process
+
+        settings = PoolSettings(
+            self.upstream(), ServiceKind(self.kind), self.step_ms
+        )
+        finish(run_process(serve_pool, settings))
+
+
+@cappa.command(name="engine")
+@dataclass
+class EngineCommand(UpstreamCommand):
+    """Stand in for a model engine."""
+
+    step_ms: Real = 6.5
+    batch_growth: Real = 0.03
+    prefill_word_ms: Real = 0.02
+    cache_blocks: Number = 512
+    event_lag_ms: Number = 500
+    event_loss: Real = 0.05
+    seed: Number = 0
+    models: Annotated[list[str], cappa.Arg(long="--model")] = field(
+        default_factory=list
+    )
+    ignores_fencing: Flag = False
+    weight_store: Text = ""
+
+    def __call__(self) -> None:
+        """Serve until stopped."""
+        from berylcart_tools.standins.engine import (
+            EngineSettings,
+            serve_engine,
+        )
+        from berylcart_tools.standins.engine_batch import CostModel
+        from berylcart_tools.standins.process import run_process
+
+        settings = EngineSettings(
+            self.upstream(),
+            CostModel(self.step_ms, self.batch_growth, self.prefill_word_ms),
+            self.cache_blocks,
+            self.event_lag_ms,
+            self.event_loss,
+            self.seed,
+            tuple(self.models),
+            is_fencing_checked=not self.ignores_fencing,
+            weight_store=self.weight_store,
+        )
+        finish(run_process(serve_engine, settings))
+
+
+@cappa.command(name="standin")
+@dataclass
+class StandinCommand:
+    """Start a stand-in for a part of the platform or an upstream."""
+
+    standin: cappa.Subcommands[
+        LogCommand
+        | VmListCommand
+        | WeightStoreCommand
+        | EngineCommand
+        | PoolCommand
+        | PlainCommand
+    ]
--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/orders.py
@@ -0,0 +1,119 @@
+"""Apply orders to an engine, with fencing numbers checked or ignored."""
+
+from typing import Annotated
+
+import anyio
+from berylcart.protocol.json_values import read_message
+from berylcart.transport.http_client import HttpError
+from pydantic import ConfigDict, Field, TypeAdapter, with_config
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+from typing_extensions import TypedDict
+
+from berylcart_tools.standins.replies import checked, json_answer
+from berylcart_tools.standins.weights import WeightLoader
+
+ORDERS_PATH = "/v1/orders"
+STATUS_CONFLICT = 409
+
+Names = list[Annotated[str, Field(min_length=1)]]
+
+
+@with_config(ConfigDict(extra="forbid"))
+class DesiredMessage(TypedDict):
+    """Carry the whole state that an engine should have."""
+
+    models: Names
+    adapters: Names
+    version: str
+    role: str
+
+
+@with_config(ConfigDict(extra="forbid"))
+class OrderMessage(TypedDict):
+    """Carry one order and its sender's fencing number."""
+
+    fencing: Annotated[int, Field(ge=0)]
+    desired: DesiredMessage
+
+
+ORDER = TypeAdapter(OrderMessage)
+
+
+class OrderDesk:
+    """Hold the state in force and apply orders one after another."""
+
+    def __init__(
+        self,
+        models: tuple[str, ...],
+        loader: WeightLoader,
+        *,
+        is_fencing_checked: bool,
+    ) -> None:
+        self.state = DesiredMessage(
+            models=list(models), adapters=[], version="", role=""
+        )
+        self.loader = loader
+        self.is_fencing_checked = is_fencing_checked
+        self.highest_seen = 0
+        self.fencing = 0
+        self.lock = anyio.Lock()
+        self.applied: list[OrderMessage] = []
+
+    def routes(self) -> list[Route]:
+        """Offer the calls on orders."""
+        return [
+            Route(ORDERS_PATH, checked(self.post), methods=["POST"]),
+            Route(ORDERS_PATH, self.get, methods=["GET"]),
+            Route("/admin/orders", self.show, methods=["GET"]),
+        ]
+
+    async def get(self, request: Request) -> Response:
+        """Show the state in force."""
+        return json_answer({"fencing": self.fencing, **self.state})
+
+    async def show(self, request: Request) -> Response:
+        """List the orders that were applied."""
+        return json_answer({"orders": self.applied})
+
+    async def post(self, request: Request) -> Response:
+        """Apply one order once its weights are there."""
+        order = read_message(ORDER, await request.body())
+        self.highest_seen = max(self.highest_seen, order["fencing"])
+        async with self.lock:
+            if self.is_old(order):
+                return self.refuse()
+            try:
+                await self.load_weights(order["desired"])
+            except HttpError as error:
+                return json_answer({"detail": error.detail}, 503)
+            # A newer order may have come while the weights were loading.
+            if self.is_old(order):
+                return self.refuse()
+            self.apply(order)
+        return json_answer({"applied": True})
+
+    def is_old(self, order: OrderMessage) -> bool:
+        """Say whether to refuse an order for its fencing number."""
+        if not self.is_fencing_checked:
+            return False
+        return order["fencing"] < self.highest_seen
+
+    def refuse(self) -> Response:
+        """Refuse an order with an old fencing number."""
+        return json_answer({"fencing": self.highest_seen}, STATUS_CONFLICT)
+
+    async def load_weights(self, desired: DesiredMessage) -> None:
+        """Load what is wanted and not there yet."""
+        has_version = desired["version"] == self.state["version"]
+        present = {*self.state["models"], *self.state["adapters"]}
+        for name in (*desired["models"], *desired["adapters"]):
+            if not has_version or name not in present:
+                await self.loader.load(name)
+
+    def apply(self, order: OrderMessage) -> None:
+        """Put an order in force."""
+        self.state = order["desired"]
+        self.fencing = order["fencing"]
+        self.applied.append(order)
--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/serve.py
@@ -0,0 +1,134 @@
+"""Serve a stand-in's application over HTTP inside one task."""
+
+import socket
+from collections.abc import AsyncGenerator, Callable, Coroutine, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from typing import Any, NamedTuple
+
+import anyio
+import uvicorn
+from anyio.abc import TaskStatus
+from berylcart import events
+from berylcart.state.errors import BerylcartError, Code
+from starlette.types import ASGIApp
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from berylcart_tools.standins.faults import FaultMiddleware, Faults
+
+KEEP_ALIVE_S = 5
+BACKLOG = 512
+
+
+def bind(address: str) -> socket.socket:
+    """Listen on IP:PORT, where port 0 takes a free one.
+
+    Raises BerylcartError when the address is taken.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=BACKLOG)
+    except (OSError, ValueError) as error:
+        raise BerylcartError(
+            Code.ADDRESS_IN_USE, f"cannot listen on {address}: {error}"
+        ) from error
+
+
+def bound_address(sock: socket.socket) -> str:
+    """Name the address that a socket listens on."""
+    host, port = sock.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+class AppServer(uvicorn.Server):
+    """Run one application as a task among others."""
+
+    def __init__(self, app: ASGIApp, faults: Faults) -> None:
+        config = uvicorn.Config(
+            FaultMiddleware(app, faults, self.cut),
+            http=H11Protocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            log_level="warning",
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+        )
+        super().__init__(config)
+        self.is_ready = anyio.Event()
+
+    async def startup(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Listen, and say so."""
+        await super().startup(sockets)
+        self.is_ready.set()
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the process that runs this server."""
+        yield
+
+    def connections(self) -> list[H11Protocol]:
+        """List the open connections."""
+        found = list(self.server_state.connections)
+        return [c for c in found if isinstance(c, H11Protocol)]
+
+    def cut(self, client: Any) -> None:
+        """Cut the connection of a client without an answer."""
+        for connection in self.connections():
+            if connection.client == client:
+                connection.transport.abort()
+
+    def abort(self) -> None:
+        """Cut every connection and end every request, as a crash does."""
+        for server in getattr(self, "servers", []):
+            server.close()
+        for connection in self.connections():
+            connection.transport.abort()
+        for task in list(self.server_state.tasks):
+            task.cancel()
+
+
+async def serve_app(
+    kind: str,
+    app: ASGIApp,
+    faults: Faults,
+    address: str,
+    *,
+    stop: anyio.Event | None = None,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until stop is set, then finish the requests in flight.
+
+    Starts with the bound address. Being cancelled cuts every connection.
+    Raises BerylcartError when the address is taken.
+    """
+    stop = stop or anyio.Event()
+    sock = bind(address)
+    server = AppServer(app, faults)
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve, [sock])
+            await server.is_ready.wait()
+            bound = bound_address(sock)
+            events.info("standin.ready", kind=kind, address=bound)
+            task_status.started(bound)
+            await stop.wait()
+            server.should_exit = True
+    finally:
+        server.abort()
+        sock.close()
+
+
+@asynccontextmanager
+async def running(
+    serve: Callable[..., Coroutine[Any, Any, None]], settings: NamedTuple
+) -> AsyncGenerator[str]:
+    """Run a stand-in for the length of a block, which gets its address."""
+    async with anyio.create_task_group() as tasks:
+        address: str = await tasks.start(serve, settings)
+        yield address
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/tokens.py
@@ -0,0 +1,29 @@
+"""Generate an engine's deterministic tokens."""
+
+import xxhash
+
+
+def token_text(prompt_digest: str, offset: int) -> str:
+    """Give one token of a prompt whose digest is known.
+
+    >>> token_text("0a", 0) == token_text("0a", 0)
+    True
+    """
+    return xxhash.xxh32_hexdigest(f"{offset}:{prompt_digest}".encode()) + " "
+
+
+def digest_prompt(prompt: str) -> str:
+    """Digest a prompt once for all its tokens."""
+    return xxhash.xxh64_hexdigest(prompt.encode())
+
+
+def answer_text(prompt: str, max_tokens: int, start_offset: int = 0) -> str:
+    """Give the text that any engine generates for a prompt.
+
+    >>> whole = answer_text("hem a coat", 3)
+    >>> whole == answer_text("hem a coat", 1) + answer_text("hem a coat", 3, 1)
+    True
+    """
+    digest = digest_prompt(prompt)
+    offsets = range(start_offset, max_tokens)
+    return "".join(token_text(digest, offset) for offset in offsets)
--- /dev/null
+++ b/packages/berylcart-tools/tests/standins/test_log.py
@@ -0,0 +1,171 @@
+"""Check the log stand-in through its client."""
+
+import json
+
+import anyio
+import pytest
+from berylcart.state.errors import (
+    LogAmbiguousError,
+    LogGapError,
+    LogUnavailableError,
+)
+from berylcart.state.records import Release
+from berylcart.transport.http_client import HttpClient, HttpRequest
+from berylcart.transport.log_client import HttpLog
+from berylcart_tools.standins.log import LogSettings, serve_log
+from berylcart_tools.standins.serve import running
+
+RELEASE = Release("digest", "claim")
+
+
+SETTINGS = LogSettings()
+
+
+def with_log(scenario, settings=SETTINGS):
+    """Run a scenario on a log and a client."""
+
+    async def main():
+        async with (
+            running(serve_log, settings) as address,
+            HttpClient() as client,
+        ):
+            await scenario(HttpLog(address, client))
+
+    anyio.run(main)
+
+
+async def send(log, method, path, body=b""):
+    return await log.client.request(
+        HttpRequest(method, log.address, path, body)
+    )
+
+
+async def set_faults(log, **faults):
+    body = json.dumps(faults).encode()
+    answer = await send(log, "PUT", "/admin/faults", body)
+    assert answer.status == 204
+
+
+def test_append_and_read_in_order():
+    async def scenario(log):
+        assert await log.append("s", [RELEASE, RELEASE]) == 0
+        assert await log.append("s", [RELEASE]) == 2
+        page = await log.read("s", 1, wait_ms=0, limit=10)
+        assert [entry.offset for entry in page.entries] == [1, 2]
+        assert page.entries[0].record == RELEASE
+        bounds = await log.read("s", -1, wait_ms=0, limit=1)
+        assert bounds == (0, 3, ())
+
+    with_log(scenario)
+
+
+def test_long_poll_ends_with_the_append():
+    async def scenario(log):
+        pages = []
+
+        async def read():
+            pages.append(await log.read("s", 0, wait_ms=20_000, limit=10))
+
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(read)
+                await log.append("s", [RELEASE])
+        assert len(pages[0].entries) == 1
+
+    with_log(scenario)
+
+
+def test_value_of_unknown_kind_keeps_its_offset():
+    async def scenario(log):
+        body = b'{"records": [{"kind": "novel"}]}'
+        await send(log, "POST", "/v1/streams/s/records", body)
+        page = await log.read("s", 0, wait_ms=0, limit=10)
+        assert page.entries[0].record is None
+        assert page.entries[0].offset == 0
+
+    with_log(scenario)
+
+
+def test_append_rate_refuses_without_effect():
+    async def scenario(log):
+        await log.append("s", [RELEASE])
+        with pytest.raises(LogUnavailableError) as caught:
+            await log.append("s", [RELEASE])
+        assert caught.value.retry_after_ms >= 1000
+        page = await log.read("s", -1, wait_ms=0, limit=1)
+        assert page.end_offset == 1
+
+    with_log(scenario, LogSettings(appends_per_s=0.01))
+
+
+def test_outage_has_no_effect_and_dropped_answer_has():
+    async def scenario(log):
+        await set_faults(log, outage=True)
+        with pytest.raises(LogUnavailableError):
+            await log.append("s", [RELEASE])
+        with pytest.raises(LogUnavailableError):
+            await log.read("s", 0, wait_ms=0, limit=1)
+        await set_faults(log, drop_answer=1)
+        with pytest.raises(LogAmbiguousError):
+            await log.append("s", [RELEASE])
+        page = await log.read("s", 0, wait_ms=0, limit=10)
+        assert len(page.entries) == 1
+        assert await log.append("s", [RELEASE]) == 1
+
+    with_log(scenario)
+
+
+def test_expire_leaves_a_gap():
+    async def scenario(log):
+        await log.append("s", [RELEASE, RELEASE])
+        await set_faults(log, expire=True)
+        with pytest.raises(LogGapError) as caught:
+            await log.read("s", 0, wait_ms=0, limit=10)
+        assert caught.value.start_offset == 2
+        assert await log.append("s", [RELEASE]) == 2
+
+    with_log(scenario)
+
+
+def test_timeout_makes_an_append_ambiguous():
+    async def scenario(log):
+        await set_faults(log, delay_ms=60_000)
+        log.append_timeout_ms = 50
+        with pytest.raises(LogAmbiguousError):
+            await log.append("s", [RELEASE])
+
+    with_log(scenario)
+
+
+def test_no_listener_means_no_effect():
+    async def main():
+        async with running(serve_log, LogSettings()) as address:
+            pass
+        async with HttpClient() as client:
+            log = HttpLog(address, client)
+            with pytest.raises(LogUnavailableError):
+                await log.append("s", [RELEASE])
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "query", ["offset=x", "offset=-2", "wait_ms=-1", "limit=0"]
+)
+def test_malformed_query_is_refused(query):
+    async def scenario(log):
+        answer = await send(log, "GET", f"/v1/streams/s/records?{query}")
+        assert answer.status == 400
+
+    with_log(scenario)
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b'{"drop_answer": -1}', b'{"novel": 1}']
+)
+def test_malformed_faults_are_refused(body):
+    async def scenario(log):
+        answer = await send(log, "PUT", "/admin/faults", body)
+        assert answer.status == 400
+
+    with_log(scenario)
--- a/packages/berylcart/src/berylcart/protocol/json_values.py
+++ b/packages/berylcart/src/berylcart/protocol/json_values.py
@@ -50,10 +50,25 @@
     return [to_plain(item) for item in value]
 
 
+@to_plain.register
+def list_to_plain(value: list) -> Any:  # type: ignore[type-arg]
+    """Write each item of an array."""
+    return [to_plain(item) for item in value]
+
+
+@to_plain.register
+def dict_to_plain(value: dict) -> Any:  # type: ignore[type-arg]
+    """Write each field of an object."""
+    return {name: to_plain(field) for name, field in value.items()}
+
+
 def write_json(value: object) -> bytes:
-    """Write a value as JSON; raises MessageError when it has no JSON form."""
+    """Write a plain value as JSON.
+
+    Raises MessageError when it has no JSON form.
+    """
     try:
-        return to_json(to_plain(value), inf_nan_mode="constants")
+        return to_json(value, inf_nan_mode="constants")
     except (PydanticSerializationError, ValueError, RecursionError):
         raise MessageError("the value has no JSON form") from None
 
--- a/packages/berylcart/src/berylcart/protocol/vm_messages.py
+++ b/packages/berylcart/src/berylcart/protocol/vm_messages.py
@@ -10,6 +10,7 @@
     MessageError,
     describe_fault,
     read_message,
+    to_plain,
     write_json,
 )
 from berylcart.state.vm import Vm, VmPage, VmRole, VmState
@@ -75,7 +76,7 @@
 
 def write_vm(vm: Vm) -> bytes:
     """Write one VM."""
-    return write_json(vm)
+    return write_json(to_plain(vm))
 
 
 def read_vm_page(body: bytes) -> tuple[VmPage, int]:
@@ -93,4 +94,4 @@
 
 def write_vm_page(page: VmPage) -> bytes:
     """Write the list."""
-    return write_json(page)
+    return write_json(to_plain(page))
