--- a/packages/berylcart-tools/src/berylcart_tools/commands/__init__.py
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Define the commands of the berylcart binary."""
+"""Hold the subcommands of berylcart, one a module."""
