Add SWIM-like membership over the peer port

Each daemon probes one member a period, directly and then through three others; a suspect may refute by raising its incarnation. Rumours ride on probes and, while any wait, on an extra ping every 200 ms. A packed sample of vital signs (when heard, load, version) keeps the count for the configuration lease and the load order of entries fresh.

A reported death is not believed while the member was heard within the suspicion timeout; it is passed to the member instead, which refutes it. Otherwise the first exchange after a cut would declare a whole half dead on its own side (test_two_halves_rejoin_without_a_false_death).

A member misses a rumour passed on k times with about exp(-k), so the limit is now ln(n / 0.001): 9 at seven members, 13 at 400.

Not covered by the fakes: real sockets, and calls in flight at the moment of a freeze.

--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gossip.py
@@ -0,0 +1,171 @@
+"""Compose and take in the gossip that rides on every peer call."""
+
+from random import Random
+
+import anyio
+
+from berylcart import events
+from berylcart.coordination.demand import DemandTable
+from berylcart.coordination.membership_hooks import MembershipHooks
+from berylcart.coordination.membership_settings import MembershipSettings
+from berylcart.coordination.piggyback import RumourQueue
+from berylcart.coordination.roster import Roster
+from berylcart.state.leaving_marks import LeavingMark, LeavingMarks
+from berylcart.state.member_table import Member
+from berylcart.state.peer_messages import (
+    ConfigFreshness,
+    Demand,
+    Gossip,
+    MemberNews,
+)
+
+LARGE_QUEUE = 64
+LARGE_QUEUE_FACTOR = 3
+
+
+def is_config_news(own: ConfigFreshness, heard: ConfigFreshness) -> bool:
+    """Say whether a peer has a newer configuration or confirmation.
+
+    >>> own = ConfigFreshness(version=3, as_of_offset=20, age_ms=900)
+    >>> is_config_news(own, ConfigFreshness(4, 21, 5000))
+    True
+    >>> is_config_news(own, ConfigFreshness(3, 20, 100))
+    True
+    >>> is_config_news(own, ConfigFreshness(2, 20, 100))
+    False
+    """
+    if heard.version != own.version:
+        return heard.version > own.version
+    if heard.as_of_offset != own.as_of_offset:
+        return heard.as_of_offset > own.as_of_offset
+    return heard.age_ms < own.age_ms
+
+
+class Gossiper:
+    """Join what this daemon knows to what it hears."""
+
+    def __init__(
+        self,
+        me: Member,
+        settings: MembershipSettings,
+        hooks: MembershipHooks,
+        rng: Random,
+    ) -> None:
+        self.roster = Roster(me, settings, self._on_change)
+        self.marks = LeavingMarks(settings.max_marks)
+        self.demand = DemandTable(settings.demand_keep_ms)
+        self._settings = settings
+        self._hooks = hooks
+        self._rng = rng
+        self._mark_rumours: RumourQueue[LeavingMark] = RumourQueue()
+        self._config_version = 0
+        self._config_sends_left = 0
+
+    def _on_change(self, member: Member) -> None:
+        events.info(
+            "membership.changed",
+            daemon=member.daemon_id,
+            incarnation=member.incarnation,
+            state=member.state.name.lower(),
+            is_leaving=member.is_leaving,
+            place=member.place,
+        )
+        self._hooks.on_change(member)
+
+    def mark(self, mark: LeavingMark) -> None:
+        """Add a leaving mark and pass it on if it is new."""
+        if self.marks.add(mark):
+            self._mark_rumours.add(mark, self.roster.transmissions())
+            self._hooks.on_leaving(mark)
+
+    def has_rumours(self) -> bool:
+        """Say whether anything waits to be passed on."""
+        self._note_config()
+        waiting = len(self.roster.rumours) + len(self._mark_rumours)
+        return waiting > 0 or self._config_sends_left > 0
+
+    def _note_config(self) -> ConfigFreshness:
+        """Make a risen version of the own configuration a rumour."""
+        config = self._hooks.config()
+        if config.version > self._config_version:
+            self._config_version = config.version
+            self._config_sends_left = self.roster.transmissions()
+        return config
+
+    def _report_me(self, config: ConfigFreshness) -> Member:
+        self.roster.update_me(
+            load=self._hooks.load(),
+            config_version=config.version,
+            config_offset=config.as_of_offset,
+        )
+        return self.roster.report_me()
+
+    def compose(self, target_id: str) -> Gossip:
+        """Compose a bounded message for one member."""
+        settings = self._settings
+        config = self._note_config()
+        self._config_sends_left = max(0, self._config_sends_left - 1)
+        marks = self._mark_rumours.take(settings.marks_per_message)
+        return Gossip(
+            sender=self._report_me(config),
+            members=tuple(self._pick_news(target_id)),
+            leaving=tuple(marks),
+            demand=tuple(self._pick_demand()),
+            config=config,
+            vitals=self.roster.sample_vitals(
+                settings.vitals_per_message, self._rng, anyio.current_time()
+            ),
+        )
+
+    def compose_all(self) -> Gossip:
+        """Compose a message with every member and the newest marks."""
+        now = anyio.current_time()
+        config = self._note_config()
+        marks = list(self.marks)[-self._settings.marks_per_exchange :]
+        return Gossip(
+            sender=self._report_me(config),
+            members=tuple(self.roster.all_news(now)),
+            leaving=tuple(marks),
+            demand=tuple(self._pick_demand()),
+            config=config,
+        )
+
+    def _pick_news(self, target_id: str) -> list[MemberNews]:
+        now = anyio.current_time()
+        limit = self._settings.members_per_message
+        if len(self.roster.rumours) > LARGE_QUEUE:
+            limit *= LARGE_QUEUE_FACTOR
+        names = self.roster.rumours.take(limit)
+        news = self.roster.charges_against(target_id, now)
+        for name in names:
+            report = self.roster.news_of(name, now)
+            if report is not None:
+                news.append(report)
+        return news
+
+    def _pick_demand(self) -> list[Demand]:
+        limit = self._settings.demand_per_message
+        own = list(self._hooks.demand())[:limit]
+        now = anyio.current_time()
+        return own + list(self.demand.newest(limit - len(own), now))
+
+    def absorb(self, gossip: Gossip) -> None:
+        """Take in a message, be it bounded or whole."""
+        sender = gossip.sender
+        roster = self.roster
+        if sender.daemon_id == roster.me.daemon_id:
+            return
+        now = anyio.current_time()
+        is_joining = not roster.live_ids()
+        roster.hear(sender, now)
+        for news in gossip.members:
+            roster.absorb(news, now, is_passed_on=not is_joining)
+        roster.absorb_vitals(gossip.vitals, now)
+        for mark in gossip.leaving:
+            self.mark(mark)
+        own_id = roster.me.daemon_id
+        self.demand.add(
+            (item for item in gossip.demand if item.daemon_id != own_id), now
+        )
+        if is_config_news(self._hooks.config(), gossip.config):
+            self._hooks.on_config(sender.peer_address, gossip.config)
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/membership_settings.py
@@ -0,0 +1,74 @@
+"""Define the periods and limits of membership."""
+
+import math
+from typing import NamedTuple
+
+MS_PER_S = 1000
+
+
+class MembershipSettings(NamedTuple):
+    """Tune failure detection and gossip.
+
+    The suspicion timeout is suspicion_periods probe periods for up to ten
+    members and grows with the logarithm of their number. miss_probability is
+    that of some member missing a rumour; exchanges then bring it.
+    """
+
+    probe_period_ms: int = 1000
+    probe_timeout_ms: int = 400
+    indirect_timeout_ms: int = 500
+    max_indirect_timeout_ms: int = 5000
+    indirect_probes: int = 3
+    suspicion_periods: float = 4.0
+    gossip_period_ms: int = 200
+    miss_probability: float = 0.001
+    exchange_period_ms: int = 60_000
+    exchange_timeout_ms: int = 2000
+    retry_period_ms: int = 10_000
+    dead_keep_ms: int = 3_600_000
+    pause_slack_ms: int = 500
+    entry_keep_ms: int = 5000
+    members_per_message: int = 16
+    vitals_per_message: int = 64
+    marks_per_message: int = 16
+    marks_per_exchange: int = 512
+    demand_per_message: int = 8
+    demand_keep_ms: int = 10_000
+    max_members: int = 4096
+    max_marks: int = 4096
+
+
+DEFAULT_SETTINGS = MembershipSettings()
+
+
+def decades(members: int) -> float:
+    """Take the decimal logarithm of a member count, at least 1.
+
+    >>> decades(2), round(decades(400), 1)
+    (1.0, 2.6)
+    """
+    return max(1.0, math.log10(max(1, members)))
+
+
+def suspicion_timeout_ms(members: int, settings: MembershipSettings) -> float:
+    """Say how long a suspect may refute before it counts as dead.
+
+    >>> suspicion_timeout_ms(7, DEFAULT_SETTINGS)
+    4000.0
+    """
+    scale = decades(members)
+    return settings.suspicion_periods * scale * settings.probe_period_ms
+
+
+def transmission_limit(members: int, settings: MembershipSettings) -> int:
+    """Say how often each member passes a rumour on.
+
+    A random member misses a rumour that all pass on k times with a
+    probability of about exp(-k); of n members, one does with n times that.
+
+    >>> transmission_limit(7, DEFAULT_SETTINGS)
+    9
+    >>> transmission_limit(400, DEFAULT_SETTINGS)
+    13
+    """
+    return math.ceil(math.log(max(2, members) / settings.miss_probability))
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/probe.py
@@ -0,0 +1,97 @@
+"""Order probes, and guard them against faults of the local process."""
+
+from collections.abc import Collection
+from random import Random
+
+MAX_HEALTH_PENALTY = 4
+
+
+class ProbeOrder:
+    """Visit members round robin, shuffling them anew for each round.
+
+    >>> order = ProbeOrder(Random(1))
+    >>> sorted(order.next(["a", "b"]) for _ in range(2))
+    ['a', 'b']
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._round: list[str] = []
+
+    def next(self, candidates: Collection[str]) -> str | None:
+        """Choose the next member; candidates change from call to call."""
+        while self._round:
+            chosen = self._round.pop()
+            if chosen in candidates:
+                return chosen
+        if not candidates:
+            return None
+        self._round = sorted(candidates)
+        self._rng.shuffle(self._round)
+        return self._round.pop()
+
+
+class LocalHealth:
+    """Slow probing down while this process itself seems unwell.
+
+    >>> health = LocalHealth()
+    >>> health.record_fault()
+    >>> health.factor
+    2
+    >>> health.record_success()
+    >>> health.factor
+    1
+    """
+
+    def __init__(self) -> None:
+        self._penalty = 0
+
+    @property
+    def factor(self) -> int:
+        """Give the factor by which to stretch timeouts and periods."""
+        return 1 + self._penalty
+
+    def record_fault(self) -> None:
+        """Count a missed answer, a refuted suspicion or a pause."""
+        self._penalty = min(MAX_HEALTH_PENALTY, self._penalty + 1)
+
+    def record_success(self) -> None:
+        """Count an answered probe."""
+        self._penalty = max(0, self._penalty - 1)
+
+
+class PauseGuard:
+    """Notice that the process did not run for a while.
+
+    Times are in seconds of the runtime's clock.
+
+    >>> guard = PauseGuard(slack_s=0.5)
+    >>> [guard.tick(now, expected_s=0.2) for now in (0.0, 0.2, 3.4)]
+    [0.0, 0.0, 3.0]
+    >>> guard.was_paused_since(1.0), guard.was_paused_since(3.5)
+    (True, False)
+    """
+
+    def __init__(self, slack_s: float) -> None:
+        self._slack_s = slack_s
+        self._last_tick = float("inf")
+        self._resumed_at = float("-inf")
+
+    def tick(self, now: float, expected_s: float) -> float:
+        """Give how many seconds were lost since the last tick."""
+        lost_s = round(now - self._last_tick - expected_s, 6)
+        self._last_tick = now
+        if lost_s <= self._slack_s:
+            return 0.0
+        self._resumed_at = now
+        return lost_s
+
+    def was_paused_since(self, start: float) -> bool:
+        """Say whether the process resumed from a pause since a time."""
+        return self._resumed_at >= start
+
+    def was_late(self, start: float, now: float, budget_s: float) -> bool:
+        """Say whether work from start to now overran by a pause."""
+        if now - start > budget_s + self._slack_s:
+            return True
+        return self.was_paused_since(start)
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/prober.py
@@ -0,0 +1,100 @@
+"""Probe one member, directly and through others."""
+
+from random import Random
+
+import anyio
+
+from berylcart.coordination.gossip import Gossiper
+from berylcart.coordination.membership_settings import (
+    MS_PER_S,
+    MembershipSettings,
+)
+from berylcart.coordination.peer_port import Peers
+from berylcart.coordination.probe import LocalHealth, PauseGuard
+from berylcart.state.errors import BerylcartError
+from berylcart.state.member_table import Member
+from berylcart.state.peer_messages import Ping, PingRequest
+
+
+class Prober:
+    """Ask whether a member runs, and suspect it if nobody reaches it."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        gossiper: Gossiper,
+        health: LocalHealth,
+        guard: PauseGuard,
+        settings: MembershipSettings,
+        rng: Random,
+    ) -> None:
+        self._peers = peers
+        self._gossiper = gossiper
+        self._health = health
+        self._guard = guard
+        self._settings = settings
+        self._rng = rng
+
+    async def ping(self, name: str, address: str, timeout_ms: int) -> bool:
+        """Probe an address and say whether the named daemon answered."""
+        ping = Ping(name, self._gossiper.compose(name))
+        try:
+            gossip = await self._peers.ping(
+                address, ping, timeout_ms=timeout_ms
+            )
+        except BerylcartError:
+            return False
+        self._gossiper.absorb(gossip)
+        return gossip.sender.daemon_id == name
+
+    async def probe(self, name: str) -> None:
+        """Probe a member and suspect it when no probe is answered."""
+        target = self._gossiper.roster.get(name)
+        if target is None:
+            return
+        start = anyio.current_time()
+        factor = self._health.factor
+        direct_ms = self._settings.probe_timeout_ms * factor
+        indirect_ms = self._settings.indirect_timeout_ms * factor
+        if await self.ping(name, target.peer_address, direct_ms):
+            self._health.record_success()
+            return
+        if await self._is_reached_by_others(target, indirect_ms):
+            return
+        budget_s = (direct_ms + indirect_ms) / MS_PER_S
+        now = anyio.current_time()
+        self._health.record_fault()
+        if not self._guard.was_late(start, now, budget_s):
+            self._gossiper.roster.suspect(name, now)
+
+    async def _is_reached_by_others(
+        self, target: Member, timeout_ms: int
+    ) -> bool:
+        names = self._gossiper.roster.live_ids()
+        others = [name for name in names if name != target.daemon_id]
+        count = min(self._settings.indirect_probes, len(others))
+        reached = False
+        request = PingRequest(
+            target.daemon_id, target.peer_address, timeout_ms
+        )
+        async with anyio.create_task_group() as tasks:
+
+            async def ask(helper: Member) -> None:
+                nonlocal reached
+                if await self._ask(helper, request):
+                    reached = True
+                    tasks.cancel_scope.cancel()
+
+            for name in self._rng.sample(others, count):
+                helper = self._gossiper.roster.get(name)
+                if helper is not None:
+                    tasks.start_soon(ask, helper)
+        return reached
+
+    async def _ask(self, helper: Member, request: PingRequest) -> bool:
+        try:
+            return await self._peers.ping_request(
+                helper.peer_address, request, timeout_ms=request.timeout_ms
+            )
+        except BerylcartError:
+            return False
--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -15,10 +15,13 @@
     Ping,
     PingRequest,
     StoredAnswer,
+    VitalSign,
 )
 from berylcart.state.records import Checkpoint, Verdict
 
 MAX_AGE_MS = 2**32 - 1
+MAX_PERMILLE = 2**32 - 1
+PERMILLE = 1000
 
 
 def clamp_age(age_ms: int) -> int:
@@ -30,6 +33,15 @@
     return min(max(age_ms, 0), MAX_AGE_MS)
 
 
+def to_permille(load: float) -> int:
+    """Round a load to thousandths.
+
+    >>> to_permille(0.25), to_permille(-1.0)
+    (250, 0)
+    """
+    return min(max(round(load * PERMILLE), 0), MAX_PERMILLE)
+
+
 def encode_member(news: MemberNews) -> pb.MemberMessage:
     """Encode one member."""
     member = news.member
@@ -44,6 +56,7 @@
         load=member.load,
         config_version=member.config_version,
         config_offset=member.config_offset,
+        is_leaving=member.is_leaving,
         heard_age_ms=clamp_age(news.heard_age_ms),
     )
 
@@ -61,6 +74,7 @@
         load=message.load,
         config_version=message.config_version,
         config_offset=message.config_offset,
+        is_leaving=message.is_leaving,
     )
     return MemberNews(member, message.heard_age_ms)
 
@@ -95,6 +109,14 @@
         config_version=gossip.config.version,
         config_offset=gossip.config.as_of_offset,
         config_age_ms=clamp_age(gossip.config.age_ms),
+        vital_digests=[vital.digest for vital in gossip.vitals],
+        vital_ages_ms=[
+            clamp_age(vital.heard_age_ms) for vital in gossip.vitals
+        ],
+        vital_loads_permille=[
+            to_permille(vital.load) for vital in gossip.vitals
+        ],
+        vital_versions=[vital.config_version for vital in gossip.vitals],
     )
 
 
@@ -113,6 +135,22 @@
             message.config_offset,
             message.config_age_ms,
         ),
+        vitals=decode_vitals(message),
+    )
+
+
+def decode_vitals(message: pb.GossipMessage) -> tuple[VitalSign, ...]:
+    """Join the parallel lists; raises ValueError on unequal lengths."""
+    columns = zip(
+        message.vital_digests,
+        message.vital_ages_ms,
+        message.vital_loads_permille,
+        message.vital_versions,
+        strict=True,
+    )
+    return tuple(
+        VitalSign(digest, age_ms, load / PERMILLE, version)
+        for digest, age_ms, load, version in columns
     )
 
 
--- a/packages/berylcart/src/berylcart/state/member_table.py
+++ b/packages/berylcart/src/berylcart/state/member_table.py
@@ -4,6 +4,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from xxhash import xxh64_intdigest
+
 
 class MemberState(IntEnum):
     """Rank the states; within one incarnation the higher one wins."""
@@ -18,7 +20,8 @@
     """Describe one daemon as of one beat of one of its incarnations.
 
     load is the share of the daemon's capacity in use. The daemon raises its
-    beat whenever it publishes fresh details of itself.
+    beat whenever it reports itself. A leaving daemon still runs but takes no
+    new callers.
     """
 
     daemon_id: str
@@ -31,6 +34,7 @@
     load: float = 0.0
     config_version: int = 0
     config_offset: int = -1
+    is_leaving: bool = False
 
     @property
     def is_live(self) -> bool:
@@ -81,16 +85,31 @@
 def refute(me: Member, report: Member) -> Member:
     """Raise the own incarnation above a report that says otherwise.
 
+    A higher beat of the same incarnation comes from an earlier process that
+    used the same daemon id.
+
     >>> me = Member("d1", 1, "a", "b", "p")
     >>> refute(me, me._replace(state=MemberState.SUSPECT)).incarnation
     2
     >>> refute(me, me._replace(incarnation=5)).incarnation
     6
+    >>> refute(me, me._replace(beat=9)).incarnation
+    2
     >>> refute(me, me).incarnation
     1
     """
     if report.incarnation > me.incarnation:
         return me._replace(incarnation=report.incarnation + 1)
-    if report.incarnation == me.incarnation and report.state > me.state:
+    is_same = report.incarnation == me.incarnation
+    if is_same and (report.state > me.state or report.beat > me.beat):
         return me._replace(incarnation=report.incarnation + 1)
     return me
+
+
+def member_digest(daemon_id: str) -> int:
+    """Hash a daemon's id to 64 bits.
+
+    >>> member_digest("d1") == member_digest("d1") != member_digest("d2")
+    True
+    """
+    return xxh64_intdigest(daemon_id.encode())
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -15,6 +15,18 @@
     heard_age_ms: int
 
 
+class VitalSign(NamedTuple):
+    """Report in brief when a member was heard, its load and version.
+
+    The digest is member_digest() of the daemon's id.
+    """
+
+    digest: int
+    heard_age_ms: int
+    load: float = 0.0
+    config_version: int = 0
+
+
 class Demand(NamedTuple):
     """Report how much work of a workspace one daemon has in flight."""
 
@@ -43,6 +55,7 @@
     leaving: tuple[LeavingMark, ...] = ()
     demand: tuple[Demand, ...] = ()
     config: ConfigFreshness = ConfigFreshness()
+    vitals: tuple[VitalSign, ...] = ()
 
 
 class Ping(NamedTuple):
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_membership.py
@@ -0,0 +1,331 @@
+"""Bring about failures of daemons and of the network between them."""
+
+import anyio
+import pytest
+from berylcart.coordination.membership_settings import (
+    DEFAULT_SETTINGS,
+    suspicion_timeout_ms,
+)
+from berylcart.state.member_table import MemberState
+from berylcart.state.peer_messages import Demand
+
+SEEDS = (1, 2, 3)
+SUSPICION_S = suspicion_timeout_ms(7, DEFAULT_SETTINGS) / 1000
+CONFIG_TARGET_S = 8
+DETECTION_S = 15
+HEALING_S = 60
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_daemons_join_and_agree(run_fleet, seed):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        joined = fleet.add(7)
+        await fleet.until(lambda: fleet.agree([*nodes, joined]), 5)
+
+    run_fleet(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_killed_daemon_is_dead_everywhere(run_fleet, seed):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[3].kill()
+        rest = [node for node in nodes if node is not nodes[3]]
+        await fleet.until(lambda: fleet.agree(rest), DETECTION_S)
+        assert fleet.false_deaths({node.name for node in rest}) == 0
+
+    run_fleet(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_loss_brings_no_false_death(run_fleet, seed):
+    async def scenario(fleet):
+        nodes = await fleet.grow(12)
+        fleet.network.loss = 0.1
+        await anyio.sleep(120)
+        assert fleet.false_deaths({node.name for node in nodes}) == 0
+        fleet.network.loss = 0.0
+        await fleet.until(lambda: fleet.agree(nodes), HEALING_S)
+
+    run_fleet(scenario, seed)
+
+
+def test_false_suspicion_is_refuted(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[5].freeze()
+        await fleet.until(
+            lambda: nodes[0].state_of("d5") is MemberState.SUSPECT, 10
+        )
+        nodes[5].start()
+        await fleet.until(
+            lambda: all(
+                node.state_of("d5") is MemberState.ALIVE for node in nodes
+            ),
+            SUSPICION_S,
+        )
+        assert nodes[5].membership.me.incarnation > 1
+        assert fleet.false_deaths({"d5"}) == 0
+
+    run_fleet(scenario)
+
+
+def test_frozen_daemon_suspects_nobody_when_it_wakes(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[5].freeze()
+        await anyio.sleep(120)
+        assert "d5" not in nodes[0].live()
+        nodes[5].hooks.states.clear()
+        nodes[5].start()
+        await fleet.until(lambda: fleet.agree(nodes), HEALING_S)
+        assert nodes[5].hooks.states == []
+
+    run_fleet(scenario)
+
+
+def test_frozen_daemon_hears_nobody(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        names = [node.name for node in nodes]
+        await anyio.sleep(10)
+        assert nodes[5].membership.heard(names, 5000).heard == 7
+        nodes[5].freeze()
+        await anyio.sleep(60)
+        count = nodes[5].membership.heard(names, 5000)
+        assert (count.heard, count.is_majority) == (1, False)
+
+    run_fleet(scenario)
+
+
+def test_goodbye_spreads(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(12)
+        await nodes[4].membership.leave()
+        nodes[4].kill()
+        rest = [node for node in nodes if node is not nodes[4]]
+        await fleet.until(lambda: fleet.agree(rest), 3)
+        states = {node.state_of("d4") for node in rest}
+        assert states == {MemberState.LEFT}
+
+    run_fleet(scenario)
+
+
+def test_draining_daemon_leaves_the_entry_list_but_stays_a_member(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[4].membership.drain()
+
+        def is_listed(node):
+            places = ("lahore-1", "lahore-2", "lahore-3")
+            listed = node.membership.entries_for(places, 10).entries
+            return "d4" in {entry.daemon_id for entry in listed}
+
+        assert not is_listed(nodes[4])
+        await fleet.until(lambda: not any(map(is_listed, nodes)), 3)
+        assert fleet.agree(nodes)
+
+    run_fleet(scenario)
+
+
+def test_daemon_returns_with_the_same_incarnation(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[3].kill()
+        await anyio.sleep(2)
+        again = fleet.add(3, incarnation=1, address="a33")
+        current = [*nodes[:3], again, *nodes[4:]]
+        await fleet.until(lambda: fleet.agree(current), DETECTION_S)
+        await fleet.until(
+            lambda: all(
+                member.peer_address == "a33"
+                for node in current
+                for member in node.membership.members()
+                if member.daemon_id == "d3"
+            ),
+            DETECTION_S,
+        )
+
+    run_fleet(scenario)
+
+
+def test_older_rumour_does_not_revive_the_dead(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[6].freeze()
+        await anyio.sleep(30)
+        nodes[3].kill()
+        await anyio.sleep(30)
+        nodes[6].start()
+        rest = [node for node in nodes if node is not nodes[3]]
+        await fleet.until(lambda: fleet.agree(rest), HEALING_S)
+        await anyio.sleep(60)
+        assert all("d3" not in node.live() for node in rest)
+
+    run_fleet(scenario)
+
+
+def test_leaving_marks_spread_and_stick(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[1].membership.mark_leaving("vm-9", 4)
+        await fleet.until(
+            lambda: all(n.membership.is_leaving("vm-9", 4) for n in nodes), 3
+        )
+        nodes[2].membership.mark_leaving("vm-9", 2)
+        late = fleet.add(7)
+        await anyio.sleep(5)
+        for node in [*nodes, late]:
+            assert node.membership.is_leaving("vm-9", 4)
+            assert not node.membership.is_leaving("vm-9", 5)
+
+    run_fleet(scenario)
+
+
+def test_configuration_version_spreads(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(30)
+        await anyio.sleep(10)
+        nodes[11].hooks.version = 5
+        await fleet.until(
+            lambda: all(node.hooks.version == 5 for node in nodes),
+            CONFIG_TARGET_S,
+        )
+
+    run_fleet(scenario)
+
+
+def test_load_and_demand_are_known_to_others(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[0].hooks.load_now = 0.9
+        nodes[0].hooks.in_flight = (Demand("d0", "w1", 40),)
+        nodes[3].hooks.in_flight = (Demand("d3", "w1", 2),)
+        await anyio.sleep(10)
+        entries = nodes[5].membership.entries_for(["lahore-1"], 3).entries
+        assert entries[-1].daemon_id == "d0"
+        assert nodes[5].membership.demand_for("w1") == 42
+        nodes[0].hooks.in_flight = nodes[3].hooks.in_flight = ()
+        await anyio.sleep(25)
+        assert nodes[5].membership.demand_for("w1") == 0
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_place_cut_off_and_healed(run_fleet, seed):
+    async def scenario(fleet):
+        nodes = await fleet.grow(9)
+        lost = [node for node in nodes if node.place == "lahore-2"]
+        rest = [node for node in nodes if node.place != "lahore-2"]
+        names = [node.name for node in nodes]
+        fleet.network.cut_both(lost, rest)
+        await fleet.until(
+            lambda: fleet.agree(rest) and fleet.agree(lost), DETECTION_S * 2
+        )
+        assert rest[0].membership.heard(names, 10_000).is_majority
+        assert not lost[0].membership.heard(names, 10_000).is_majority
+        fleet.network.heal()
+        await fleet.until(lambda: fleet.agree(nodes), HEALING_S)
+
+    run_fleet(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_halves_rejoin_without_a_false_death(run_fleet, seed):
+    async def scenario(fleet):
+        nodes = await fleet.grow(12)
+        left, right = nodes[:6], nodes[6:]
+        fleet.network.cut_both(left, right)
+        await fleet.until(
+            lambda: fleet.agree(left) and fleet.agree(right), DETECTION_S * 2
+        )
+        for node in nodes:
+            node.hooks.states.clear()
+        fleet.network.heal()
+        await fleet.until(lambda: fleet.agree(nodes), HEALING_S)
+        await anyio.sleep(30)
+        assert fleet.agree(nodes)
+        assert fleet.false_deaths({node.name for node in nodes}) == 0
+
+    run_fleet(scenario, seed)
+
+
+def test_halves_cut_for_longer_than_the_dead_are_kept_rejoin(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(8)
+        left, right = nodes[:4], nodes[4:]
+        fleet.network.cut_both(left, right)
+        await anyio.sleep(300)
+        assert nodes[0].state_of("d7") is None
+        fleet.network.heal()
+        await fleet.until(lambda: fleet.agree(nodes), HEALING_S)
+
+    run_fleet(scenario, settings=DEFAULT_SETTINGS._replace(dead_keep_ms=60000))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_way_cut_between_two_is_bridged_by_others(run_fleet, seed):
+    async def scenario(fleet):
+        nodes = await fleet.grow(9)
+        fleet.network.cut(nodes[:1], nodes[4:5])
+        await anyio.sleep(120)
+        assert fleet.agree(nodes)
+        assert fleet.false_deaths({node.name for node in nodes}) == 0
+
+    run_fleet(scenario, seed)
+
+
+def test_daemon_that_hears_but_cannot_send_is_found_out(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        rest = [node for node in nodes if node is not nodes[4]]
+        fleet.network.cut(nodes[4:5], rest)
+        await fleet.until(lambda: fleet.agree(rest), DETECTION_S)
+        names = [node.name for node in nodes]
+        await anyio.sleep(20)
+        fleet.network.heal()
+        await fleet.until(lambda: fleet.agree(nodes), HEALING_S)
+        assert nodes[4].membership.heard(names, 10_000).is_majority
+
+    run_fleet(scenario)
+
+
+def test_forty_replaced_in_a_minute(run_fleet):
+    async def scenario(fleet):
+        fleet.seeds = [f"a{index}" for index in range(48)]
+        nodes = await fleet.grow(48)
+        for index in range(40):
+            nodes[index].kill()
+            fleet.seeds[index] = f"a{100 + index}"
+            fleet.add(100 + index)
+            await anyio.sleep(1.5)
+        current = nodes[40:] + fleet.nodes[48:]
+        await fleet.until(lambda: fleet.agree(current), HEALING_S)
+        assert fleet.false_deaths({node.name for node in current}) == 0
+
+    run_fleet(scenario)
+
+
+def test_probe_of_a_reused_address_does_not_count(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[3].kill()
+        again = fleet.add(9, address="a3")
+        rest = [node for node in nodes if node is not nodes[3]]
+        await fleet.until(lambda: fleet.agree([*rest, again]), DETECTION_S)
+
+    run_fleet(scenario)
+
+
+def test_messages_stay_bounded(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(40)
+        for node in nodes[20:]:
+            node.kill()
+        await fleet.until(lambda: fleet.agree(nodes[:20]), HEALING_S)
+        limit = DEFAULT_SETTINGS.members_per_message * 3
+        assert fleet.network.largest_message <= limit + 2
+
+    run_fleet(scenario)
