Serve a request end to end: daemon, HTTP interface, pipelines, demo

Cause: the parts stood apart; nothing answered a caller. The daemon joins configuration, membership, claims and policy behind one HTTP interface, and serving runs stages by attempts that are permitted by the newest configuration at each dispatch, retried within a budget, hedged after p95 and resumed at the next token. Ruled out: one shared flag for whether a request ran; concurrent attempts (hedges) would overwrite it, so progress counts open attempts instead.

--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
@@ -0,0 +1,186 @@
+"""Say which requests this entry takes and which entries callers may use."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+from berylcart.coordination.admission_table import AdmissionTable
+from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.coordination.membership import Membership
+from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.state.config import Configuration, Workspace
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.request import ServeRequest
+
+from berylcart_daemon.api import (
+    UNKNOWN,
+    EntriesAnswer,
+    EntryAnswer,
+    StatusAnswer,
+)
+
+MAX_ENTRIES = 8
+DRAIN_RETRY_AFTER_MS = 1000
+FAR_MS = 1e9
+
+
+class CurrentConfiguration:
+    """Give the newest configuration only while it may be acted upon."""
+
+    def __init__(self, configs: ConfigKeeper) -> None:
+        self.configs = configs
+
+    def require(self) -> Configuration:
+        """Return it; raises NOT_READY, CONFIG_STALE or FORMAT_UNKNOWN."""
+        self.configs.check_current()
+        return self.configs.current.configuration
+
+
+def by_distance(
+    places: Sequence[str], here: str, configuration: Configuration
+) -> list[str]:
+    """Order places by their delay from here, the own one first.
+
+    >>> from berylcart.state.config import Place
+    >>> near = Place("a", "r", {"b": 1.5, "c": 9.0})
+    >>> known = Configuration({"a": near}, {}, {}, {})
+    >>> by_distance(["c", "b", "a"], "a", known)
+    ['a', 'b', 'c']
+    """
+    place = configuration.places.get(here)
+    delays = place.delay_ms if place else {}
+
+    def distance(name: str) -> tuple[float, str]:
+        return (0.0 if name == here else delays.get(name, FAR_MS), name)
+
+    return sorted(places, key=distance)
+
+
+class EntryDoor:
+    """Know this entry's state and the other entries."""
+
+    def __init__(
+        self,
+        place: str,
+        configs: ConfigKeeper,
+        directory: VmDirectory,
+        membership: Membership,
+        admission: AdmissionTable,
+    ) -> None:
+        self.place = place
+        self.configs = configs
+        self.directory = directory
+        self.membership = membership
+        self.admission = admission
+        self.is_draining = False
+        self.is_closed = False
+        self.refused: Counter[str] = Counter()
+
+    def check_open(self) -> None:
+        """Raise DRAINING when this entry takes no new request."""
+        if self.is_closed:
+            raise BerylcartError(
+                Code.DRAINING,
+                "this entry is stopping",
+                retry_after_ms=DRAIN_RETRY_AFTER_MS,
+                entries=self.other_entries(),
+            )
+
+    def check_ready(self) -> None:
+        """Raise BerylcartError when this entry can't serve."""
+        self.configs.check_current()
+
+    def configuration(self) -> Configuration:
+        """Give the newest configuration known, even a stale one."""
+        return self.configs.current.configuration
+
+    def other_entries(self) -> tuple[str, ...]:
+        """List addresses of other entries, nearest first."""
+        places = by_distance(
+            list(self.configuration().places), self.place, self.configuration()
+        )
+        return self.addresses_in(places)
+
+    def permitted_entries(self, workspace: Workspace) -> tuple[str, ...]:
+        """List addresses of entries that may serve a workspace."""
+        places = by_distance(
+            sorted(workspace.places), self.place, self.configuration()
+        )
+        return self.addresses_in(places)
+
+    def addresses_in(self, places: Sequence[str]) -> tuple[str, ...]:
+        """List addresses of entries in places, in their order."""
+        chosen = self.membership.entries_for(places, MAX_ENTRIES)
+        return tuple(entry.http_address for entry in chosen.entries)
+
+    def entries(self, workspace: str) -> EntriesAnswer:
+        """List the entries for a workspace, or for any, best first."""
+        configuration = self.configuration()
+        places = sorted(configuration.places)
+        if workspace:
+            owner = configuration.workspaces.get(workspace)
+            if owner is None:
+                raise BerylcartError(
+                    Code.UNKNOWN_WORKSPACE, f"no workspace {workspace!r}"
+                )
+            places = sorted(owner.places)
+        ordered = by_distance(places, self.place, configuration)
+        chosen = self.membership.entries_for(ordered, MAX_ENTRIES)
+        rows = [
+            EntryAnswer(
+                daemon_id=entry.daemon_id,
+                address=entry.http_address,
+                place=entry.place,
+            )
+            for entry in chosen.entries
+        ]
+        return EntriesAnswer(entries=rows, keep_ms=chosen.keep_ms)
+
+    def labels(self, request: ServeRequest) -> tuple[str, str]:
+        """Give the tier and target under which a request is counted."""
+        configuration = self.configuration()
+        workspace = configuration.workspaces.get(request.workspace)
+        tier = workspace.tier if workspace else UNKNOWN
+        targets = (
+            configuration.pipelines
+            if request.is_pipeline
+            else configuration.services
+        )
+        target = request.target if request.target in targets else UNKNOWN
+        return tier, target
+
+    def note_refused(self, error: BerylcartError) -> None:
+        """Count an error answer by its code."""
+        self.refused[str(int(error.code))] += 1
+
+    def status(self) -> StatusAnswer:
+        """Describe the daemon."""
+        me = self.membership.me
+        current = self.configs.current
+        return StatusAnswer(
+            daemon_id=me.daemon_id,
+            incarnation=me.incarnation,
+            place=self.place,
+            config_version=current.version,
+            config_as_of_offset=current.as_of_offset,
+            is_ready=self.configs.is_current,
+            is_draining=self.is_draining,
+            in_flight=self.admission.in_flight,
+            members=[
+                {
+                    "daemon_id": member.daemon_id,
+                    "state": member.state.name.lower(),
+                    "place": member.place,
+                    "config_version": member.config_version,
+                }
+                for member in self.membership.members()
+            ],
+            pools={
+                name: [vm.vm_id for vm in pool]
+                for name, pool in self.directory.pools.items()
+            },
+            leaving=[
+                f"{mark.vm_id}/{mark.incarnation}"
+                for mark in self.directory.leaving
+            ],
+            refused=dict(self.refused),
+        )
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/reply_stream.py
@@ -0,0 +1,77 @@
+"""Send a streamed answer, or a problem when none has begun."""
+
+from collections.abc import Mapping
+
+from berylcart.protocol.answers import chunk_event, done_event, error_event
+from berylcart.protocol.problem import problem_reply
+from berylcart.state.errors import BerylcartError
+from berylcart.state.request import ServeReply
+from berylcart.state.stage import StageChunk
+from starlette.types import Send
+
+STREAM_HEADERS = {
+    "Content-Type": "text/event-stream",
+    "Cache-Control": "no-store",
+}
+
+
+def raw_headers(headers: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
+    """Encode headers as ASGI wants them.
+
+    >>> raw_headers({"Ran": "no"})
+    [(b'ran', b'no')]
+    """
+    return [
+        (name.lower().encode(), value.encode())
+        for name, value in headers.items()
+    ]
+
+
+class ReplyStream:
+    """Send server-sent events; the first one starts the answer."""
+
+    def __init__(self, send: Send) -> None:
+        self.send = send
+        self.has_begun = False
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the status line and headers."""
+        self.has_begun = True
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": raw_headers(headers),
+            }
+        )
+
+    async def write(self, body: bytes, *, is_last: bool = False) -> None:
+        """Send a part, waiting while the reader is slow."""
+        await self.send(
+            {
+                "type": "http.response.body",
+                "body": body,
+                "more_body": not is_last,
+            }
+        )
+
+    async def chunk(self, chunk: StageChunk) -> None:
+        """Send one token."""
+        if not self.has_begun:
+            await self.start(200, STREAM_HEADERS)
+        await self.write(chunk_event(chunk))
+
+    async def done(self, reply: ServeReply) -> None:
+        """End a whole stream."""
+        if not self.has_begun:
+            await self.start(200, STREAM_HEADERS)
+        await self.write(done_event(reply), is_last=True)
+
+    async def fail(self, error: BerylcartError) -> None:
+        """End with a problem, as an answer or as the last event."""
+        if self.has_begun:
+            await self.write(error_event(error), is_last=True)
+            return
+        answer = problem_reply(error)
+        await self.start(answer["status"], answer["headers"])
+        await self.write(answer["body"], is_last=True)
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/settings.py
@@ -0,0 +1,143 @@
+"""Read and validate the daemon's settings file."""
+
+import json
+import tomllib
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+from berylcart.coordination.routing import DEFAULT_POLICY
+from berylcart.state.errors import BerylcartError, Code
+from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
+
+MAX_PORT = 65535
+
+
+def check_address(value: str) -> str:
+    """Accept only IP:PORT.
+
+    >>> check_address("127.0.0.1:8080")
+    '127.0.0.1:8080'
+    """
+    host, separator, port = value.rpartition(":")
+    if not separator or not host:
+        raise ValueError("expected IP:PORT")
+    if not port.isdecimal() or int(port) > MAX_PORT:
+        raise ValueError(f"expected a port from 0 to {MAX_PORT}")
+    return value
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+
+
+class DaemonSettings(NamedTuple):
+    """Identify this daemon and where it listens."""
+
+    id: Name
+    place: Name
+    http_address: Address
+    peer_address: Address
+
+
+class PlatformSettings(NamedTuple):
+    """Locate the platform's services."""
+
+    log_address: Address
+    vm_list_address: Address
+    vm_list_interval_ms: Milliseconds = 500
+
+
+class PeerSettings(NamedTuple):
+    """Tell how daemons find and probe each other."""
+
+    seeds: tuple[Address, ...] = ()
+    probe_interval_ms: Milliseconds = 1000
+
+
+class LimitSettings(NamedTuple):
+    """Bound what one caller or all callers may hold."""
+
+    body_bytes: Annotated[int, Field(ge=1, le=64 * 2**20)] = 2**20
+    header_bytes: Annotated[int, Field(ge=256, le=2**20)] = 16 * 2**10
+    request_timeout_ms: Milliseconds = 5000
+    max_in_flight: Annotated[int, Field(ge=1, le=100_000)] = 512
+    max_connections: Annotated[int, Field(ge=1, le=100_000)] = 2048
+    max_deadline_ms: Milliseconds = 60_000
+
+
+class TimingSettings(NamedTuple):
+    """Set how long leases, claims and answers are kept."""
+
+    config_lease_s: Seconds = 10.0
+    entries_keep_s: Seconds = 5.0
+    claim_keep_s: Seconds = 3600.0
+    answer_keep_s: Seconds = 300.0
+
+
+class PolicySettings(NamedTuple):
+    """Choose the routing policy and what it may spend."""
+
+    name: str = DEFAULT_POLICY.name
+    seed: int | None = None
+    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    hedge_ratio: Annotated[float, Field(ge=0, le=1)] = 0.05
+
+
+class Settings(NamedTuple):
+    """Hold the whole settings file."""
+
+    daemon: DaemonSettings
+    platform: PlatformSettings
+    peers: PeerSettings = PeerSettings()
+    limits: LimitSettings = LimitSettings()
+    timing: TimingSettings = TimingSettings()
+    policy: PolicySettings = PolicySettings()
+
+
+SETTINGS = TypeAdapter(Settings)
+
+
+class SettingsError(BerylcartError):
+    """Report the first fault of a settings file."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Code.SETTINGS_INVALID, detail)
+
+
+def describe_fault(error: ValidationError) -> str:
+    """Name the first faulty key and what was expected of it."""
+    fault = error.errors(include_url=False)[0]
+    key = ".".join(str(part) for part in fault["loc"])
+    if fault["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
+        return f"{key}: unknown key"
+    if fault["type"] in ("missing_argument", "missing"):
+        return f"{key}: missing key"
+    message = fault["msg"].removeprefix("Value error, ")
+    return f"{key}: {message}, got {fault['input']!r}"
+
+
+def parse_settings(text: str) -> Settings:
+    """Parse a settings text; raises SettingsError naming the key."""
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"not TOML: {error}") from None
+    try:
+        return SETTINGS.validate_json(
+            json.dumps(table, default=str), strict=True
+        )
+    except ValidationError as error:
+        raise SettingsError(describe_fault(error)) from None
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file; raises SettingsError naming the key."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise SettingsError(f"{path}: not UTF-8 text") from None
+    return parse_settings(text)
--- /dev/null
+++ b/packages/berylcart-daemon/tests/test_main.py
@@ -0,0 +1,57 @@
+"""Check the daemon's command line: one clear line and an exit status."""
+
+import socket
+
+import pytest
+from berylcart.state.errors import CODE_INFO, Code
+from berylcart_daemon.main import Berylcartd, run
+
+from .test_settings import WHOLE
+
+
+@pytest.fixture(name="settings_file")
+def make_settings_file(tmp_path):
+    path = tmp_path / "daemon.toml"
+    path.write_text(WHOLE)
+    return path
+
+
+def test_check_accepts_valid_settings(settings_file, capsys):
+    assert run(Berylcartd(settings_file, check=True)) == 0
+    assert capsys.readouterr().out == f"{settings_file}: valid\n"
+
+
+def test_invalid_settings_exit_with_one_line(settings_file, capsys):
+    settings_file.write_text("[daemon]\n")
+    status = run(Berylcartd(settings_file))
+    assert status == CODE_INFO[Code.SETTINGS_INVALID].exit_status
+    lines = capsys.readouterr().err.splitlines()
+    fault = "4000 SETTINGS_INVALID: daemon.id: missing key"
+    assert lines == [f"berylcartd: {fault}"]
+
+
+def test_missing_file_exits_with_one_line(tmp_path, capsys):
+    status = run(Berylcartd(tmp_path / "none.toml"))
+    assert status == CODE_INFO[Code.SETTINGS_INVALID].exit_status
+    assert len(capsys.readouterr().err.splitlines()) == 1
+
+
+def test_taken_port_exits_with_one_line(settings_file, capsys):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        text = WHOLE.replace("127.0.0.1:8080", f"127.0.0.1:{port}")
+        settings_file.write_text(text)
+        status = run(Berylcartd(settings_file))
+    assert status == CODE_INFO[Code.ADDRESS_IN_USE].exit_status
+    errors = capsys.readouterr().err.splitlines()
+    assert f"127.0.0.1:{port}" in errors[-1]
+
+
+def test_unknown_policy_exits_with_one_line(settings_file, capsys):
+    text = WHOLE.replace("8080", "0").replace("8081", "0")
+    settings_file.write_text(text + '[policy]\nname = "none:none"\n')
+    status = run(Berylcartd(settings_file))
+    assert status == CODE_INFO[Code.SETTINGS_INVALID].exit_status
+    assert "none:none" in capsys.readouterr().err
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/admission_table.py
@@ -0,0 +1,93 @@
+"""Keep one admission for each target that callers ask for."""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+
+from berylcart.coordination.admission import Admission, AdmissionSettings
+from berylcart.coordination.stage_policy import StagePolicy
+from berylcart.state.config import Service, Workspace
+from berylcart.state.errors import BerylcartError, Code, UpstreamError
+
+MEDIAN = 0.5
+HEAVIEST = 8
+MS_PER_S = 1000
+
+
+class AdmissionTable:
+    """Admit requests by target; all targets share the entry's own limit."""
+
+    def __init__(
+        self,
+        policy: StagePolicy,
+        settings: AdmissionSettings,
+        max_in_flight: int,
+        *,
+        is_admitting: bool = True,
+    ) -> None:
+        self.policy = policy
+        self.settings = settings
+        self.max_in_flight = max_in_flight
+        self.is_admitting = is_admitting
+        self.in_flight = 0
+        self.targets: dict[str, Admission] = {}
+
+    def heaviest(self) -> list[tuple[str, int]]:
+        """List the workspaces with the most requests here, and how many."""
+        total: Counter[str] = Counter()
+        for admission in self.targets.values():
+            total.update(admission.by_workspace)
+        return total.most_common(HEAVIEST)
+
+    def expected_ms(self, stages: Sequence[Service]) -> float:
+        """Estimate how long a target's stages take together."""
+        return sum(self.policy.expected_ms(stage, MEDIAN) for stage in stages)
+
+    @asynccontextmanager
+    async def admit(
+        self,
+        target: str,
+        workspace: Workspace,
+        stages: Sequence[Service],
+        left_s: float,
+    ) -> AsyncIterator[None]:
+        """Hold a slot for one request; raises BerylcartError at once."""
+        if self.in_flight >= self.max_in_flight:
+            raise BerylcartError(
+                Code.OVERLOADED,
+                f"{self.in_flight} requests are in flight at this entry",
+                retry_after_ms=MS_PER_S,
+            )
+        self.in_flight += 1
+        try:
+            if not self.is_admitting:
+                yield
+                return
+            async with self.enter(target, workspace, stages, left_s):
+                yield
+        finally:
+            self.in_flight -= 1
+
+    @asynccontextmanager
+    async def enter(
+        self,
+        target: str,
+        workspace: Workspace,
+        stages: Sequence[Service],
+        left_s: float,
+    ) -> AsyncIterator[None]:
+        """Hold a slot of one target, and tell it of overloaded upstreams."""
+        admission = self.targets.get(target)
+        if admission is None:
+            admission = Admission(self.settings)
+            self.targets[target] = admission
+        expected_ms = self.expected_ms(stages)
+        async with admission.admit(
+            workspace, expected_ms, left_s * MS_PER_S
+        ) as ticket:
+            try:
+                yield
+            except UpstreamError as error:
+                if error.retry_after_ms is not None:
+                    ticket.note_strain()
+                raise
--- a/packages/berylcart/src/berylcart/coordination/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership.py
@@ -138,6 +138,10 @@
         )
         return HeardCount(heard, len(daemon_ids))
 
+    def heard_at(self, daemon_id: str) -> float:
+        """Give the runtime's time at which a member was last heard."""
+        return self._roster.heard_at(daemon_id)
+
     def mark_leaving(self, vm_id: str, incarnation: int) -> None:
         """Mark an upstream VM's incarnation as leaving, everywhere."""
         self._gossiper.mark(LeavingMark(vm_id, incarnation))
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/serving.py
@@ -0,0 +1,268 @@
+"""Serve one request: check, admit, claim, run its stages."""
+
+import json
+from typing import Any, NamedTuple, Protocol
+
+import anyio
+
+from berylcart.coordination.admission_table import AdmissionTable
+from berylcart.coordination.attempts import (
+    StageResult,
+    StageRunner,
+    StageTask,
+)
+from berylcart.coordination.claim_answers import StoredAnswer
+from berylcart.coordination.claim_results import Found, Granted
+from berylcart.coordination.claims import ClaimKeeper
+from berylcart.coordination.ports import ChunkSink
+from berylcart.coordination.stage_payload import merge_output, stage_payload
+from berylcart.state.config import Configuration, Service, Workspace
+from berylcart.state.errors import BerylcartError, Code, Ran
+from berylcart.state.request import (
+    Progress,
+    ServeReply,
+    ServeRequest,
+    StageReport,
+    strongest,
+)
+from berylcart.state.stage import Usage
+
+RETRY_AFTER_DEADLINE_MS = 1000
+CODE_WHOLE = 0
+MS_PER_S = 1000
+
+
+class Configurations(Protocol):
+    """Give the newest configuration that may be acted upon."""
+
+    def require(self) -> Configuration:
+        """Return it; raises BerylcartError NOT_READY or CONFIG_STALE."""
+        ...
+
+
+class EntryNames(Protocol):
+    """Name the entries that may serve a workspace."""
+
+    def permitted_entries(self, workspace: Workspace) -> tuple[str, ...]:
+        """List addresses of live entries in permitted places."""
+        ...
+
+
+class Target(NamedTuple):
+    """Hold what a request asks for, looked up once."""
+
+    workspace: Workspace
+    stages: tuple[Service, ...]
+    prefix: str
+
+
+def find_target(configuration: Configuration, request: ServeRequest) -> Target:
+    """Look up a request's workspace and stages; raises BerylcartError."""
+    workspace = configuration.workspaces.get(request.workspace)
+    if workspace is None:
+        raise BerylcartError(
+            Code.UNKNOWN_WORKSPACE, f"no workspace {request.workspace!r}"
+        )
+    if request.is_pipeline:
+        pipeline = configuration.pipelines.get(request.target)
+        names = pipeline.stages if pipeline else ()
+        prefix = f"{request.target}/"
+    else:
+        names = (request.target,)
+        prefix = ""
+    stages = [configuration.services.get(name) for name in names]
+    known = tuple(stage for stage in stages if stage is not None)
+    if not known or len(known) != len(names):
+        kind = "pipeline" if request.is_pipeline else "service"
+        raise BerylcartError(
+            Code.UNKNOWN_TARGET, f"no {kind} {request.target!r}"
+        )
+    return Target(workspace, known, prefix)
+
+
+def body_bytes(payload: dict[str, Any]) -> bytes:
+    """Write a payload in one canonical form, for its fingerprint.
+
+    >>> body_bytes({"b": 1, "a": 2})
+    b'{"a":2,"b":1}'
+    """
+    text = json.dumps(payload, sort_keys=True, separators=(",", ":"))
+    return text.encode()
+
+
+class Server:
+    """Serve requests at one entry."""
+
+    def __init__(
+        self,
+        place: str,
+        configurations: Configurations,
+        entries: EntryNames,
+        admission: AdmissionTable,
+        claims: ClaimKeeper,
+        runner: StageRunner,
+    ) -> None:
+        self.place = place
+        self.configurations = configurations
+        self.entries = entries
+        self.admission = admission
+        self.claims = claims
+        self.runner = runner
+
+    async def serve(
+        self, request: ServeRequest, sink: ChunkSink | None = None
+    ) -> ServeReply:
+        """Answer a request whole before its deadline.
+
+        Raises BerylcartError saying whether the request ran.
+        """
+        target = find_target(self.configurations.require(), request)
+        self.check_place(target.workspace)
+        progress = Progress()
+        try:
+            left_s = request.deadline_at_s - anyio.current_time()
+            with anyio.fail_after(left_s):
+                async with self.admission.admit(
+                    request.target, target.workspace, target.stages, left_s
+                ):
+                    return await self.run(request, target, progress, sink)
+        except TimeoutError:
+            raise BerylcartError(
+                Code.DEADLINE_EXCEEDED,
+                f"no whole answer within {request.deadline_ms} ms",
+                ran=progress.ran,
+                retry_after_ms=RETRY_AFTER_DEADLINE_MS,
+            ) from None
+        except BerylcartError as error:
+            error.ran = strongest(error.ran, progress.ran)
+            raise
+
+    def check_place(self, workspace: Workspace) -> None:
+        """Refuse a workspace whose data may not be handled here."""
+        if self.place in workspace.places:
+            return
+        raise BerylcartError(
+            Code.PLACE_NOT_PERMITTED,
+            f"{self.place} may not handle workspace {workspace.name}",
+            entries=self.entries.permitted_entries(workspace),
+        )
+
+    async def run(
+        self,
+        request: ServeRequest,
+        target: Target,
+        progress: Progress,
+        sink: ChunkSink | None,
+    ) -> ServeReply:
+        """Run a target's stages in order."""
+        context = dict(request.payload)
+        output: Any = None
+        reports: list[StageReport] = []
+        last = len(target.stages) - 1
+        for index, service in enumerate(target.stages):
+            is_stream = request.is_stream and index == last
+            task = self.stage_task(request, target, index, context, is_stream)
+            result = await self.run_stage(
+                request, task, progress, sink if is_stream else None
+            )
+            output = result.output
+            reports.append(result.report)
+            context = merge_output(context, service.name, service.kind, output)
+        return ServeReply(request.request_id, output, tuple(reports))
+
+    def stage_task(
+        self,
+        request: ServeRequest,
+        target: Target,
+        index: int,
+        context: dict[str, Any],
+        is_stream: bool,
+    ) -> StageTask:
+        """Describe one stage of a request."""
+        service = target.stages[index]
+        key = request.idempotency_key
+        is_claimed = bool(key) and not service.is_idempotent
+        claim_name = f"{target.prefix}{service.name}" if is_claimed else ""
+        return StageTask(
+            request_id=request.request_id,
+            stage_index=index,
+            service=service,
+            workspace=request.workspace,
+            payload=stage_payload(service.kind, context),
+            deadline_at_s=request.deadline_at_s,
+            is_stream=is_stream,
+            idempotency_key=key if is_claimed else "",
+            claim_name=claim_name,
+        )
+
+    async def run_stage(
+        self,
+        request: ServeRequest,
+        task: StageTask,
+        progress: Progress,
+        sink: ChunkSink | None,
+    ) -> StageResult:
+        """Run one stage, under a claim where it needs one."""
+        if not task.claim_name:
+            return await self.runner.run(task, progress, sink)
+        left_s = request.deadline_at_s - anyio.current_time()
+        verdict = await self.claims.claim(
+            task.idempotency_key,
+            task.workspace,
+            task.claim_name,
+            body_bytes(request.payload),
+            timeout_ms=max(1, int(left_s * MS_PER_S)),
+        )
+        if isinstance(verdict, Found):
+            return found_result(task.service.name, verdict)
+        return await self.run_claimed(verdict, task, progress)
+
+    async def run_claimed(
+        self, granted: Granted, task: StageTask, progress: Progress
+    ) -> StageResult:
+        """Run a claimed stage and settle its claim whatever happens."""
+        stage_progress = Progress()
+        code = int(Code.OUTCOME_UNKNOWN)
+        try:
+            result = await self.runner.run(task, stage_progress)
+        except BaseException as error:
+            if isinstance(error, BerylcartError):
+                code = int(error.code)
+            self.settle_failed(granted.claim_id, stage_progress.ran, code)
+            raise
+        finally:
+            progress.settle(stage_progress.ran)
+        body = json.dumps(result.output).encode()
+        answer = StoredAnswer(Ran.YES, CODE_WHOLE, body)
+        self.claims.finish(granted.claim_id, answer)
+        return result
+
+    def settle_failed(self, claim_id: str, ran: Ran, code: int) -> None:
+        """Free the key if nothing ran, else record that it may have run."""
+        if ran is Ran.NO:
+            self.claims.release(claim_id)
+            return
+        self.claims.finish(claim_id, StoredAnswer(ran, code, b""))
+
+
+def found_result(service: str, found: Found) -> StageResult:
+    """Take over what an earlier send led to; raises its error."""
+    if found.code != CODE_WHOLE:
+        raise BerylcartError(
+            Code.OUTCOME_UNKNOWN,
+            f"an earlier send of the key ended with code {found.code}",
+            ran=found.ran,
+        )
+    if found.answer is None:
+        raise BerylcartError(
+            Code.OUTCOME_UNKNOWN,
+            "an earlier send of the key ran; its answer is kept no more",
+            ran=Ran.YES,
+        )
+    output = json.loads(found.answer.body)
+    return StageResult(output, replayed(service))
+
+
+def replayed(service: str) -> StageReport:
+    """Report a stage whose output came from an earlier send."""
+    return StageReport(service, "", "", 0.0, 0, Usage())
--- a/packages/berylcart/src/berylcart/events.py
+++ b/packages/berylcart/src/berylcart/events.py
@@ -1,7 +1,9 @@
 """Log one key=value line for each event."""
 
 import json
+import logging as stdlib_logging
 import re
+from datetime import UTC, datetime
 from enum import Enum
 
 from absl import logging
@@ -48,3 +50,23 @@
 def error(name: str, **fields: Value) -> None:
     """Log a fault that needs an operator."""
     logging.error("%s", format_event(name, **fields))
+
+
+class EventFormatter(stdlib_logging.Formatter):
+    """Put the time and the level before an event's pairs."""
+
+    def format(self, record: stdlib_logging.LogRecord) -> str:
+        """Write one line for one event."""
+        at = datetime.fromtimestamp(record.created, UTC)
+        stamp = at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+        level = record.levelname.lower()
+        return f"time={stamp} level={level} {record.getMessage()}"
+
+
+def start_logging() -> None:
+    """Send events to standard error, one line each."""
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(EventFormatter())
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold("info")
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/http_server.py
@@ -0,0 +1,123 @@
+"""Run an ASGI application on a socket with limits on slow senders."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import h11
+import uvicorn
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from berylcart.state.errors import BerylcartError, Code
+
+BACKLOG = 2048
+KEEP_ALIVE_S = 30
+
+
+def bind(address: str) -> socket.socket:
+    """Bind IP:PORT; raises BerylcartError ADDRESS_IN_USE."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host.strip("[]"), int(port)))
+    except OSError as error:
+        sock.close()
+        raise BerylcartError(
+            Code.ADDRESS_IN_USE,
+            f"cannot listen on {address}: {error.strerror}",
+        ) from None
+    return sock
+
+
+def address_of(sock: socket.socket) -> str:
+    """Write a bound socket's address as IP:PORT."""
+    host, port = sock.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+class LimitedProtocol(H11Protocol):
+    """Close a connection whose request head does not arrive in time."""
+
+    head_timeout_s = 5.0
+    max_connections = 2048
+
+    def connection_made(self, transport: Any) -> None:
+        """Accept a connection unless there are too many."""
+        super().connection_made(transport)
+        self.head_timer: asyncio.TimerHandle | None = None
+        if len(self.connections) > self.max_connections:
+            transport.close()
+            return
+        self.start_head_timer()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes and time the head that they may have begun."""
+        super().data_received(data)
+        is_head_open = self.conn.their_state is h11.IDLE
+        if is_head_open and self.conn.trailing_data[0]:
+            self.start_head_timer()
+        else:
+            self.stop_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the timer with the connection."""
+        self.stop_head_timer()
+        super().connection_lost(exc)
+
+    def start_head_timer(self) -> None:
+        """Start the timer unless it runs already."""
+        if self.head_timer is None:
+            self.head_timer = self.loop.call_later(
+                self.head_timeout_s, self.transport.close
+            )
+
+    def stop_head_timer(self) -> None:
+        """Stop the timer."""
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+
+class QuietServer(uvicorn.Server):
+    """Leave signals to the program that embeds the server."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture nothing."""
+        yield
+
+
+def make_server(
+    app: Any,
+    *,
+    header_bytes: int,
+    head_timeout_s: float,
+    max_connections: int,
+) -> QuietServer:
+    """Build a server; its serve() takes the bound sockets.
+
+    Set should_exit to let requests in flight finish and then return.
+    """
+    limits = {
+        "head_timeout_s": head_timeout_s,
+        "max_connections": max_connections,
+    }
+    protocol = type("ConfiguredProtocol", (LimitedProtocol,), limits)
+    config = uvicorn.Config(
+        app,
+        http=protocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        backlog=BACKLOG,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        h11_max_incomplete_event_size=header_bytes,
+    )
+    return QuietServer(config)
