--- a/packages/berylcart/src/berylcart/coordination/claim_results.py
+++ b/packages/berylcart/src/berylcart/coordination/claim_results.py
@@ -54,13 +54,15 @@
         raise unavailable(retry_after_ms)
 
 
-def outcome_unknown() -> BerylcartError:
-    """Make the error of a request whose claimant is gone."""
-    return BerylcartError(
-        Code.OUTCOME_UNKNOWN,
-        "the claimant is gone without an outcome",
-        ran=Ran.UNKNOWN,
-    )
+def found(ran: Ran, code: int, answer: StoredAnswer | None) -> Found:
+    """Give an earlier send's end; raises OUTCOME_UNKNOWN if nobody saw it."""
+    if ran is Ran.UNKNOWN:
+        raise BerylcartError(
+            Code.OUTCOME_UNKNOWN,
+            "an earlier send of the key may have run",
+            ran=Ran.UNKNOWN,
+        )
+    return Found(ran, code, answer)
 
 
 def still_running() -> BerylcartError:
--- a/packages/berylcart/src/berylcart/coordination/claims.py
+++ b/packages/berylcart/src/berylcart/coordination/claims.py
@@ -16,7 +16,7 @@
     Found,
     Granted,
     check_verdict,
-    outcome_unknown,
+    found,
     still_running,
     unavailable,
 )
@@ -158,9 +158,9 @@
         """Collect the holder's answer, until the key is freed."""
         while self._current(key_digest, holder) is not None:
             collected = await self._collect(key_digest, holder, deadline)
-            if collected.answer is not None:
-                answer = collected.answer
-                return Found(answer.ran, answer.code, answer)
+            answer = collected.answer
+            if answer is not None:
+                return found(answer.ran, answer.code, answer)
             if collected.state is CollectState.UNKNOWN:
                 return self._recorded(key_digest, holder)
             await anyio.sleep(FOLLOW_PAUSE_S)
@@ -178,9 +178,8 @@
         current = self._current(key_digest, holder)
         if current is None:
             return None
-        if not current.ran:
-            raise outcome_unknown()
-        return Found(Ran(current.ran), current.code, None)
+        ran = Ran(current.ran or Ran.UNKNOWN)
+        return found(ran, current.code, None)
 
     async def _collect(
         self, key_digest: str, holder: Holder, deadline: float
