Take no message from before a pause as a sign of life

A woken daemon reads what peers sent while it was frozen, and would count those peers as heard now; the configuration lease then holds on stale evidence. The pause guard now dates such messages before the pause (test_messages_from_before_a_pause_are_no_sign_of_life).

A suspect is declared dead only when nobody heard it for the suspicion timeout. A dispute stays until the member raises its incarnation; it was dropped by the ping that should have been answered with it.

--- a/packages/berylcart/src/berylcart/coordination/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/gossip.py
@@ -9,6 +9,7 @@
 from berylcart.coordination.membership_hooks import MembershipHooks
 from berylcart.coordination.membership_settings import MembershipSettings
 from berylcart.coordination.piggyback import RumourQueue
+from berylcart.coordination.probe import PauseGuard
 from berylcart.coordination.roster import Roster
 from berylcart.state.leaving_marks import LeavingMark, LeavingMarks
 from berylcart.state.member_table import Member
@@ -49,8 +50,10 @@
         me: Member,
         settings: MembershipSettings,
         hooks: MembershipHooks,
+        guard: PauseGuard,
         rng: Random,
     ) -> None:
+        self._guard = guard
         self.roster = Roster(me, settings, self._on_change)
         self.marks = LeavingMarks(settings.max_marks)
         self.demand = DemandTable(settings.demand_keep_ms)
@@ -112,8 +115,11 @@
             leaving=tuple(marks),
             demand=tuple(self._pick_demand()),
             config=config,
-            vitals=self.roster.sample_vitals(
-                settings.vitals_per_message, self._rng, anyio.current_time()
+            vitals=self.roster.vitals.sample(
+                self.roster.live_ids(),
+                settings.vitals_per_message,
+                self._rng,
+                anyio.current_time(),
             ),
         )
 
@@ -155,12 +161,12 @@
         roster = self.roster
         if sender.daemon_id == roster.me.daemon_id:
             return
-        now = anyio.current_time()
+        now = self._guard.arrival_time(anyio.current_time())
         is_joining = not roster.live_ids()
         roster.hear(sender, now)
         for news in gossip.members:
             roster.absorb(news, now, is_passed_on=not is_joining)
-        roster.absorb_vitals(gossip.vitals, now)
+        roster.vitals.absorb(gossip.vitals, now)
         for mark in gossip.leaving:
             self.mark(mark)
         own_id = roster.me.daemon_id
--- a/packages/berylcart/src/berylcart/coordination/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Collection, Sequence
 from random import Random
-from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,6 +18,7 @@
 from berylcart.coordination.peer_port import Peers
 from berylcart.coordination.probe import LocalHealth, PauseGuard, ProbeOrder
 from berylcart.coordination.prober import Prober
+from berylcart.coordination.vitals import HeardCount
 from berylcart.state.errors import BerylcartError
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
@@ -28,22 +28,6 @@
 MAX_GOSSIP_TASKS = 4
 
 
-class HeardCount(NamedTuple):
-    """Count the daemons heard of all those expected."""
-
-    heard: int
-    expected: int
-
-    @property
-    def is_majority(self) -> bool:
-        """Say whether more than half were heard.
-
-        >>> HeardCount(4, 7).is_majority, HeardCount(3, 6).is_majority
-        (True, False)
-        """
-        return 2 * self.heard > self.expected
-
-
 class Membership:
     """Take part in the gossip between daemons.
 
@@ -64,12 +48,12 @@
         self._seeds = seeds
         self._settings = settings
         self._rng = rng or Random()
+        self._guard = PauseGuard(settings.pause_slack_ms / MS_PER_S)
         self._gossiper = Gossiper(
-            me, settings, hooks or MembershipHooks(), self._rng
+            me, settings, hooks or MembershipHooks(), self._guard, self._rng
         )
         self._roster = self._gossiper.roster
         self._health = LocalHealth()
-        self._guard = PauseGuard(settings.pause_slack_ms / MS_PER_S)
         self._prober = Prober(
             peers,
             self._gossiper,
@@ -134,7 +118,7 @@
             1
             for name in daemon_ids
             if name == self.me.daemon_id
-            or self._roster.heard_at(name) >= since
+            or self._roster.vitals.of(name).heard_at >= since
         )
         return HeardCount(heard, len(daemon_ids))
 
--- a/packages/berylcart/src/berylcart/coordination/probe.py
+++ b/packages/berylcart/src/berylcart/coordination/probe.py
@@ -70,26 +70,41 @@
     [0.0, 0.0, 3.0]
     >>> guard.was_paused_since(1.0), guard.was_paused_since(3.5)
     (True, False)
+    >>> guard.arrival_time(3.4), guard.arrival_time(4.0)
+    (0.2, 4.0)
     """
 
     def __init__(self, slack_s: float) -> None:
         self._slack_s = slack_s
         self._last_tick = float("inf")
+        self._paused_at = float("-inf")
         self._resumed_at = float("-inf")
 
     def tick(self, now: float, expected_s: float) -> float:
         """Give how many seconds were lost since the last tick."""
         lost_s = round(now - self._last_tick - expected_s, 6)
+        if lost_s > self._slack_s:
+            self._paused_at = self._last_tick
+            self._resumed_at = now
         self._last_tick = now
-        if lost_s <= self._slack_s:
-            return 0.0
-        self._resumed_at = now
-        return lost_s
+        return lost_s if lost_s > self._slack_s else 0.0
 
     def was_paused_since(self, start: float) -> bool:
         """Say whether the process resumed from a pause since a time."""
         return self._resumed_at >= start
 
+    def arrival_time(self, now: float) -> float:
+        """Say since when a message taken in now may have been waiting.
+
+        What was sent during a pause is taken in after it, and says nothing
+        about the present.
+        """
+        if now - self._last_tick > 2 * self._slack_s:
+            return self._last_tick
+        if now - self._resumed_at <= self._slack_s:
+            return self._paused_at
+        return now
+
     def was_late(self, start: float, now: float, budget_s: float) -> bool:
         """Say whether work from start to now overran by a pause."""
         if now - start > budget_s + self._slack_s:
--- a/packages/berylcart/src/berylcart/coordination/roster.py
+++ b/packages/berylcart/src/berylcart/coordination/roster.py
@@ -1,8 +1,6 @@
 """Keep what this daemon knows about the others."""
 
-from collections.abc import Callable, Collection, Iterable
-from random import Random
-from typing import NamedTuple
+from collections.abc import Callable
 
 from berylcart.coordination.membership_settings import (
     MS_PER_S,
@@ -11,30 +9,14 @@
     transmission_limit,
 )
 from berylcart.coordination.piggyback import RumourQueue
+from berylcart.coordination.vitals import VitalsTable
 from berylcart.state.member_table import (
     Member,
     MemberState,
-    member_digest,
     merge,
     refute,
 )
-from berylcart.state.peer_messages import MemberNews, VitalSign
-
-NEVER = float("-inf")
-
-
-class Vitals(NamedTuple):
-    """Hold when a member itself was last heard, and what it said.
-
-    heard_at is in seconds of the local runtime's clock.
-    """
-
-    heard_at: float
-    load: float
-    config_version: int
-
-
-NO_VITALS = Vitals(NEVER, 0.0, 0)
+from berylcart.state.peer_messages import MemberNews
 
 
 def is_notable(known: Member | None, member: Member) -> bool:
@@ -64,11 +46,11 @@
     ) -> None:
         self.me = me
         self.rumours: RumourQueue[str] = RumourQueue()
+        self.vitals = VitalsTable(settings.dead_keep_ms / MS_PER_S)
         self._settings = settings
         self._on_change = on_change
         self._members: dict[str, Member] = {}
-        self._ids: dict[int, str] = {}
-        self._vitals: dict[str, Vitals] = {}
+        self._live_ids: list[str] | None = None
         self._suspect_until: dict[str, float] = {}
         self._ended_at: dict[str, float] = {}
         self._disputed: dict[str, Member] = {}
@@ -82,8 +64,12 @@
         return self._members.get(daemon_id)
 
     def live_ids(self) -> list[str]:
-        """List the other members that count as running."""
-        return [name for name, m in self._members.items() if m.is_live]
+        """List the other members that count as running, in no order."""
+        if self._live_ids is None:
+            self._live_ids = [
+                name for name, m in self._members.items() if m.is_live
+            ]
+        return self._live_ids
 
     def dead_addresses(self) -> list[str]:
         """List where members were that went without saying goodbye."""
@@ -98,14 +84,10 @@
         return [self._refreshed(member) for member in self._members.values()]
 
     def _refreshed(self, member: Member) -> Member:
-        vitals = self._vitals.get(member.daemon_id, NO_VITALS)
+        vitals = self.vitals.of(member.daemon_id)
         version = max(member.config_version, vitals.config_version)
         return member._replace(load=vitals.load, config_version=version)
 
-    def heard_at(self, daemon_id: str) -> float:
-        """Say when a member itself was last heard, through anyone."""
-        return self._vitals.get(daemon_id, NO_VITALS).heard_at
-
     def suspicion_s(self) -> float:
         """Give the present suspicion timeout."""
         return suspicion_timeout_ms(len(self), self._settings) / MS_PER_S
@@ -133,7 +115,6 @@
     def hear(self, member: Member, now: float) -> None:
         """Take in a report that came from the member itself."""
         self.absorb(MemberNews(member, 0), now)
-        self._disputed.pop(member.daemon_id, None)
 
     def absorb(
         self, news: MemberNews, now: float, *, is_passed_on: bool = True
@@ -146,14 +127,7 @@
         known = self._members.get(member.daemon_id)
         if known is None and len(self._members) >= self._settings.max_members:
             return
-        self._note_vitals(
-            member.daemon_id,
-            Vitals(
-                now - news.heard_age_ms / MS_PER_S,
-                member.load,
-                member.config_version,
-            ),
-        )
+        self.vitals.note(member, now - news.heard_age_ms / MS_PER_S)
         if self._is_doubtful(member, known, now):
             self._disputed[member.daemon_id] = member
             return
@@ -161,19 +135,6 @@
         if merged != known:
             self._put(merged, now, is_passed_on=is_passed_on)
 
-    def absorb_vitals(self, signs: Iterable[VitalSign], now: float) -> None:
-        """Merge brief reports about known members."""
-        for sign in signs:
-            name = self._ids.get(sign.digest)
-            if name is not None:
-                heard_at = now - sign.heard_age_ms / MS_PER_S
-                vitals = Vitals(heard_at, sign.load, sign.config_version)
-                self._note_vitals(name, vitals)
-
-    def _note_vitals(self, name: str, vitals: Vitals) -> None:
-        if vitals.heard_at > self.heard_at(name):
-            self._vitals[name] = vitals
-
     def _defend(self, report: Member) -> None:
         """Refute a report that this daemon is anything but alive."""
         if self.me.state is not MemberState.ALIVE:
@@ -195,8 +156,11 @@
             return False
         if not known.is_live or member.incarnation < known.incarnation:
             return False
-        silence_s = now - self.heard_at(member.daemon_id)
-        return silence_s < self.suspicion_s()
+        return self._silent_until(member.daemon_id) > now
+
+    def _silent_until(self, name: str) -> float:
+        """Say until when a member's silence is no proof of its death."""
+        return self.vitals.of(name).heard_at + self.suspicion_s()
 
     def _put(
         self, member: Member, now: float, *, is_passed_on: bool = True
@@ -204,7 +168,9 @@
         name = member.daemon_id
         known = self._members.get(name)
         self._members[name] = member
-        self._ids[member_digest(name)] = name
+        if known is not None and not is_notable(known, member):
+            return
+        self._live_ids = None
         self._schedule(member, known, now)
         if not is_notable(known, member):
             return
@@ -241,9 +207,9 @@
             self._suspect_until[name] += lost_s
 
     def expire(self, now: float) -> None:
-        """Declare overdue suspects dead and forget old ends."""
+        """Declare silent suspects dead and forget old ends."""
         for name, until in list(self._suspect_until.items()):
-            if until <= now:
+            if max(until, self._silent_until(name)) <= now:
                 member = self._members[name]
                 self._put(member._replace(state=MemberState.DEAD), now)
         keep_s = self._settings.dead_keep_ms / MS_PER_S
@@ -253,8 +219,8 @@
 
     def _forget(self, name: str) -> None:
         self._members.pop(name)
-        self._ids.pop(member_digest(name), None)
-        self._vitals.pop(name, None)
+        self._live_ids = None
+        self.vitals.forget(name)
         self._ended_at.pop(name)
         self._disputed.pop(name, None)
         self.rumours.discard(name)
@@ -266,18 +232,13 @@
         member = self._members.get(name)
         if member is None:
             return None
-        return MemberNews(member, self._age_ms(name, now))
-
-    def _age_ms(self, name: str, now: float) -> int:
-        age_s = now - self.heard_at(name)
-        limit_s = self._settings.dead_keep_ms / MS_PER_S
-        return int(min(age_s, limit_s) * MS_PER_S)
+        return MemberNews(member, self.vitals.age_ms(name, now))
 
     def charges_against(self, name: str, now: float) -> list[MemberNews]:
         """List reports that a member should know of, to refute them."""
         charges = [self._disputed.get(name), self._members.get(name)]
         return [
-            MemberNews(member, self._age_ms(name, now))
+            MemberNews(member, self.vitals.age_ms(name, now))
             for member in charges
             if member is not None and member.state is not MemberState.ALIVE
         ]
@@ -285,24 +246,6 @@
     def all_news(self, now: float) -> list[MemberNews]:
         """Report every member."""
         return [
-            MemberNews(member, self._age_ms(name, now))
+            MemberNews(member, self.vitals.age_ms(name, now))
             for name, member in self._members.items()
         ]
-
-    def sample_vitals(
-        self, limit: int, rng: Random, now: float
-    ) -> tuple[VitalSign, ...]:
-        """Report a random sample of live members in brief."""
-        names: Collection[str] = self.live_ids()
-        if len(names) > limit:
-            names = rng.sample(list(names), limit)
-        return tuple(self._sign(name, now) for name in names)
-
-    def _sign(self, name: str, now: float) -> VitalSign:
-        vitals = self._vitals.get(name, NO_VITALS)
-        return VitalSign(
-            member_digest(name),
-            self._age_ms(name, now),
-            vitals.load,
-            vitals.config_version,
-        )
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/vitals.py
@@ -0,0 +1,105 @@
+"""Keep when each member itself was last heard, and what it said."""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+from typing import NamedTuple
+
+from berylcart.coordination.membership_settings import MS_PER_S
+from berylcart.state.member_table import Member, member_digest
+from berylcart.state.peer_messages import VitalSign
+
+NEVER = float("-inf")
+
+
+class Vitals(NamedTuple):
+    """Hold one member's last sign of life.
+
+    heard_at is in seconds of the local runtime's clock.
+    """
+
+    heard_at: float
+    load: float
+    config_version: int
+
+
+NO_VITALS = Vitals(NEVER, 0.0, 0)
+
+
+class HeardCount(NamedTuple):
+    """Count the daemons heard of all those expected."""
+
+    heard: int
+    expected: int
+
+    @property
+    def is_majority(self) -> bool:
+        """Say whether more than half were heard.
+
+        >>> HeardCount(4, 7).is_majority, HeardCount(3, 6).is_majority
+        (True, False)
+        """
+        return 2 * self.heard > self.expected
+
+
+class VitalsTable:
+    """Merge signs of life by digest; the one heard last wins.
+
+    Ages that are sent end at max_age_s.
+
+    >>> table = VitalsTable(max_age_s=60.0)
+    >>> member = Member("d1", 1, "a", "b", "p", load=0.5)
+    >>> table.note(member, heard_at=7.0)
+    >>> table.of("d1").load, table.age_ms("d1", now=9.0)
+    (0.5, 2000)
+    """
+
+    def __init__(self, max_age_s: float) -> None:
+        self._max_age_s = max_age_s
+        self._vitals: dict[int, Vitals] = {}
+
+    def of(self, daemon_id: str) -> Vitals:
+        """Give a member's vitals."""
+        return self._vitals.get(member_digest(daemon_id), NO_VITALS)
+
+    def age_ms(self, daemon_id: str, now: float) -> int:
+        """Say how long ago a member was heard."""
+        age_s = now - self.of(daemon_id).heard_at
+        return int(min(age_s, self._max_age_s) * MS_PER_S)
+
+    def note(self, member: Member, heard_at: float) -> None:
+        """Take in a member's report of itself."""
+        digest = member_digest(member.daemon_id)
+        if heard_at > self._vitals.get(digest, NO_VITALS).heard_at:
+            self._vitals[digest] = Vitals(
+                heard_at, member.load, member.config_version
+            )
+
+    def absorb(self, signs: Iterable[VitalSign], now: float) -> None:
+        """Merge brief reports about known members."""
+        vitals = self._vitals
+        for digest, age_ms, load, version in signs:
+            known = vitals.get(digest)
+            heard_at = now - age_ms / MS_PER_S
+            if known is not None and heard_at > known.heard_at:
+                vitals[digest] = Vitals(heard_at, load, version)
+
+    def forget(self, daemon_id: str) -> None:
+        """Forget a member."""
+        self._vitals.pop(member_digest(daemon_id), None)
+
+    def sample(
+        self, daemon_ids: Sequence[str], limit: int, rng: Random, now: float
+    ) -> tuple[VitalSign, ...]:
+        """Report a random sample of members in brief."""
+        if len(daemon_ids) > limit:
+            daemon_ids = rng.sample(daemon_ids, limit)
+        oldest = now - self._max_age_s
+        signs = []
+        for name in daemon_ids:
+            digest = member_digest(name)
+            known = self._vitals.get(digest, NO_VITALS)
+            age_ms = int((now - max(known.heard_at, oldest)) * MS_PER_S)
+            signs.append(
+                VitalSign(digest, age_ms, known.load, known.config_version)
+            )
+        return tuple(signs)
--- a/packages/berylcart/tests/coordination/test_membership.py
+++ b/packages/berylcart/tests/coordination/test_membership.py
@@ -7,7 +7,7 @@
     suspicion_timeout_ms,
 )
 from berylcart.state.member_table import MemberState
-from berylcart.state.peer_messages import Demand
+from berylcart.state.peer_messages import Demand, Ping
 
 SEEDS = (1, 2, 3)
 SUSPICION_S = suspicion_timeout_ms(7, DEFAULT_SETTINGS) / 1000
@@ -99,6 +99,21 @@
     run_fleet(scenario)
 
 
+def test_messages_from_before_a_pause_are_no_sign_of_life(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        names = [node.name for node in nodes]
+        frozen = nodes[5]
+        old = [n.membership._gossiper.compose("d5") for n in nodes[:5]]
+        frozen.freeze()
+        await anyio.sleep(60)
+        for gossip in old:
+            await frozen.membership.on_ping(Ping("d5", gossip))
+        assert frozen.membership.heard(names, 10_000).heard == 1
+
+    run_fleet(scenario)
+
+
 def test_goodbye_spreads(run_fleet):
     async def scenario(fleet):
         nodes = await fleet.grow(12)
