Test the engine's parts and cut answers short

New: a fault that ends an answer in the middle; orders stop loading weights once a newer order is known; a crossed stream names the other attempt from its first event; the queue limit counts only what does not fit into the batch (an idle engine with max_queued 0 refused its first attempt); the load report counts an attempt as soon as it queues.

A sink that raised OSError or TimeoutError was reported as a failure of the upstream: the HTTP client now maps httpcore's errors alone.

--- a/packages/berylcart-tools/src/berylcart_tools/standins/engine.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/engine.py
@@ -104,6 +104,10 @@
         """Count the sequences that run and those that wait."""
         return Load(len(self.batcher.active), self.batcher.queued)
 
+    def is_full(self) -> bool:
+        """Say whether a further sequence would be refused."""
+        return self.batcher.is_full()
+
     async def run(self, job: Job) -> Result:
         """Generate one attempt's tokens."""
         prompt = self.prompt(job.message)
--- a/packages/berylcart-tools/src/berylcart_tools/standins/engine_batch.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/engine_batch.py
@@ -124,12 +124,17 @@
         """Count the sequences that wait."""
         return sum(not entry[2].is_cancelled for entry in self.waiting)
 
+    def is_full(self) -> bool:
+        """Say whether the batch and the queue are taken."""
+        room = self.max_batch - len(self.active)
+        return self.queued >= self.max_queued + room
+
     async def generate(self, sequence: Sequence) -> None:
         """Run one sequence to its end; being cancelled removes it.
 
         Raises OverloadedError when the queue is full.
         """
-        if self.queued >= self.max_queued:
+        if self.is_full():
             raise OverloadedError
         rank = (-sequence.prompt.priority, next(self.order), sequence)
         heapq.heappush(self.waiting, rank)
--- a/packages/berylcart-tools/src/berylcart_tools/standins/faults.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/faults.py
@@ -17,6 +17,7 @@
 
 ADMIN_PREFIX = "/admin/"
 FAULTS_PATH = "/admin/faults"
+STATUS_NOT_DONE = 300
 
 Count = Annotated[int, Field(ge=0)]
 CutConnection = Callable[[Any], None]
@@ -30,6 +31,14 @@
     DRAINING = "draining"
 
 
+class Damage(StrEnum):
+    """List what happens to an answer after its effect."""
+
+    NONE = "none"
+    DROP = "drop"
+    CUT = "cut"
+
+
 @with_config(ConfigDict(extra="forbid"))
 class FaultsMessage(TypedDict, total=False):
     """Carry the failures to switch on; what is left out is off."""
@@ -39,6 +48,7 @@
     delay_ms: Count
     refuse: Refuse
     drop_answer: Count
+    cut_answer: Count
     cross_answer: Count
     expire: bool
 
@@ -46,6 +56,12 @@
 FAULTS = TypeAdapter(FaultsMessage)
 
 
+def first_half(message: Message) -> Message:
+    """Keep the first half of a piece of body, with more to come."""
+    body = message["body"]
+    return {**message, "body": body[: len(body) // 2], "more_body": True}
+
+
 class Faults:
     """Hold the failures that are switched on."""
 
@@ -59,6 +75,7 @@
         self.delay_ms = message.get("delay_ms", 0)
         self.refuse = message.get("refuse", Refuse.NONE)
         self.drop_answer = message.get("drop_answer", 0)
+        self.cut_answer = message.get("cut_answer", 0)
         self.cross_answer = message.get("cross_answer", 0)
         self.expire = message.get("expire", False)
 
@@ -70,6 +87,7 @@
             delay_ms=self.delay_ms,
             refuse=self.refuse,
             drop_answer=self.drop_answer,
+            cut_answer=self.cut_answer,
             cross_answer=self.cross_answer,
             expire=self.expire,
         )
@@ -81,6 +99,13 @@
         self.drop_answer -= 1
         return True
 
+    def take_cut(self) -> bool:
+        """Say whether to cut this answer short, and count it."""
+        if self.cut_answer == 0:
+            return False
+        self.cut_answer -= 1
+        return True
+
     def take_cross(self) -> bool:
         """Say whether to cross this answer, and count it."""
         if self.cross_answer == 0:
@@ -137,23 +162,28 @@
         await self.serve(scope, receive, send)
 
     async def serve(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one request, dropping its answer if that is due."""
-        is_dropped = False
+        """Serve one request, dropping or cutting its answer if due."""
+        damage = Damage.NONE
 
-        async def send_or_drop(message: Message) -> None:
-            nonlocal is_dropped
+        async def send_damaged(message: Message) -> None:
+            nonlocal damage
             if message["type"] == "http.response.start":
-                is_dropped = self.is_drop_due(scope, message["status"])
-            if not is_dropped:
+                damage = self.choose_damage(scope, message["status"])
+            elif damage is Damage.CUT:
+                await send(first_half(message))
+                damage = Damage.DROP
+            if damage is not Damage.DROP:
                 await send(message)
 
-        await self.app(scope, receive, send_or_drop)
-        if is_dropped:
+        await self.app(scope, receive, send_damaged)
+        if damage is Damage.DROP:
             self.cut(scope["client"])
             await receive()
 
-    def is_drop_due(self, scope: Scope, status: int) -> bool:
-        """Say whether this answer is one that had an effect and is due."""
-        if scope["method"] == "GET" or status >= 300:
-            return False
-        return self.faults.take_drop()
+    def choose_damage(self, scope: Scope, status: int) -> Damage:
+        """Choose what happens to an answer whose call had an effect."""
+        if scope["method"] == "GET" or status >= STATUS_NOT_DONE:
+            return Damage.NONE
+        if self.faults.take_drop():
+            return Damage.DROP
+        return Damage.CUT if self.faults.take_cut() else Damage.NONE
--- a/packages/berylcart-tools/src/berylcart_tools/standins/log.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/log.py
@@ -102,6 +102,12 @@
             for stream in self.log.streams.values():
                 stream.entries.clear()
 
+    async def end_reads(self, stop: anyio.Event) -> None:
+        """Let waiting reads answer once the log stops."""
+        await stop.wait()
+        for stream in self.log.streams.values():
+            stream.changed.set()
+
     async def append(self, request: Request) -> Response:
         """Append the values of one call."""
         message = read_message(APPEND, await request.body())
@@ -145,11 +151,15 @@
 ) -> None:
     """Serve the log until stop is set; starts with its address."""
     standin = LogStandin(settings)
-    await serve_app(
-        "log",
-        standin.app(),
-        standin.faults,
-        settings.address,
-        stop=stop,
-        task_status=task_status,
-    )
+    stop = stop or anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(standin.end_reads, stop)
+        await serve_app(
+            "log",
+            standin.app(),
+            standin.faults,
+            settings.address,
+            stop=stop,
+            task_status=task_status,
+        )
+        tasks.cancel_scope.cancel()
--- a/packages/berylcart-tools/src/berylcart_tools/standins/orders.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/orders.py
@@ -1,10 +1,9 @@
 """Apply orders to an engine, with fencing numbers checked or ignored."""
 
-from typing import Annotated
+from typing import Annotated, Protocol
 
 import anyio
 from berylcart.protocol.json_values import read_message
-from berylcart.transport.http_client import HttpError
 from pydantic import ConfigDict, Field, TypeAdapter, with_config
 from starlette.requests import Request
 from starlette.responses import Response
@@ -12,7 +11,6 @@
 from typing_extensions import TypedDict
 
 from berylcart_tools.standins.replies import checked, json_answer
-from berylcart_tools.standins.weights import WeightLoader
 
 ORDERS_PATH = "/v1/orders"
 STATUS_CONFLICT = 409
@@ -41,13 +39,21 @@
 ORDER = TypeAdapter(OrderMessage)
 
 
+class Loader(Protocol):
+    """Load weights."""
+
+    async def load(self, name: str) -> None:
+        """Load one model or adapter."""
+        ...
+
+
 class OrderDesk:
     """Hold the state in force and apply orders one after another."""
 
     def __init__(
         self,
         models: tuple[str, ...],
-        loader: WeightLoader,
+        loader: Loader,
         *,
         is_fencing_checked: bool,
     ) -> None:
@@ -78,21 +84,22 @@
         return json_answer({"orders": self.applied})
 
     async def post(self, request: Request) -> Response:
-        """Apply one order once its weights are there."""
+        """Take one order and say whether it was applied."""
         order = read_message(ORDER, await request.body())
+        if await self.take(order):
+            return json_answer({"applied": True})
+        return json_answer({"fencing": self.highest_seen}, STATUS_CONFLICT)
+
+    async def take(self, order: OrderMessage) -> bool:
+        """Apply one order once its weights are there, unless it is old."""
         self.highest_seen = max(self.highest_seen, order["fencing"])
         async with self.lock:
-            if self.is_old(order):
-                return self.refuse()
-            try:
-                await self.load_weights(order["desired"])
-            except HttpError as error:
-                return json_answer({"detail": error.detail}, 503)
+            await self.load_weights(order)
             # A newer order may have come while the weights were loading.
             if self.is_old(order):
-                return self.refuse()
+                return False
             self.apply(order)
-        return json_answer({"applied": True})
+        return True
 
     def is_old(self, order: OrderMessage) -> bool:
         """Say whether to refuse an order for its fencing number."""
@@ -100,16 +107,14 @@
             return False
         return order["fencing"] < self.highest_seen
 
-    def refuse(self) -> Response:
-        """Refuse an order with an old fencing number."""
-        return json_answer({"fencing": self.highest_seen}, STATUS_CONFLICT)
-
-    async def load_weights(self, desired: DesiredMessage) -> None:
-        """Load what is wanted and not there yet."""
+    async def load_weights(self, order: OrderMessage) -> None:
+        """Load what is wanted and not there, until the order is old."""
+        desired = order["desired"]
         has_version = desired["version"] == self.state["version"]
         present = {*self.state["models"], *self.state["adapters"]}
         for name in (*desired["models"], *desired["adapters"]):
-            if not has_version or name not in present:
+            is_needed = not has_version or name not in present
+            if is_needed and not self.is_old(order):
                 await self.loader.load(name)
 
     def apply(self, order: OrderMessage) -> None:
--- a/packages/berylcart-tools/src/berylcart_tools/standins/plain.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/plain.py
@@ -48,6 +48,10 @@
         """Count the calls that run and those that wait."""
         return self.slots.load()
 
+    def is_full(self) -> bool:
+        """Say whether a further call would be refused."""
+        return self.slots.is_full()
+
     async def run(self, job: Job) -> Result:
         """Do one call and give its number with the payload."""
         usage = await self.slots.hold(job.began)
--- a/packages/berylcart-tools/src/berylcart_tools/standins/pool.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/pool.py
@@ -136,6 +136,10 @@
         """Count the calls that run and those that wait."""
         return self.slots.load()
 
+    def is_full(self) -> bool:
+        """Say whether a further call would be refused."""
+        return self.slots.is_full()
+
     async def run(self, job: Job) -> Result:
         """Do one call."""
         usage = await self.slots.hold(job.began)
--- a/packages/berylcart-tools/src/berylcart_tools/standins/upstream.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/upstream.py
@@ -119,12 +119,13 @@
     async def accept(self, request: Request, message: RunMessage) -> Response:
         """Run an attempt that was not refused."""
         if message["stream"] and self.work.is_streaming:
-            if self.is_full():
+            if self.work.is_full():
                 return refusal(RefusalReason.OVERLOADED, RETRY_AFTER_MS)
+            answer_id = self.answer_id(message)
             return EventStream(
-                partial(self.perform, message), message["attempt_id"]
+                partial(self.perform, message, answer_id), answer_id
             )
-        perform = partial(self.perform, message, lambda chunk: None)
+        perform = partial(self.answer, message)
         try:
             if self.work.is_cancelled_by_close:
                 reply = await run_until_closed(request, perform)
@@ -136,12 +137,24 @@
             return Response(status_code=STATUS_CLOSED)
         return json_answer(to_plain(reply))
 
-    def is_full(self) -> bool:
-        """Say whether the queue takes no more."""
-        return self.work.load().queued >= self.settings.max_queued
+    def answer_id(self, message: RunMessage) -> str:
+        """Choose the attempt that the answer names."""
+        attempt_id = message["attempt_id"]
+        if self.faults.take_cross():
+            return self.witness.other_attempt(attempt_id)
+        return attempt_id
+
+    async def answer(self, message: RunMessage) -> StageReply:
+        """Do the work of one attempt that is answered at once."""
+        attempt_id = message["attempt_id"]
+        reply = await self.perform(message, attempt_id, lambda chunk: None)
+        return reply._replace(attempt_id=self.answer_id(message))
 
     async def perform(
-        self, message: RunMessage, emit: Callable[[StageChunk], None]
+        self,
+        message: RunMessage,
+        answer_id: str,
+        emit: Callable[[StageChunk], None],
     ) -> StageReply:
         """Do the work of one attempt."""
 
@@ -150,15 +163,14 @@
             self.note_load()
 
         self.open_runs += 1
+        load = self.work.load()
+        self.shown_load.note(load._replace(queued=load.queued + 1))
         try:
             result = await self.work.run(Job(message, began, emit))
         finally:
             self.open_runs -= 1
             self.note_load()
-        attempt_id = message["attempt_id"]
-        if self.faults.take_cross():
-            attempt_id = self.witness.other_attempt(attempt_id)
-        return StageReply(attempt_id, self.instance, *result)
+        return StageReply(answer_id, self.instance, *result)
 
     def note_load(self) -> None:
         """Keep the load of this moment for later reports."""
--- a/packages/berylcart-tools/src/berylcart_tools/standins/work.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/work.py
@@ -48,6 +48,10 @@
         """Count the attempts that run and those that wait."""
         ...
 
+    def is_full(self) -> bool:
+        """Say whether a further attempt would be refused."""
+        ...
+
     async def run(self, job: Job) -> Result:
         """Run one attempt; raises OverloadedError when the queue is full."""
         ...
@@ -73,12 +77,17 @@
         """Count the attempts that run and those that wait."""
         return Load(int(self.limiter.borrowed_tokens), self.queued)
 
+    def is_full(self) -> bool:
+        """Say whether every slot and the queue are taken."""
+        is_busy = self.limiter.available_tokens <= 0
+        return is_busy and self.queued >= self.max_queued
+
     async def hold(self, began: Callable[[], None]) -> Usage:
         """Wait for a slot, hold it for one step, and count the cost.
 
         Raises OverloadedError when the queue is full.
         """
-        if self.queued >= self.max_queued:
+        if self.is_full():
             raise OverloadedError
         self.queued += 1
         try:
--- /dev/null
+++ b/packages/berylcart-tools/tests/standins/test_orders.py
@@ -0,0 +1,199 @@
+"""Check orders, weight loads and KV moves on running engines."""
+
+import json
+
+import anyio
+import pytest
+import trio
+from berylcart.transport.http_client import HttpClient, HttpRequest
+from berylcart_tools.standins.engine import EngineSettings, serve_engine
+from berylcart_tools.standins.engine_batch import CostModel
+from berylcart_tools.standins.orders import OrderDesk
+from berylcart_tools.standins.registration import UpstreamSettings
+from berylcart_tools.standins.serve import running
+from berylcart_tools.standins.weight_store import (
+    WeightStoreSettings,
+    serve_weight_store,
+)
+from trio.testing import MockClock
+
+UPSTREAM = UpstreamSettings("drafts", "lahore-1", "vm-1", incarnation=1)
+ENGINE = EngineSettings(
+    UPSTREAM,
+    CostModel(step_ms=1),
+    models=("old",),
+    event_lag_ms=0,
+    event_loss=0,
+)
+STORE = WeightStoreSettings(loads_per_s=1000, load_s=0.2)
+PROMPT = "hem " * 40
+
+
+def order(fencing, *models):
+    desired = {"models": models, "adapters": [], "version": "", "role": ""}
+    return {"fencing": fencing, "desired": desired}
+
+
+class Engine:
+    """Call one running engine."""
+
+    def __init__(self, address, client):
+        self.address = address
+        self.client = client
+
+    async def send(self, method, path, value=None):
+        """Send a request and read its status and JSON."""
+        body = b"" if value is None else json.dumps(value).encode()
+        answer = await self.client.request(
+            HttpRequest(method, self.address, path, body)
+        )
+        return answer.status, json.loads(answer.body or b"null")
+
+    async def run(self):
+        """Run one attempt and give its usage."""
+        message = {
+            "attempt_id": "a",
+            "request_id": "r",
+            "workspace": "w",
+            "service": "drafts",
+            "payload": {"prompt": PROMPT, "max_tokens": 1},
+            "deadline_ms": 5000,
+            "stream": False,
+            "start_offset": 0,
+            "priority": 0,
+            "idempotency_key": "",
+        }
+        _, reply = await self.send("POST", "/v1/run", message)
+        return reply["usage"]
+
+
+def with_engine(scenario, **settings):
+    async def main():
+        async with (
+            running(serve_weight_store, STORE) as store,
+            running(
+                serve_engine, ENGINE._replace(weight_store=store, **settings)
+            ) as address,
+            HttpClient() as client,
+        ):
+            await scenario(Engine(address, client))
+
+    anyio.run(main)
+
+
+def test_order_loads_what_is_missing():
+    async def scenario(engine):
+        status, _ = await engine.send("POST", "/v1/orders", order(3, "new"))
+        assert status == 200
+        _, state = await engine.send("GET", "/v1/orders")
+        assert (state["fencing"], state["models"]) == (3, ["new"])
+
+    with_engine(scenario)
+
+
+@pytest.mark.parametrize(
+    ("is_checked", "status", "models"),
+    [(True, 409, ["new"]), (False, 200, ["old"])],
+)
+def test_old_fencing_number(is_checked, status, models):
+    async def scenario(engine):
+        await engine.send("POST", "/v1/orders", order(3, "new"))
+        found, _ = await engine.send("POST", "/v1/orders", order(2, "old"))
+        assert found == status
+        _, state = await engine.send("GET", "/v1/orders")
+        assert state["models"] == models
+
+    with_engine(scenario, is_fencing_checked=is_checked)
+
+
+class GatedLoader:
+    """Load weights once the gate is open."""
+
+    def __init__(self):
+        self.gate = anyio.Event()
+        self.names = []
+
+    async def load(self, name):
+        """Note the name and wait for the gate."""
+        self.names.append(name)
+        await self.gate.wait()
+
+
+@pytest.mark.parametrize(
+    ("is_checked", "results"), [(True, [False, True]), (False, [True, True])]
+)
+def test_newer_order_overtakes_one_that_loads(is_checked, results):
+    async def scenario():
+        loader = GatedLoader()
+        desk = OrderDesk(("old",), loader, is_fencing_checked=is_checked)
+        found = {}
+
+        async def take(fencing, *models):
+            found[fencing] = await desk.take(order(fencing, *models))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(take, 1, "slow", "slower")
+            await anyio.sleep(1)
+            tasks.start_soon(take, 2, "new")
+            await anyio.sleep(1)
+            assert loader.names == ["slow"]
+            loader.gate.set()
+        assert found == dict(enumerate(results, 1))
+        assert desk.fencing == 2
+
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize(
+    "value", [None, [], {"fencing": -1}, {**order(1), "extra": 1}]
+)
+def test_malformed_order_is_refused(value):
+    async def scenario(engine):
+        status, _ = await engine.send("POST", "/v1/orders", value)
+        assert status == 400
+
+    with_engine(scenario)
+
+
+def test_weight_store_keeps_its_rate():
+    async def scenario():
+        settings = WeightStoreSettings(loads_per_s=0.01)
+        async with (
+            running(serve_weight_store, settings) as address,
+            HttpClient() as client,
+        ):
+            store = Engine(address, client)
+            load = {"instance": "vm-1/1", "model": "new"}
+            assert (await store.send("POST", "/v1/loads", load))[0] == 200
+            assert (await store.send("POST", "/v1/loads", load))[0] == 429
+            _, shown = await store.send("GET", "/admin/loads")
+            assert shown == {"loads": [load]}
+
+    anyio.run(scenario)
+
+
+def test_cached_prefix_costs_less_and_moves_to_another_engine():
+    async def scenario(engine):
+        cold = await engine.run()
+        warm = await engine.run()
+        assert warm["seconds"] < cold["seconds"]
+        _, feed = await engine.send("GET", "/v1/cache-events?since=0")
+        prefix = feed["events"][-1]["prefix"]
+        _, exported = await engine.send("GET", f"/v1/kv/{prefix}")
+        assert exported["keys"][-1] == prefix
+        async with running(serve_engine, ENGINE) as address:
+            other = Engine(address, engine.client)
+            assert (await other.send("GET", f"/v1/kv/{prefix}"))[0] == 404
+            status, _ = await other.send("PUT", f"/v1/kv/{prefix}", exported)
+            assert status == 204
+            assert await other.run() == warm
+
+    with_engine(scenario)
+
+
+@pytest.mark.parametrize("value", [None, {"keys": []}, {"keys": ["x"]}])
+def test_malformed_kv_is_refused(value):
+    async def scenario(engine):
+        assert (await engine.send("PUT", "/v1/kv/x", value))[0] == 400
+
+    with_engine(scenario)
--- a/packages/berylcart-tools/tests/standins/test_upstream.py
+++ b/packages/berylcart-tools/tests/standins/test_upstream.py
@@ -148,6 +148,60 @@
     with_upstream(scenario)
 
 
+def test_cut_answer_may_have_run():
+    async def scenario(bench):
+        await bench.set_faults(cut_answer=1)
+        assert (await bench.fails({})).ran is Ran.UNKNOWN
+        assert len(await bench.runs()) == 1
+
+    with_upstream(scenario)
+
+
+@pytest.mark.parametrize("fault", ["drop_answer", "cut_answer"])
+def test_damaged_stream_is_an_error(fault):
+    async def scenario(bench):
+        await bench.set_faults(**{fault: 1})
+        payload = {"prompt": PROMPT, "max_tokens": 5}
+        error = await bench.fails(payload, is_stream=True)
+        assert error.ran is Ran.UNKNOWN
+        assert len(await bench.runs()) == 1
+
+    with_engine(scenario)
+
+
+def test_crossed_stream_gives_no_chunk():
+    async def scenario(bench):
+        chunks = []
+
+        async def sink(chunk):
+            chunks.append(chunk)
+
+        await bench.set_faults(cross_answer=1)
+        payload = {"prompt": PROMPT, "max_tokens": 5}
+        await bench.fails(payload, sink, is_stream=True)
+        assert chunks == []
+        assert bench.upstreams.crossed_answers == 1
+
+    with_engine(scenario)
+
+
+def test_full_upstream_refuses_without_running():
+    async def scenario(bench):
+        payload = {"prompt": PROMPT, "max_tokens": 4096}
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(bench.call, payload)
+            await eventually(bench.runs)
+            for is_stream in (True, False):
+                error = await bench.fails(payload, is_stream=is_stream)
+                assert (error.code, error.ran) == (Code.OVERLOADED, Ran.NO)
+            assert len(await bench.runs()) == 1
+            tasks.cancel_scope.cancel()
+
+    upstream = UPSTREAM._replace(capacity=1, max_queued=0)
+    settings = ENGINE._replace(upstream=upstream)
+    with_upstream(scenario, serve_engine, settings)
+
+
 def test_crossed_answer_is_dropped_and_counted():
     async def scenario(bench):
         await bench.call({}, attempt_id="attempt-0")
--- a/packages/berylcart/src/berylcart/transport/http_client.py
+++ b/packages/berylcart/src/berylcart/transport/http_client.py
@@ -23,10 +23,7 @@
 FAILURES = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
-    httpcore.TimeoutException,
     httpcore.UnsupportedProtocol,
-    OSError,
-    TimeoutError,
 )
 
 
@@ -118,6 +115,14 @@
             self.is_sent = True
 
 
+def timed_out(request: HttpRequest, watch: SendWatch) -> HttpTimeoutError:
+    """Describe a request without a whole answer in time."""
+    return HttpTimeoutError(
+        f"no whole answer within {request.timeout_ms} ms",
+        is_sent=watch.is_sent,
+    )
+
+
 class HttpClient:
     """Send requests over kept connections; close it with aclose."""
 
@@ -159,22 +164,21 @@
         """
         watch = SendWatch()
         try:
-            with anyio.fail_after(request.timeout_ms / MS_PER_S):
+            with anyio.move_on_after(request.timeout_ms / MS_PER_S) as scope:
                 async with self.open(request, watch) as response:
                     yield HttpStream(
                         response.status,
                         read_headers(response.headers),
                         response.aiter_stream(),
                     )
-        except (httpcore.TimeoutException, TimeoutError):
-            raise HttpTimeoutError(
-                f"no whole answer within {request.timeout_ms} ms",
-                is_sent=watch.is_sent,
-            ) from None
+        except httpcore.TimeoutException as error:
+            raise timed_out(request, watch) from error
         except FAILURES as error:
             raise HttpError(
                 f"{type(error).__name__}: {error}", is_sent=watch.is_sent
             ) from error
+        if scope.cancelled_caught:
+            raise timed_out(request, watch)
 
     @asynccontextmanager
     async def open(
