--- a/packages/berylcart/src/berylcart/events.py
+++ b/packages/berylcart/src/berylcart/events.py
@@ -6,9 +6,11 @@
 from datetime import UTC, datetime
 from enum import Enum
 
-from absl import logging
+from absl import flags, logging
 
 PLAIN_VALUE = re.compile(r"[\w.:/+@,-]+")
+EVENT_PREFIX = "event="
+QUIET_LIBRARIES = ("uvicorn", "grpclib", "httpcore")
 
 Value = str | int | float | bool | None
 
@@ -34,7 +36,7 @@
     'event=config.applied version=3 detail="two words"'
     """
     pairs = [f"{key}={format_value(value)}" for key, value in fields.items()]
-    return " ".join([f"event={name}", *pairs])
+    return " ".join([f"{EVENT_PREFIX}{name}", *pairs])
 
 
 def info(name: str, **fields: Value) -> None:
@@ -60,13 +62,19 @@
         at = datetime.fromtimestamp(record.created, UTC)
         stamp = at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
         level = record.levelname.lower()
-        return f"time={stamp} level={level} {record.getMessage()}"
+        pairs = record.getMessage()
+        if not pairs.startswith(EVENT_PREFIX):
+            pairs = format_event("library.log", detail=pairs)
+        return f"time={stamp} level={level} {pairs}"
 
 
 def start_logging() -> None:
     """Send events to standard error, one line each."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(EventFormatter())
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold("info")
+    for name in QUIET_LIBRARIES:
+        stdlib_logging.getLogger(name).setLevel(stdlib_logging.WARNING)
