--- a/packages/berylcart/src/berylcart/coordination/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership.py
@@ -124,7 +124,7 @@
 
     def heard_at(self, daemon_id: str) -> float:
         """Give the runtime's time at which a member was last heard."""
-        return self._roster.heard_at(daemon_id)
+        return self._roster.vitals.of(daemon_id).heard_at
 
     def mark_leaving(self, vm_id: str, incarnation: int) -> None:
         """Mark an upstream VM's incarnation as leaving, everywhere."""
