Bind listening sockets as TCP so that answers leave at once

Cause: sockets bound with protocol 0 pass that protocol to accepted ones, and asyncio sets TCP_NODELAY only where the protocol is TCP; each answer of two writes then waited about 40 ms for a delayed acknowledgement. Ruled out: httpcore's client side, whose connections asyncio makes itself; the stand-ins' work (a log append has none and took 44 ms too).

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -28,12 +28,8 @@
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import Demand
 from berylcart.transport.http_client import HttpClient
-from berylcart.transport.http_server import (
-    QuietServer,
-    address_of,
-    bind,
-    make_server,
-)
+from berylcart.transport.http_server import QuietServer, make_server
+from berylcart.transport.listening import address_of, bind
 from berylcart.transport.log_client import HttpLog
 from berylcart.transport.peer_client import GrpcPeers
 from berylcart.transport.peer_server import PeerServer
--- a/packages/berylcart-tools/src/berylcart_tools/standins/serve.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/serve.py
@@ -9,7 +9,7 @@
 import uvicorn
 from anyio.abc import TaskStatus
 from berylcart import events
-from berylcart.state.errors import BerylcartError, Code
+from berylcart.transport.listening import address_of, bind
 from starlette.types import ASGIApp
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
@@ -19,26 +19,6 @@
 BACKLOG = 512
 
 
-def bind(address: str) -> socket.socket:
-    """Listen on IP:PORT, where port 0 takes a free one.
-
-    Raises BerylcartError when the address is taken.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        return socket.create_server((host, int(port)), backlog=BACKLOG)
-    except (OSError, ValueError) as error:
-        raise BerylcartError(
-            Code.ADDRESS_IN_USE, f"cannot listen on {address}: {error}"
-        ) from error
-
-
-def bound_address(sock: socket.socket) -> str:
-    """Name the address that a socket listens on."""
-    host, port = sock.getsockname()[:2]
-    return f"{host}:{port}"
-
-
 class AppServer(uvicorn.Server):
     """Run one application as a task among others."""
 
@@ -113,7 +93,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve, [sock])
             await server.is_ready.wait()
-            bound = bound_address(sock)
+            bound = address_of(sock)
             events.info("standin.ready", kind=kind, address=bound)
             task_status.started(bound)
             await stop.wait()
--- a/packages/berylcart/src/berylcart/transport/http_server.py
+++ b/packages/berylcart/src/berylcart/transport/http_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Iterator
 from typing import Any
 
@@ -10,35 +9,10 @@
 import uvicorn
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from berylcart.state.errors import BerylcartError, Code
-
 BACKLOG = 2048
 KEEP_ALIVE_S = 30
 
 
-def bind(address: str) -> socket.socket:
-    """Bind IP:PORT; raises BerylcartError ADDRESS_IN_USE."""
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host.strip("[]"), int(port)))
-    except OSError as error:
-        sock.close()
-        raise BerylcartError(
-            Code.ADDRESS_IN_USE,
-            f"cannot listen on {address}: {error.strerror}",
-        ) from None
-    return sock
-
-
-def address_of(sock: socket.socket) -> str:
-    """Write a bound socket's address as IP:PORT."""
-    host, port = sock.getsockname()[:2]
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 class LimitedProtocol(H11Protocol):
     """Close a connection whose request head does not arrive in time."""
 
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -21,6 +21,7 @@
     PingRequest,
     StoredAnswer,
 )
+from berylcart.transport.listening import split_address
 
 MAX_MESSAGE_BYTES = 4 * 2**20
 MAX_CHANNELS = 32
@@ -40,16 +41,6 @@
 )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split an IP:PORT address.
-
-    >>> split_address("127.0.0.1:7000"), split_address("[::1]:7000")
-    (('127.0.0.1', 7000), ('::1', 7000))
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class ChannelCache(LRUCache[str, Channel]):
     """Keep the channels last used and close the others."""
 
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -1,7 +1,5 @@
 """Serve the calls of other daemons over gRPC."""
 
-import errno
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,8 +12,9 @@
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.peer_grpc import PeerBase
-from berylcart.state.errors import BerylcartError, Code
-from berylcart.transport.peer_client import MAX_MESSAGE_BYTES, split_address
+from berylcart.state.errors import BerylcartError
+from berylcart.transport.listening import address_of, bind
+from berylcart.transport.peer_client import MAX_MESSAGE_BYTES
 
 
 def limit_message(stream: Any) -> None:
@@ -123,8 +122,7 @@
     @property
     def address(self) -> str:
         """Give the IP:PORT address listened at."""
-        host, port = self._socket.getsockname()[:2]
-        return f"{host}:{port}"
+        return address_of(self._socket)
 
     async def start(self) -> None:
         """Accept connections."""
@@ -134,21 +132,3 @@
         """Stop listening and wait for the calls in progress."""
         self._server.close()
         await self._server.wait_closed()
-
-
-def bind(address: str) -> socket.socket:
-    """Bind a socket; raises BerylcartError when the address is in use."""
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listener.bind((host, port))
-    except OSError as error:
-        listener.close()
-        if error.errno != errno.EADDRINUSE:
-            raise
-        raise BerylcartError(
-            Code.ADDRESS_IN_USE, f"peer address {address}"
-        ) from error
-    return listener
--- a/packages/berylcart/tests/transport/test_http_server.py
+++ b/packages/berylcart/tests/transport/test_http_server.py
@@ -1,9 +1,12 @@
 """Check the HTTP server's limits with raw connections."""
 
+import socket
+
 import anyio
 import pytest
 from berylcart.state.errors import BerylcartError, Code
-from berylcart.transport.http_server import address_of, bind, make_server
+from berylcart.transport.http_server import make_server
+from berylcart.transport.listening import address_of, bind
 
 HEADER_BYTES = 4096
 HEAD_TIMEOUT_S = 0.2
@@ -127,3 +130,8 @@
         with pytest.raises(BerylcartError) as caught:
             bind(address_of(taken))
     assert caught.value.code is Code.ADDRESS_IN_USE
+
+
+def test_bound_socket_lets_asyncio_send_without_delay():
+    with bind("127.0.0.1:0") as listener:
+        assert listener.proto == socket.IPPROTO_TCP
