Keep entries from crowding, and other workspaces from a flood

Change: reports are smoothed, differences below 1.5 times the typical latency count as none, and the typical one follows a low quantile, which a straggler does not lift. Also: split() lost precision for denormal expectations (found by hypothesis); it divides before it multiplies, with a test.

--- a/packages/berylcart-tools/src/berylcart_tools/commands/load.py
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/load.py
@@ -39,6 +39,7 @@
     def __call__(self) -> int:
         """Send the load and print its summary as JSON."""
         import anyio
+
         from berylcart_tools.experiments.outcomes import summarise
 
         outcomes = anyio.run(self.send)
@@ -51,6 +52,7 @@
         from random import Random
 
         from berylcart.transport.http_client import HttpClient
+
         from berylcart_tools.experiments.arrivals import (
             CallKind,
             Mix,
--- a/packages/berylcart-tools/src/berylcart_tools/commands/report.py
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/report.py
@@ -25,6 +25,7 @@
     def __call__(self) -> int:
         """Print the table, and draw plots where a directory is given."""
         from berylcart.state.errors import BerylcartError, Code
+
         from berylcart_tools.experiments.report import (
             draw_all,
             load_experiments,
--- a/packages/berylcart/src/berylcart/coordination/admission.py
+++ b/packages/berylcart/src/berylcart/coordination/admission.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import anyio
+from cachetools import TTLCache
 
 from berylcart.coordination.concurrency import AdaptiveLimit, LimitSettings
 from berylcart.coordination.fair_queue import FairQueue, Waiting
@@ -15,18 +16,23 @@
 MS_PER_S = 1000
 LEAST_RETRY_MS = 50
 LONGEST_RETRY_MS = 5000
+MAX_WORKSPACES = 1024
+ACTIVE_S = 10.0
 
 
 class AdmissionSettings(NamedTuple):
     """Bound what one entry takes in for one target.
 
     wait_share is the part of the spare time that may be spent waiting.
+    headroom is the part of the limit kept from workspaces that already use
+    their share; longest_wait_ms bounds the wait of these alone.
     """
 
     limit: LimitSettings = LimitSettings()
     max_waiting: int = 256
     wait_share: float = 0.5
     longest_wait_ms: float = 500.0
+    headroom: float = 0.2
 
 
 class Ticket:
@@ -68,6 +74,10 @@
         self.queue: FairQueue[Waiter] = FairQueue()
         self.in_flight = 0
         self.by_workspace: Counter[str] = Counter()
+        self.running: Counter[str] = Counter()
+        self.shares: TTLCache[str, float] = TTLCache(
+            MAX_WORKSPACES, ACTIVE_S, clock_s
+        )
         self.refused: Counter[Code] = Counter()
 
     @asynccontextmanager
@@ -79,6 +89,7 @@
         Raises BerylcartError with OVERLOADED, DEADLINE_TOO_CLOSE or
         WORKSPACE_LIMIT before anything ran.
         """
+        self.shares[workspace.name] = workspace.share
         self._check(workspace, expected_ms, deadline_ms)
         arrived_s = self.clock_s()
         self.by_workspace[workspace.name] += 1
@@ -97,10 +108,11 @@
         self, workspace: Workspace, expected_ms: float
     ) -> float:
         """Estimate how long a new request would wait for its slot."""
-        if self.in_flight < self.limit.value and not len(self.queue):
+        if self._may_start(workspace.name):
             return 0.0
         ahead_ms = self.queue.cost_ahead(workspace.name, workspace.share)
-        return (ahead_ms + expected_ms) / max(1, self.limit.value)
+        model_ms = (ahead_ms + expected_ms) / max(1, self.limit.value)
+        return max(model_ms, self.queue.turns_s(workspace.name) * MS_PER_S)
 
     def _check(
         self, workspace: Workspace, expected_ms: float, deadline_ms: float
@@ -121,16 +133,40 @@
         wait_ms = self.expected_wait_ms(workspace, expected_ms)
         if len(self.queue) >= self.settings.max_waiting:
             raise self._refusal(Code.OVERLOADED, "queue is full", wait_ms)
-        if wait_ms > self._longest_wait_ms(spare_ms):
+        if wait_ms > self._longest_wait_ms(workspace.name, spare_ms):
             raise self._refusal(
                 Code.OVERLOADED, f"the wait is {wait_ms:.0f} ms", wait_ms
             )
 
-    def _longest_wait_ms(self, spare_ms: float) -> float:
-        return min(
-            self.settings.longest_wait_ms,
-            self.settings.wait_share * spare_ms,
-        )
+    def _longest_wait_ms(self, workspace: str, spare_ms: float) -> float:
+        wait_ms = self.settings.wait_share * spare_ms
+        if self._uses_its_share(workspace):
+            return min(self.settings.longest_wait_ms, wait_ms)
+        return wait_ms
+
+    def _uses_its_share(self, workspace: str) -> bool:
+        """Say whether one more would pass its share among active ones."""
+        share = self.shares.get(workspace, 1.0)
+        total = max(share, sum(self.shares.values()))
+        fair = self.limit.value * share / total
+        return self.running[workspace] + 1 > fair
+
+    def _may_run(self, workspace: str) -> bool:
+        """Say whether a slot is free for a workspace."""
+        slots = self.limit.value
+        if self._uses_its_share(workspace) and len(self.shares) > 1:
+            slots = max(1, int(slots * (1 - self.settings.headroom)))
+        return self.in_flight < slots
+
+    def _may_start(self, workspace: str) -> bool:
+        """Say whether a new request need not wait."""
+        if self.queue.has_waiting(workspace):
+            return False
+        return self._may_run(workspace)
+
+    def _start(self, workspace: str) -> None:
+        self.in_flight += 1
+        self.running[workspace] += 1
 
     def _refusal(
         self, code: Code, detail: str, wait_ms: float | None
@@ -145,13 +181,18 @@
     async def _take_slot(
         self, workspace: Workspace, expected_ms: float, deadline_ms: float
     ) -> None:
-        if self.in_flight < self.limit.value and not len(self.queue):
-            self.in_flight += 1
+        if self._may_start(workspace.name):
+            self._start(workspace.name)
             return
         waiter = Waiter()
         deadline_s = self.clock_s() + deadline_ms / MS_PER_S
         waiting = self.queue.push(
-            workspace.name, workspace.share, deadline_s, expected_ms, waiter
+            workspace.name,
+            workspace.share,
+            deadline_s,
+            expected_ms,
+            waiter,
+            self.clock_s(),
         )
         await self._wait(workspace, waiting, deadline_ms - expected_ms)
 
@@ -173,7 +214,7 @@
 
     def _give_up(self, workspace: Workspace, waiting: Waiting[Waiter]) -> None:
         if waiting.item.granted.is_set():
-            self._release()
+            self._release(workspace.name)
         else:
             self.queue.remove(workspace.name, waiting)
 
@@ -183,13 +224,24 @@
             self.limit.note_strain()
         else:
             self.limit.note(latency_ms, self.in_flight)
-        self._release()
+        self._release(ticket.workspace)
 
-    def _release(self) -> None:
+    def _release(self, workspace: str) -> None:
         self.in_flight -= 1
-        while len(self.queue) and self.in_flight < self.limit.value:
-            self.in_flight += 1
-            self.queue.pop().granted.set()
+        self.running[workspace] -= 1
+        if not self.running[workspace]:
+            del self.running[workspace]
+        self._grant()
+
+    def _grant(self) -> None:
+        """Give free slots to those that wait."""
+        while len(self.queue):
+            found = self.queue.pop(self.clock_s(), self._may_run)
+            if found is None:
+                return
+            name, waiter = found
+            self._start(name)
+            waiter.granted.set()
 
     def _leave(self, workspace: str) -> None:
         self.by_workspace[workspace] -= 1
--- a/packages/berylcart/src/berylcart/coordination/deadlines.py
+++ b/packages/berylcart/src/berylcart/coordination/deadlines.py
@@ -28,7 +28,7 @@
     expected_ms = total_ms(stages)
     if expected_ms <= 0:
         return tuple(usable_ms / len(stages) for _ in stages)
-    return tuple(usable_ms * ms / expected_ms for _, ms in stages)
+    return tuple(usable_ms * (ms / expected_ms) for _, ms in stages)
 
 
 def longest_ms(remaining_ms: float, stages: Sequence[Stage]) -> float:
--- a/packages/berylcart/src/berylcart/coordination/fair_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/fair_queue.py
@@ -1,11 +1,18 @@
 """Order waiting work: fair between workspaces, by deadline within one."""
 
 from bisect import insort
+from collections.abc import Callable
 from typing import Generic, NamedTuple, TypeVar
 
 Item = TypeVar("Item")
 
 LEAST_SHARE = 0.01
+PACE_SMOOTHING = 0.2
+
+
+def always(workspace: str) -> bool:
+    """Let every workspace run."""
+    return True
 
 
 class Waiting(NamedTuple, Generic[Item]):
@@ -24,6 +31,15 @@
         self.items: list[Waiting[Item]] = []
         self.served = 0.0
         self.share = 1.0
+        self.turn_s = 0.0
+        self.pace_s: float | None = None
+
+    def note_turn(self, now_s: float) -> None:
+        """Learn how long one turn of this workspace takes."""
+        interval_s = now_s - self.turn_s
+        known_s = interval_s if self.pace_s is None else self.pace_s
+        self.pace_s = known_s + PACE_SMOOTHING * (interval_s - known_s)
+        self.turn_s = now_s
 
 
 class FairQueue(Generic[Item]):
@@ -33,7 +49,7 @@
     >>> for name in "abc":
     ...     _ = queue.push("large", 1.0, 9.0, 1.0, name)
     >>> _ = queue.push("small", 1.0, 5.0, 1.0, "x")
-    >>> [queue.pop() for _ in range(4)]
+    >>> [queue.pop()[1] for _ in range(4)]
     ['a', 'x', 'b', 'c']
     """
 
@@ -55,9 +71,12 @@
         deadline_s: float,
         cost: float,
         item: Item,
+        now_s: float = 0.0,
     ) -> Waiting[Item]:
         """Add an item and return its handle for removal."""
         queue = self._activate(workspace, share)
+        if not queue.items:
+            queue.turn_s = now_s
         waiting = Waiting(deadline_s, self.sequence, cost, item)
         self.sequence += 1
         insort(queue.items, waiting)
@@ -65,14 +84,30 @@
         self.waiting_cost += cost
         return waiting
 
-    def pop(self) -> Item:
-        """Take the next item and charge its workspace."""
-        name = min(
-            (name for name, q in self.workspaces.items() if q.items),
-            key=lambda name: self.workspaces[name].served,
-        )
-        queue = self.workspaces[name]
+    def pop(
+        self,
+        now_s: float = 0.0,
+        may_run: Callable[[str], bool] = always,
+    ) -> tuple[str, Item] | None:
+        """Take the next item of a workspace that may run, and charge it."""
+        names = [
+            name
+            for name, queue in self.workspaces.items()
+            if queue.items and may_run(name)
+        ]
+        if not names:
+            return None
+        name = min(names, key=lambda name: self.workspaces[name].served)
+        return name, self._take(self.workspaces[name], now_s)
+
+    def has_waiting(self, workspace: str) -> bool:
+        """Say whether a workspace has waiting items."""
+        queue = self.workspaces.get(workspace)
+        return queue is not None and bool(queue.items)
+
+    def _take(self, queue: WorkspaceQueue[Item], now_s: float) -> Item:
         waiting = queue.items.pop(0)
+        queue.note_turn(now_s)
         self._removed(waiting)
         self.virtual = queue.served
         queue.served += waiting.cost / queue.share
@@ -102,6 +137,13 @@
                 ahead += min(queue_cost(queue), rounds * queue.share)
         return ahead
 
+    def turns_s(self, workspace: str) -> float:
+        """Estimate the wait from the pace of the workspace's last turns."""
+        queue = self.workspaces.get(workspace)
+        if queue is None or queue.pace_s is None:
+            return 0.0
+        return (len(queue.items) + 1) * queue.pace_s
+
     def _activate(self, workspace: str, share: float) -> WorkspaceQueue[Item]:
         queue = self.workspaces.setdefault(workspace, WorkspaceQueue())
         queue.share = max(share, LEAST_SHARE)
--- a/packages/berylcart/src/berylcart/coordination/load_table.py
+++ b/packages/berylcart/src/berylcart/coordination/load_table.py
@@ -10,9 +10,14 @@
 
 VmKey = tuple[str, str]
 
-REPORT_HALF_LIFE_S = 1.0
+REPORT_HALF_LIFE_S = 5.0
+REPORT_SMOOTHING = 0.1
 ESTIMATE_HALF_LIFE_S = 10.0
 SMOOTHING = 0.2
+TYPICAL_QUANTILE = 0.35
+TYPICAL_STEP = 0.1
+# Smaller differences are noise, and following it makes entries crowd.
+NOTABLE_FACTOR = 1.5
 FAILURE_FACTOR = 2.0
 DEFAULT_CAPACITY = 8
 MS_PER_S = 1000
@@ -43,6 +48,17 @@
     return old + weight * (new - old)
 
 
+def track(typical_ms: float, sample_ms: float) -> float:
+    """Move an estimate of a low quantile, which stragglers do not lift.
+
+    >>> track(100.0, 1000.0) < 104, track(100.0, 10.0) < 94
+    (True, True)
+    """
+    if sample_ms > typical_ms:
+        return typical_ms * (1 + TYPICAL_STEP * TYPICAL_QUANTILE)
+    return typical_ms * (1 - TYPICAL_STEP * (1 - TYPICAL_QUANTILE))
+
+
 class Report(NamedTuple):
     """Hold what an upstream said about work that is not ours."""
 
@@ -126,7 +142,9 @@
     ) -> None:
         """Keep an upstream's own report, as old as age_ms."""
         load = self._load(vm)
-        others = max(0, in_flight + queued - load.in_flight)
+        others = float(max(0, in_flight + queued - load.in_flight))
+        if load.report is not None:
+            others = blend(load.report.others, others, REPORT_SMOOTHING)
         as_of_s = self.clock_s() - age_ms / MS_PER_S
         load.report = Report(others, capacity, as_of_s)
 
@@ -180,7 +198,8 @@
             return typical_ms
         age_s = self.clock_s() - load.sampled_s
         weight = decay(age_s, ESTIMATE_HALF_LIFE_S)
-        return blend(typical_ms, load.unloaded_ms, weight)
+        own_ms = blend(typical_ms, load.unloaded_ms, weight)
+        return own_ms if own_ms > NOTABLE_FACTOR * typical_ms else typical_ms
 
     def _learn(
         self, vm: Vm, load: VmLoad, sample_ms: float, is_ok: bool
@@ -192,9 +211,7 @@
         load.sampled_s = self.clock_s()
         if is_ok:
             typical_ms = self.service_ms.get(vm.service, sample_ms)
-            self.service_ms[vm.service] = blend(
-                typical_ms, sample_ms, SMOOTHING / 2
-            )
+            self.service_ms[vm.service] = track(typical_ms, sample_ms)
 
 
 def default_ms(service: Service) -> float:
--- a/packages/berylcart/tests/coordination/test_admission.py
+++ b/packages/berylcart/tests/coordination/test_admission.py
@@ -145,3 +145,54 @@
         assert admission.limit.value < before
 
     run(scenario)
+
+
+def test_headroom_is_kept_for_workspaces_below_their_share():
+    async def scenario():
+        admission = fixed(10, headroom=0.2, longest_wait_ms=60_000)
+        done = []
+        async with anyio.create_task_group() as tasks:
+            await hold(admission, TAILORS, 0.1)
+            for _ in range(20):
+                tasks.start_soon(hold, admission, CLERKS, 1, done)
+            await anyio.wait_all_tasks_blocked()
+            assert admission.in_flight == 8
+            started_s = anyio.current_time()
+            await hold(admission, TAILORS, 0.1)
+            assert anyio.current_time() - started_s < 0.11
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_single_workspace_may_use_the_whole_limit():
+    async def scenario():
+        admission = fixed(10)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(10):
+                tasks.start_soon(hold, admission, CLERKS, 1)
+            await anyio.wait_all_tasks_blocked()
+            assert admission.in_flight == 10
+
+    run(scenario)
+
+
+def test_slow_turns_are_learnt_and_refused_early():
+    async def scenario():
+        admission = fixed(1, longest_wait_ms=60_000, wait_share=1.0)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(4):
+                tasks.start_soon(hold_as, admission, CLERKS, 2.0, 1)
+            await anyio.sleep(4.1)
+            error, took_s = await refused(admission, CLERKS, 1, 3000)
+            tasks.cancel_scope.cancel()
+        assert error.code is Code.OVERLOADED
+        assert took_s == 0
+
+    run(scenario)
+
+
+async def hold_as(admission, workspace, seconds, expected_ms):
+    """Hold a slot for longer than was expected."""
+    async with admission.admit(workspace, expected_ms, 60_000):
+        await anyio.sleep(seconds)
--- a/packages/berylcart/tests/coordination/test_deadlines.py
+++ b/packages/berylcart/tests/coordination/test_deadlines.py
@@ -21,3 +21,7 @@
     if can_finish(remaining_ms, stages):
         budget_ms = longest_ms(remaining_ms, stages)
         assert budget_ms >= stages[0][1] - 1e-6 * max(1, remaining_ms)
+
+
+def test_tiny_expectations_do_not_inflate_a_budget():
+    assert split(1.5, [("s", 5e-324)]) == (1.5,)
--- a/packages/berylcart/tests/coordination/test_fair_queue.py
+++ b/packages/berylcart/tests/coordination/test_fair_queue.py
@@ -10,7 +10,7 @@
     for _ in range(100):
         queue.push("large", 3.0, 1.0, 10.0, "large")
         queue.push("small", 1.0, 1.0, 10.0, "small")
-    served = Counter(queue.pop() for _ in range(80))
+    served = Counter(queue.pop()[1] for _ in range(80))
     assert served == {"large": 60, "small": 20}
 
 
@@ -19,7 +19,7 @@
     for _ in range(100):
         queue.push("costly", 1.0, 1.0, 30.0, "costly")
         queue.push("cheap", 1.0, 1.0, 10.0, "cheap")
-    served = Counter(queue.pop() for _ in range(80))
+    served = Counter(queue.pop()[1] for _ in range(80))
     assert served == {"cheap": 60, "costly": 20}
 
 
@@ -31,7 +31,7 @@
         queue.pop()
     for _ in range(20):
         queue.push("late", 1.0, 1.0, 1.0, "late")
-    served = Counter(queue.pop() for _ in range(10))
+    served = Counter(queue.pop()[1] for _ in range(10))
     assert served == {"busy": 5, "late": 5}
 
 
@@ -39,7 +39,7 @@
     queue = FairQueue()
     for deadline_s in (5.0, 1.0, 3.0):
         queue.push("w", 1.0, deadline_s, 1.0, deadline_s)
-    assert [queue.pop() for _ in range(3)] == [1.0, 3.0, 5.0]
+    assert [queue.pop()[1] for _ in range(3)] == [1.0, 3.0, 5.0]
 
 
 def test_removed_item_is_not_served():
@@ -49,7 +49,7 @@
     queue.remove("w", first)
     queue.remove("w", first)
     assert len(queue) == 1
-    assert queue.pop() == "second"
+    assert queue.pop() == ("w", "second")
 
 
 def test_cost_ahead_bounds_others_by_their_share():
