Deliver relayed chunks that are already due

Cause: the relay slept for a difference that can be negative by the time it is computed; anyio refuses that, and the one fault ended the relay of a whole place, so upstreams there seemed dead (ConnectError after a ReadError). Ruled out: the daemon and the stand-ins, whose logs show no fault. The same pattern elsewhere now uses sleep_until.

--- a/packages/berylcart-tools/src/berylcart_tools/experiments/delay_relay.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/delay_relay.py
@@ -50,7 +50,7 @@
 ) -> None:
     """Send each chunk when it is due."""
     async for due_s, data in chunks:
-        await anyio.sleep(due_s - anyio.current_time())
+        await anyio.sleep_until(due_s)
         await target.send(data)
 
 
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/runner.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/runner.py
@@ -129,7 +129,7 @@
     """Carry out a scenario's actions at their times."""
     start_s = anyio.current_time()
     for action in scenario.actions:
-        await anyio.sleep(start_s + action.at_s - anyio.current_time())
+        await anyio.sleep_until(start_s + action.at_s)
         await perform(action, fleet)
 
 
--- a/packages/berylcart/src/berylcart/coordination/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership.py
@@ -164,7 +164,7 @@
             if name is not None:
                 await self._prober.probe(name)
             next_at = start + period_ms / MS_PER_S
-            await anyio.sleep(max(0.0, next_at - anyio.current_time()))
+            await anyio.sleep_until(next_at)
 
     async def _gossip_loop(self, tasks: TaskGroup) -> None:
         period_s = self._settings.gossip_period_ms / MS_PER_S
