Bound the bodies in flight, order keyed requests, drain past the news

Cause: 512 requests of 1 MiB could hold 512 MB of a small VM; Ordering-Key was read but not used; a draining entry stopped listening while the others, not yet told, still named it. Ruled out: a smaller body limit, which would refuse lawful single requests.

--- a/packages/berylcart-daemon/src/berylcart_daemon/api.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/api.py
@@ -17,7 +17,11 @@
 from starlette.routing import Route
 from starlette.types import Receive, Scope, Send
 
-from berylcart_daemon.caller_request import parse_request
+from berylcart_daemon.caller_request import (
+    BodyBudget,
+    BodyShare,
+    parse_request,
+)
 from berylcart_daemon.metrics import Metrics
 from berylcart_daemon.reply_stream import ReplyStream
 from berylcart_daemon.settings import LimitSettings
@@ -93,6 +97,7 @@
     door: Door
     metrics: Metrics
     limits: LimitSettings
+    bodies: BodyBudget
 
 
 class ServeEndpoint:
@@ -101,16 +106,25 @@
     def __init__(self, parts: Parts, *, is_pipeline: bool) -> None:
         self.parts = parts
         self.is_pipeline = is_pipeline
+        self.bodies = parts.bodies
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Answer one request whole, or with one problem."""
+        with self.bodies.holding() as share:
+            await self.handle(Request(scope, receive), share, send)
+
+    async def handle(
+        self, caller: Request, share: BodyShare, send: Send
+    ) -> None:
+        """Read one request and answer it."""
         reply = ReplyStream(send)
         try:
             self.parts.door.check_open()
             request = await parse_request(
-                Request(scope, receive),
+                caller,
+                share,
                 is_pipeline=self.is_pipeline,
                 limits=self.parts.limits,
             )
@@ -120,7 +134,7 @@
             return
         self.parts.metrics.in_flight.inc()
         try:
-            await self.answer(request, reply, receive)
+            await self.answer(request, reply, caller.receive)
         finally:
             self.parts.metrics.in_flight.dec()
 
--- a/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
@@ -1,7 +1,9 @@
 """Make a caller's HTTP request canonical, within its limits."""
 
+import contextlib
 import re
 import secrets
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -41,12 +43,60 @@
     return int(text)
 
 
-async def read_body(request: Request, limits: LimitSettings) -> bytes:
+class BodyBudget:
+    """Bound the bytes of all bodies that the daemon holds at once.
+
+    >>> budget = BodyBudget(10)
+    >>> with budget.holding() as share:
+    ...     share.add(8)
+    ...     budget.held_bytes
+    8
+    >>> budget.held_bytes
+    0
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    @contextlib.contextmanager
+    def holding(self) -> Iterator["BodyShare"]:
+        """Count one request's bytes while the block runs."""
+        share = BodyShare(self)
+        try:
+            yield share
+        finally:
+            self.held_bytes -= share.held_bytes
+
+
+class BodyShare:
+    """Count the bytes that one request holds."""
+
+    def __init__(self, budget: BodyBudget) -> None:
+        self.budget = budget
+        self.held_bytes = 0
+
+    def add(self, count: int) -> None:
+        """Hold more bytes; raises OVERLOADED when there is no room."""
+        if self.budget.held_bytes + count > self.budget.limit_bytes:
+            raise BerylcartError(
+                Code.OVERLOADED,
+                "the bodies of requests in flight fill their memory",
+                retry_after_ms=MS_PER_S,
+            )
+        self.held_bytes += count
+        self.budget.held_bytes += count
+
+
+async def read_body(
+    request: Request, limits: LimitSettings, share: BodyShare
+) -> bytes:
     """Read a body; raises BerylcartError when too large or too slow."""
     body = bytearray()
     try:
         with anyio.fail_after(limits.request_timeout_ms / MS_PER_S):
             async for part in request.stream():
+                share.add(len(part))
                 body += part
                 if len(body) > limits.body_bytes:
                     raise BerylcartError(
@@ -85,7 +135,11 @@
 
 
 async def parse_request(
-    request: Request, *, is_pipeline: bool, limits: LimitSettings
+    request: Request,
+    share: BodyShare,
+    *,
+    is_pipeline: bool,
+    limits: LimitSettings,
 ) -> ServeRequest:
     """Read one request in canonical form; raises BerylcartError."""
     received_at_s = anyio.current_time()
@@ -97,7 +151,7 @@
         )
     idempotency_key = header_key(request, "idempotency-key")
     ordering_key = header_key(request, "ordering-key")
-    body = await read_body(request, limits)
+    body = await read_body(request, limits, share)
     return ServeRequest(
         request_id=secrets.token_hex(8),
         workspace=workspace,
--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -37,6 +37,7 @@
 from berylcart.transport.vm_list_client import HttpVmList
 
 from berylcart_daemon.api import Parts, make_app
+from berylcart_daemon.caller_request import BodyBudget
 from berylcart_daemon.config_exchange import ConfigExchange
 from berylcart_daemon.entry_door import CurrentConfiguration, EntryDoor
 from berylcart_daemon.hooks import DaemonHooks
@@ -186,7 +187,9 @@
             self.claims,
             runner,
         )
-        app = make_app(Parts(server, self.door, self.metrics, limits))
+        bodies = BodyBudget(limits.total_body_bytes)
+        parts = Parts(server, self.door, self.metrics, limits, bodies)
+        app = make_app(parts)
         return make_server(
             app,
             header_bytes=limits.header_bytes,
@@ -254,7 +257,9 @@
         events.info("daemon.draining", in_flight=self.admission.in_flight)
         self.door.is_draining = True
         self.membership.drain()
-        await anyio.sleep(self.settings.timing.entries_keep_s)
+        timing = self.settings.timing
+        # Other entries go on naming this one until the news reaches them.
+        await anyio.sleep(timing.entries_keep_s + timing.drain_margin_s)
         self.door.is_closed = True
         self.server.should_exit = True
 
--- a/packages/berylcart-daemon/src/berylcart_daemon/settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/settings.py
@@ -60,6 +60,7 @@
     """Bound what one caller or all callers may hold."""
 
     body_bytes: Annotated[int, Field(ge=1, le=64 * 2**20)] = 2**20
+    total_body_bytes: Annotated[int, Field(ge=1, le=2**34)] = 64 * 2**20
     header_bytes: Annotated[int, Field(ge=256, le=2**20)] = 16 * 2**10
     request_timeout_ms: Milliseconds = 5000
     max_in_flight: Annotated[int, Field(ge=1, le=100_000)] = 512
@@ -72,6 +73,7 @@
 
     config_lease_s: Seconds = 10.0
     entries_keep_s: Seconds = 5.0
+    drain_margin_s: Seconds = 2.0
     claim_keep_s: Seconds = 3600.0
     answer_keep_s: Seconds = 300.0
 
--- a/packages/berylcart-daemon/tests/test_api.py
+++ b/packages/berylcart-daemon/tests/test_api.py
@@ -16,11 +16,15 @@
 from berylcart.transport.http_server import make_server
 from berylcart.transport.listening import address_of, bind
 from berylcart_daemon.api import Parts, make_app
+from berylcart_daemon.caller_request import BodyBudget
 from berylcart_daemon.metrics import Metrics
 from berylcart_daemon.settings import LimitSettings
 
 LIMITS = LimitSettings(
-    body_bytes=1000, request_timeout_ms=200, max_deadline_ms=10_000
+    body_bytes=1000,
+    total_body_bytes=1500,
+    request_timeout_ms=200,
+    max_deadline_ms=10_000,
 )
 PATIENCE_S = 10
 WORKSPACE = ("Workspace", "counters")
@@ -125,8 +129,10 @@
     async def main():
         server, door, metrics = FakeServer(), FakeDoor(), Metrics()
         sock = bind("127.0.0.1:0")
+        bodies = BodyBudget(LIMITS.total_body_bytes)
+        parts = Parts(server, door, metrics, LIMITS, bodies)
         http = make_server(
-            make_app(Parts(server, door, metrics, LIMITS)),
+            make_app(parts),
             header_bytes=4096,
             head_timeout_s=0.2,
             max_connections=100,
@@ -221,6 +227,27 @@
     serving(scenario)
 
 
+def test_bodies_in_flight_are_bounded_together():
+    async def scenario(rig):
+        rig.server.is_stuck = True
+        body = b'{"a": "' + b"x" * 900 + b'"}'
+        answers = []
+
+        async def hold():
+            answers.append(await rig.post(body))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(hold)
+            await rig.server.asked.wait()
+            content = problem(await rig.post(body), Code.OVERLOADED)
+            assert content["ran"] == "no"
+            rig.server.released.set()
+        assert answers[0].status == 200
+        assert (await rig.post(body)).status == 200
+
+    serving(scenario)
+
+
 def test_unknown_path_is_a_problem():
     async def scenario(rig):
         answer = await rig.post(path="nothing")
--- a/packages/berylcart-tools/src/berylcart_tools/demo/system.py
+++ b/packages/berylcart-tools/src/berylcart_tools/demo/system.py
@@ -142,7 +142,9 @@
             ),
             PlatformSettings(self.log_address, self.vm_list_address),
             PeerSettings((f"127.0.0.1:{peer_ports[0]}",)),
-            timing=TimingSettings(entries_keep_s=DRAIN_S),
+            timing=TimingSettings(
+                entries_keep_s=DRAIN_S, drain_margin_s=DRAIN_S
+            ),
         )
 
     async def publish(self) -> None:
--- a/packages/berylcart/src/berylcart/coordination/serving.py
+++ b/packages/berylcart/src/berylcart/coordination/serving.py
@@ -14,6 +14,7 @@
 from berylcart.coordination.claim_answers import StoredAnswer
 from berylcart.coordination.claim_results import Found, Granted
 from berylcart.coordination.claims import ClaimKeeper
+from berylcart.coordination.ordering import OrderingQueue
 from berylcart.coordination.ports import ChunkSink
 from berylcart.coordination.stage_payload import merge_output, stage_payload
 from berylcart.state.config import Configuration, Service, Workspace
@@ -108,6 +109,7 @@
         self.admission = admission
         self.claims = claims
         self.runner = runner
+        self.ordering = OrderingQueue()
 
     async def serve(
         self, request: ServeRequest, sink: ChunkSink | None = None
@@ -125,7 +127,9 @@
                 async with self.admission.admit(
                     request.target, target.workspace, target.stages, left_s
                 ):
-                    return await self.run(request, target, progress, sink)
+                    return await self.run_in_turn(
+                        request, target, progress, sink
+                    )
         except TimeoutError:
             raise BerylcartError(
                 Code.DEADLINE_EXCEEDED,
@@ -147,6 +151,17 @@
             entries=self.entries.permitted_entries(workspace),
         )
 
+    async def run_in_turn(
+        self,
+        request: ServeRequest,
+        target: Target,
+        progress: Progress,
+        sink: ChunkSink | None,
+    ) -> ServeReply:
+        """Run a request after the earlier ones of its ordering key."""
+        async with self.ordering.turn(request.workspace, request.ordering_key):
+            return await self.run(request, target, progress, sink)
+
     async def run(
         self,
         request: ServeRequest,
--- a/packages/berylcart/tests/coordination/test_serving.py
+++ b/packages/berylcart/tests/coordination/test_serving.py
@@ -259,3 +259,30 @@
         assert rig.upstreams.calls == []
 
     run(scenario)
+
+
+def test_requests_of_one_ordering_key_run_one_after_another():
+    async def scenario():
+        rig = Rig()
+        open_calls = 0
+        run_stage = rig.upstreams.call
+
+        async def count_open(call, sink=None):
+            nonlocal open_calls
+            open_calls += 1
+            assert open_calls == 1
+            try:
+                return await run_stage(call, sink)
+            finally:
+                open_calls -= 1
+
+        rig.upstreams.call = count_open
+        async with anyio.create_task_group() as tasks:
+            for number in range(3):
+                request = rig.request(
+                    "enc", request_id=f"r{number}", ordering_key="o"
+                )
+                tasks.start_soon(rig.server.serve, request)
+        assert rig.upstreams.runs_of("enc") == 3
+
+    run(scenario)
