--- a/packages/berylcart-tools/tests/standins/test_log.py
+++ b/packages/berylcart-tools/tests/standins/test_log.py
@@ -1,9 +1,11 @@
 """Check the log stand-in through its client."""
 
 import json
+from functools import partial
 
 import anyio
 import pytest
+import trio
 from berylcart.state.errors import (
     LogAmbiguousError,
     LogGapError,
@@ -12,8 +14,13 @@
 from berylcart.state.records import Release
 from berylcart.transport.http_client import HttpClient, HttpRequest
 from berylcart.transport.log_client import HttpLog
-from berylcart_tools.standins.log import LogSettings, serve_log
+from berylcart_tools.standins.log import (
+    LogSettings,
+    LogStandin,
+    serve_log,
+)
 from berylcart_tools.standins.serve import running
+from trio.testing import MockClock
 
 RELEASE = Release("digest", "claim")
 
@@ -75,6 +82,23 @@
     with_log(scenario)
 
 
+def test_stop_ends_a_long_poll():
+    async def main():
+        standin = LogStandin(SETTINGS)
+        stop = anyio.Event()
+        await standin.log.append("s", [RELEASE])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(standin.end_reads, stop)
+            tasks.start_soon(
+                partial(standin.log.read, wait_ms=60_000, limit=1), "s", 1
+            )
+            await anyio.sleep(1)
+            stop.set()
+        assert anyio.current_time() < 2
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
 def test_value_of_unknown_kind_keeps_its_offset():
     async def scenario(log):
         body = b'{"records": [{"kind": "novel"}]}'
--- a/packages/berylcart/tests/protocol/test_record_codec.py
+++ b/packages/berylcart/tests/protocol/test_record_codec.py
@@ -18,9 +18,11 @@
     Release,
     Verdict,
 )
-from hypothesis import given, seed
+from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
 
+RELAXED = settings(deadline=None, suppress_health_check=[HealthCheck.too_slow])
+
 VERDICTS = (Verdict("p1", 0, 1, ""), Verdict("p2", 1, None, "no base"))
 
 RECORDS = [
@@ -72,6 +74,7 @@
 
 
 @seed(1)
+@RELAXED
 @given(value=JSON, name=st.sampled_from(sorted(CHECKPOINT)))
 def test_no_field_value_breaks_the_decoder(value, name):
     entry = decode_entry(0, 0, {**CHECKPOINT, name: value})
@@ -79,6 +82,7 @@
 
 
 @seed(2)
+@RELAXED
 @given(body=st.binary())
 def test_any_bytes_are_json_or_a_message_error(body):
     with contextlib.suppress(MessageError):
