--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Run experiments over real processes."""
--- a/packages/berylcart/src/berylcart/coordination/probe.py
+++ b/packages/berylcart/src/berylcart/coordination/probe.py
@@ -1,6 +1,6 @@
 """Order probes, and guard them against faults of the local process."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from random import Random
 
 MAX_HEALTH_PENALTY = 4
@@ -9,26 +9,37 @@
 class ProbeOrder:
     """Visit members round robin, shuffling them anew for each round.
 
+    Newcomers join the present round at random positions; were they to wait
+    for the next, daemons that started together would all miss them.
+
     >>> order = ProbeOrder(Random(1))
-    >>> sorted(order.next(["a", "b"]) for _ in range(2))
-    ['a', 'b']
+    >>> first = order.next(["a", "b"])
+    >>> sorted([first, *(order.next(["a", "b", "c"]) for _ in range(2))])
+    ['a', 'b', 'c']
     """
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
         self._round: list[str] = []
+        self._in_round: set[str] = set()
 
     def next(self, candidates: Collection[str]) -> str | None:
         """Choose the next member; candidates change from call to call."""
+        if not candidates:
+            return None
+        self._insert(sorted(set(candidates) - self._in_round))
         while self._round:
             chosen = self._round.pop()
             if chosen in candidates:
                 return chosen
-        if not candidates:
-            return None
-        self._round = sorted(candidates)
-        self._rng.shuffle(self._round)
-        return self._round.pop()
+        self._in_round.clear()
+        return self.next(candidates)
+
+    def _insert(self, newcomers: Sequence[str]) -> None:
+        for name in newcomers:
+            position = self._rng.randint(0, len(self._round))
+            self._round.insert(position, name)
+        self._in_round.update(newcomers)
 
 
 class LocalHealth:
--- a/packages/berylcart/src/berylcart/coordination/roster.py
+++ b/packages/berylcart/src/berylcart/coordination/roster.py
@@ -209,7 +209,8 @@
     def expire(self, now: float) -> None:
         """Declare silent suspects dead and forget old ends."""
         for name, until in list(self._suspect_until.items()):
-            if max(until, self._silent_until(name)) <= now:
+            latest = until + self.suspicion_s()
+            if max(until, min(self._silent_until(name), latest)) <= now:
                 member = self._members[name]
                 self._put(member._replace(state=MemberState.DEAD), now)
         keep_s = self._settings.dead_keep_ms / MS_PER_S
--- a/packages/berylcart/src/berylcart/coordination/vitals.py
+++ b/packages/berylcart/src/berylcart/coordination/vitals.py
@@ -9,6 +9,7 @@
 from berylcart.state.peer_messages import VitalSign
 
 NEVER = float("-inf")
+HOP_ALLOWANCE_MS = 50
 
 
 class Vitals(NamedTuple):
@@ -44,13 +45,15 @@
 class VitalsTable:
     """Merge signs of life by digest; the one heard last wins.
 
-    Ages that are sent end at max_age_s.
+    Each hop adds HOP_ALLOWANCE_MS to an age, for the time under way: else an
+    age that circulates would shrink, and a dead member seem to be heard for
+    ever. Ages that are sent end at max_age_s.
 
     >>> table = VitalsTable(max_age_s=60.0)
     >>> member = Member("d1", 1, "a", "b", "p", load=0.5)
     >>> table.note(member, heard_at=7.0)
     >>> table.of("d1").load, table.age_ms("d1", now=9.0)
-    (0.5, 2000)
+    (0.5, 2050)
     """
 
     def __init__(self, max_age_s: float) -> None:
@@ -62,9 +65,9 @@
         return self._vitals.get(member_digest(daemon_id), NO_VITALS)
 
     def age_ms(self, daemon_id: str, now: float) -> int:
-        """Say how long ago a member was heard."""
+        """Say how long ago a member was heard, for sending."""
         age_s = now - self.of(daemon_id).heard_at
-        return int(min(age_s, self._max_age_s) * MS_PER_S)
+        return int(min(age_s, self._max_age_s) * MS_PER_S) + HOP_ALLOWANCE_MS
 
     def note(self, member: Member, heard_at: float) -> None:
         """Take in a member's report of itself."""
@@ -98,8 +101,13 @@
         for name in daemon_ids:
             digest = member_digest(name)
             known = self._vitals.get(digest, NO_VITALS)
-            age_ms = int((now - max(known.heard_at, oldest)) * MS_PER_S)
+            age_s = now - max(known.heard_at, oldest)
             signs.append(
-                VitalSign(digest, age_ms, known.load, known.config_version)
+                VitalSign(
+                    digest,
+                    int(age_s * MS_PER_S) + HOP_ALLOWANCE_MS,
+                    known.load,
+                    known.config_version,
+                )
             )
         return tuple(signs)
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -1,12 +1,11 @@
 """Call other daemons over gRPC."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
+import anyio
 from cachetools import LRUCache
 from grpclib.client import Channel
-from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from berylcart.protocol import peer_codec as codec
@@ -26,7 +25,6 @@
 MAX_CHANNELS = 32
 MS_PER_S = 1000
 
-Reply = TypeVar("Reply")
 Decoded = TypeVar("Decoded")
 
 CALL_ERRORS = (
@@ -35,7 +33,6 @@
     ProtocolError,
     StreamTerminatedError,
     TimeoutError,
-    asyncio.TimeoutError,
     ValueError,
 )
 
@@ -50,20 +47,47 @@
     return host.strip("[]"), int(port)
 
 
-class ChannelCache(LRUCache[str, Channel]):
-    """Keep the channels last used and close the others."""
+class PeerChannel:
+    """Hold a channel and close it once it is retired and no call uses it."""
 
-    def popitem(self) -> tuple[str, Channel]:
-        """Evict and close the channel that was unused for longest."""
-        address, channel = super().popitem()
-        channel.close()
-        return address, channel
+    def __init__(self, address: str) -> None:
+        host, port = split_address(address)
+        self.channel = Channel(host, port)
+        self._calls = 0
+        self._is_retired = False
+
+    async def call(
+        self, method: str, message: object, timeout_s: float
+    ) -> Any:
+        """Make one call; raises TimeoutError when it takes too long."""
+        stub = PeerStub(self.channel)
+        call: Callable[..., Awaitable[Any]] = getattr(stub, method)
+        self._calls += 1
+        try:
+            with anyio.fail_after(timeout_s):
+                return await call(message)
+        finally:
+            self._calls -= 1
+            self._close_if_unused()
+
+    def retire(self) -> None:
+        """Take no more calls, and let those in progress end."""
+        self._is_retired = True
+        self._close_if_unused()
 
+    def _close_if_unused(self) -> None:
+        if self._is_retired and self._calls == 0:
+            self.channel.close()
 
-def open_channel(address: str) -> Channel:
-    """Make a channel that connects at its first call."""
-    host, port = split_address(address)
-    return Channel(host, port, config=Configuration())
+
+class ChannelCache(LRUCache[str, PeerChannel]):
+    """Keep the channels last used and retire the others."""
+
+    def popitem(self) -> tuple[str, PeerChannel]:
+        """Evict the channel that was unused for longest."""
+        address, channel = super().popitem()
+        channel.retire()
+        return address, channel
 
 
 class GrpcPeers:
@@ -73,21 +97,26 @@
         self._channels = ChannelCache(maxsize=max_channels)
 
     def close(self) -> None:
-        """Close every channel."""
+        """Retire every channel."""
         while self._channels:
             self._channels.popitem()
 
-    def _stub(self, address: str) -> PeerStub:
+    def _channel(self, address: str) -> PeerChannel:
         channel = self._channels.get(address)
         if channel is None:
-            channel = open_channel(address)
+            channel = PeerChannel(address)
             self._channels[address] = channel
-        return PeerStub(channel)
+        return channel
 
-    def _drop(self, address: str) -> None:
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+    def _retire(self, address: str, channel: PeerChannel) -> None:
+        """Replace a channel that failed.
+
+        A connection that a cut has broken can stay silent for minutes after
+        the cut is mended.
+        """
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+            channel.retire()
 
     async def _call(
         self,
@@ -97,17 +126,12 @@
         decode: Callable[[Any], Decoded],
         timeout_ms: int,
     ) -> Decoded:
-        call: Callable[..., Awaitable[Any]] = getattr(
-            self._stub(address), method
-        )
-        timeout_s = timeout_ms / MS_PER_S
+        channel = self._channel(address)
         try:
-            reply = await asyncio.wait_for(
-                call(message, timeout=timeout_s), timeout_s
-            )
+            reply = await channel.call(method, message, timeout_ms / MS_PER_S)
             return decode(reply)
         except CALL_ERRORS as error:
-            self._drop(address)
+            self._retire(address, channel)
             raise BerylcartError(
                 Code.PEER_UNAVAILABLE,
                 f"{method} to {address} failed: {type(error).__name__}",
--- a/packages/berylcart/tests/coordination/test_membership.py
+++ b/packages/berylcart/tests/coordination/test_membership.py
@@ -38,6 +38,17 @@
     run_fleet(scenario, seed)
 
 
+def test_slow_hops_do_not_keep_the_dead_alive(run_fleet):
+    async def scenario(fleet):
+        fleet.network.delay_s = 0.1
+        nodes = await fleet.grow(25)
+        nodes[3].kill()
+        rest = [node for node in nodes if node is not nodes[3]]
+        await fleet.until(lambda: fleet.agree(rest), 2 * DETECTION_S)
+
+    run_fleet(scenario)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_loss_brings_no_false_death(run_fleet, seed):
     async def scenario(fleet):
