--- a/packages/berylcart/tests/coordination/test_serving.py
+++ b/packages/berylcart/tests/coordination/test_serving.py
@@ -286,3 +286,19 @@
         assert rig.upstreams.runs_of("enc") == 3
 
     run(scenario)
+
+
+def test_chunk_at_a_wrong_offset_is_dropped_and_asked_for_again():
+    async def scenario():
+        rig = Rig()
+        rig.upstreams.repeat_first_chunk = True
+        texts = []
+
+        async def sink(chunk):
+            texts.append(chunk.text)
+
+        reply = await rig.serve("llm", sink, is_stream=True)
+        assert "".join(texts) == "abcd"
+        assert reply.output == {"text": "abcd"}
+
+    run(scenario)
