Poll the load of upstreams in use, at a bounded rate

Cause: the load table took reports that nobody fetched, and an upstream that leaves without new requests was learnt only from the lagging VM list.

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -17,6 +17,7 @@
 from berylcart.coordination.config_keeper import ConfigKeeper
 from berylcart.coordination.ejection import Ejector
 from berylcart.coordination.latency import LatencyTable
+from berylcart.coordination.load_poller import LoadPoller
 from berylcart.coordination.load_table import LoadTable
 from berylcart.coordination.membership import Membership
 from berylcart.coordination.membership_settings import MembershipSettings
@@ -178,7 +179,15 @@
             self.membership,
             self.admission,
         )
-        runner = StageRunner(HttpUpstreams(self.client), self.policy)
+        upstreams = HttpUpstreams(self.client)
+        runner = StageRunner(upstreams, self.policy)
+        self.poller = LoadPoller(
+            upstreams.load,
+            self.policy.parts.load_table,
+            self.directory,
+            self.settings.policy.load_polls_per_s,
+        )
+        self.policy.on_use = self.poller.note_used
         server = Server(
             self.settings.daemon.place,
             CurrentConfiguration(self.configs),
@@ -244,6 +253,7 @@
         """Start what keeps the daemon's state up to date."""
         tasks.start_soon(self.directory.run)
         tasks.start_soon(self.configs.run)
+        tasks.start_soon(self.poller.run)
         tasks.start_soon(self.claims.run)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.exchange.run, self.membership)
--- a/packages/berylcart-daemon/src/berylcart_daemon/settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/settings.py
@@ -84,6 +84,7 @@
     name: str = DEFAULT_POLICY.name
     seed: int | None = None
     retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    load_polls_per_s: Annotated[float, Field(gt=0, le=100)] = 4.0
     hedge_ratio: Annotated[float, Field(ge=0, le=1)] = 0.05
 
 
--- a/packages/berylcart-tools/tests/standins/test_upstream.py
+++ b/packages/berylcart-tools/tests/standins/test_upstream.py
@@ -75,7 +75,7 @@
 
     async def is_idle(self):
         """Say whether nothing runs."""
-        return (await self.upstreams.load(self.vm))["in_flight"] == 0
+        return (await self.upstreams.load(self.vm)).in_flight == 0
 
     async def fails(self, payload, sink=None, **fields):
         """Run an attempt that fails."""
--- a/packages/berylcart/src/berylcart/coordination/stage_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/stage_policy.py
@@ -1,7 +1,7 @@
 """Choose the upstream of each attempt by the newest configuration."""
 
 import contextlib
-from collections.abc import Iterator, Set
+from collections.abc import Callable, Iterator, Set
 from typing import Any, NamedTuple, Protocol
 
 import anyio
@@ -12,7 +12,7 @@
 from berylcart.coordination.load_table import LoadTable
 from berylcart.coordination.places import permitted
 from berylcart.coordination.routing import Policy, Routing
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.vm_directory import VmDirectory, ignore
 from berylcart.state.config import Configuration, Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.vm import Vm
@@ -62,6 +62,7 @@
 
     def __init__(self, parts: PolicyParts) -> None:
         self.parts = parts
+        self.on_use: Callable[[Vm], None] = ignore
 
     def pool(self, service: Service, workspace: str) -> tuple[Vm, ...]:
         """List the upstreams that the newest configuration permits."""
@@ -151,6 +152,7 @@
     def in_flight(self, vm: Vm) -> Iterator[None]:
         """Account for one attempt from its start to its end."""
         started_at_s = anyio.current_time()
+        self.on_use(vm)
         self.parts.load_table.started(vm)
         try:
             yield
--- a/packages/berylcart/src/berylcart/state/vm.py
+++ b/packages/berylcart/src/berylcart/state/vm.py
@@ -36,3 +36,12 @@
 
     as_of_ms: int
     vms: tuple[Vm, ...]
+
+
+class LoadReport(NamedTuple):
+    """Hold what an upstream says of its own load, as of a while ago."""
+
+    in_flight: int
+    queued: int
+    capacity: int
+    state: VmState
--- a/packages/berylcart/src/berylcart/transport/upstream_client.py
+++ b/packages/berylcart/src/berylcart/transport/upstream_client.py
@@ -10,7 +10,6 @@
     DONE_EVENT,
     INSTANCE_HEADER,
     TOKEN_EVENT,
-    LoadMessage,
     RefusalReason,
     read_load,
     read_refusal,
@@ -20,7 +19,7 @@
 )
 from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
 from berylcart.state.stage import StageCall, StageChunk, StageReply
-from berylcart.state.vm import Vm
+from berylcart.state.vm import LoadReport, Vm
 from berylcart.transport.http_client import (
     HttpClient,
     HttpError,
@@ -210,7 +209,7 @@
         )
         raise failed(f"the answer belongs to {detail}")
 
-    async def load(self, vm: Vm) -> LoadMessage:
+    async def load(self, vm: Vm) -> LoadReport:
         """Fetch an upstream's load report; raises BerylcartError."""
         request = HttpRequest(
             "GET", vm.address, LOAD_PATH, timeout_ms=LOAD_TIMEOUT_MS
@@ -225,7 +224,12 @@
             raise BerylcartError(
                 Code.UPSTREAM_FAILED, "the load report is another instance's"
             )
-        return report
+        return LoadReport(
+            report["in_flight"],
+            report["queued"],
+            report["capacity"],
+            report["state"],
+        )
 
 
 class StreamReader:
