--- a/packages/berylcart-tools/src/berylcart_tools/commands/load.py
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/load.py
@@ -76,4 +76,7 @@
         arrivals = make_arrivals(self.seed, mix, self.rate, self.duration_s)
         async with HttpClient() as client:
             entries = EntryList(client, [self.entry], Random(self.seed))
-            return await LoadClient(client, entries).run(arrivals)
+            load = LoadClient(entries)
+            await load.run(arrivals)
+            await load.aclose()
+        return load.outcomes
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/load_client.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/load_client.py
@@ -1,7 +1,7 @@
 """Send open-loop calls to entries and judge every answer."""
 
 import json
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from random import Random
 from typing import Any, NamedTuple
 
@@ -174,28 +174,23 @@
 class LoadClient:
     """Send each call at its time, however the ones before it fare."""
 
-    def __init__(
-        self, client: HttpClient, entries: EntryList, delay_ms: float = 0.0
-    ) -> None:
-        self.client = client
+    def __init__(self, entries: EntryList, delay_ms: float = 0.0) -> None:
         self.entries = entries
+        self.clients: dict[str, HttpClient] = {}
         self.delay_s = delay_ms / MS_PER_S
         self.outcomes: list[Outcome] = []
 
     async def run(
         self,
         arrivals: Sequence[Arrival],
-        on_tick: Callable[[float], Awaitable[None]] | None = None,
+        start_s: float | None = None,
     ) -> list[Outcome]:
-        """Send all calls and wait for the last answer."""
-        start_s = anyio.current_time()
+        """Send all calls, timed from start_s or now, and await answers."""
+        if start_s is None:
+            start_s = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             for arrival in arrivals:
-                wait_s = start_s + arrival.at_s - anyio.current_time()
-                if wait_s > 0:
-                    await anyio.sleep(wait_s)
-                if on_tick is not None:
-                    await on_tick(arrival.at_s)
+                await anyio.sleep_until(start_s + arrival.at_s)
                 tasks.start_soon(self.call, arrival, start_s + arrival.at_s)
         return self.outcomes
 
@@ -212,12 +207,23 @@
             make_outcome(arrival, received, intended_s, sent_s)
         )
 
+    def client_of(self, address: str) -> HttpClient:
+        """Find an entry's own pool: large pools take long to search."""
+        if address not in self.clients:
+            self.clients[address] = HttpClient()
+        return self.clients[address]
+
+    async def aclose(self) -> None:
+        """Close the connections to every entry."""
+        for client in self.clients.values():
+            await client.aclose()
+
     async def send(self, arrival: Arrival, address: str) -> Received:
         """Send one call to one entry and read its answer."""
         sent_s = anyio.current_time()
         try:
             request = make_request(address, arrival)
-            async with self.client.stream(request) as stream:
+            async with self.client_of(address).stream(request) as stream:
                 return await receive(stream, sent_s)
         except (HttpError, MessageError, ValueError, KeyError, TypeError):
             return Received(NO_ANSWER)
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
@@ -49,6 +49,7 @@
     def __init__(self, directory: Path) -> None:
         self.directory = directory
         self.started: dict[str, Started] = {}
+        self.ended_by_us: set[str] = set()
 
     def start(self, name: str, module: str, arguments: Sequence[str]) -> None:
         """Start a module of this interpreter as a process of its own."""
@@ -74,14 +75,15 @@
         self.start(name, module, arguments)
 
     def send(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to one process."""
+        """Send a signal to one process, which may end it."""
+        self.ended_by_us.add(name)
         self.started[name].process.send_signal(number)
 
     def check_alive(self) -> None:
         """Raise RuntimeError naming a process that ended by itself."""
         for one in self.started.values():
             status = one.process.poll()
-            if status is not None:
+            if status is not None and one.name not in self.ended_by_us:
                 tail = one.log_path.read_text(errors="replace")[-800:]
                 raise RuntimeError(f"{one.name} ended with {status}: {tail}")
 
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/runner.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/runner.py
@@ -1,15 +1,14 @@
 """Run a scenario under several policies on the same arrivals."""
 
 import json
+import pickle
 import sys
 from collections.abc import Sequence
 from functools import partial
 from pathlib import Path
-from random import Random
-from typing import NamedTuple, TypedDict
+from typing import Any, NamedTuple, TypedDict
 
 import anyio
-from berylcart.transport.http_client import HttpClient
 
 from berylcart_tools.experiments.actions import perform
 from berylcart_tools.experiments.arrivals import (
@@ -20,9 +19,10 @@
 )
 from berylcart_tools.experiments.deployments import Deployment
 from berylcart_tools.experiments.fleet import Fleet, running_fleet
-from berylcart_tools.experiments.load_client import EntryList, LoadClient
+from berylcart_tools.experiments.load_worker import Slice
 from berylcart_tools.experiments.outcomes import (
     Outcome,
+    StageSample,
     Summary,
     summarise,
 )
@@ -32,6 +32,9 @@
 CANDIDATE = "berylcart"
 BASELINES = "berylcart_tools.experiments.baselines"
 SETTLE_S = 1.0
+WORKERS = 3
+WORKER_START_S = 1.5
+LOAD_WORKER = "berylcart_tools.experiments.load_worker"
 
 
 class Cost(TypedDict):
@@ -125,9 +128,10 @@
     )
 
 
-async def run_actions(fleet: Fleet, scenario: Scenario) -> None:
+async def run_actions(
+    fleet: Fleet, scenario: Scenario, start_s: float
+) -> None:
     """Carry out a scenario's actions at their times."""
-    start_s = anyio.current_time()
     for action in scenario.actions:
         await anyio.sleep_until(start_s + action.at_s)
         await perform(action, fleet)
@@ -135,15 +139,52 @@
 
 async def drive(fleet: Fleet, plan: Plan) -> list[Outcome]:
     """Send the arrivals while the actions take place."""
-    delay_ms = plan.deployment.client_delay_ms
-    async with HttpClient() as client, anyio.create_task_group() as tasks:
-        entries = EntryList(
-            client, fleet.layout.entry_addresses, Random(plan.seed)
+    start_s = anyio.current_time() + WORKER_START_S
+    names = start_workers(fleet, plan, start_s)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_actions, fleet, plan.scenario, start_s)
+        for name in names:
+            process = fleet.group.started[name].process
+            await anyio.to_thread.run_sync(process.wait)
+    return read_outcomes(fleet, names)
+
+
+def start_workers(fleet: Fleet, plan: Plan, start_s: float) -> list[str]:
+    """Divide the arrivals over processes that send them."""
+    arrivals = plan_arrivals(plan)
+    names = []
+    for number in range(WORKERS):
+        name = f"load-{number + 1}"
+        part = Slice(
+            arrivals[number::WORKERS],
+            fleet.layout.entry_addresses,
+            plan.deployment.client_delay_ms,
+            start_s,
+            plan.seed + number,
         )
-        load = LoadClient(client, entries, delay_ms)
-        tasks.start_soon(run_actions, fleet, plan.scenario)
-        await load.run(plan_arrivals(plan))
-    return load.outcomes
+        source = fleet.group.directory / f"{name}.pickle"
+        target = fleet.group.directory / f"{name}.json"
+        source.write_bytes(pickle.dumps(part))
+        fleet.group.start(name, LOAD_WORKER, [str(source), str(target)])
+        fleet.group.ended_by_us.add(name)
+        names.append(name)
+    return names
+
+
+def read_outcomes(fleet: Fleet, names: Sequence[str]) -> list[Outcome]:
+    """Read what the workers wrote, in the order of arrival."""
+    outcomes = []
+    for name in names:
+        path = fleet.group.directory / f"{name}.json"
+        outcomes += [read_outcome(row) for row in json.loads(path.read_text())]
+    return sorted(outcomes, key=lambda outcome: outcome.at_s)
+
+
+def read_outcome(row: Sequence[Any]) -> Outcome:
+    """Read one outcome back from its JSON."""
+    outcome = Outcome(*row)
+    samples = tuple(StageSample(*stage) for stage in outcome.stages)
+    return outcome._replace(stages=samples)
 
 
 def count_cost(
@@ -183,6 +224,7 @@
         await anyio.sleep(SETTLE_S)
         cpu_before = sum(await fleet.cpu_by_entry())
         outcomes = await drive(fleet, plan)
+        fleet.group.check_alive()
         cpu_s = sum(await fleet.cpu_by_entry()) - cpu_before
         attempts = await fleet.runs_by_service()
     measured = [o for o in outcomes if o.at_s >= WARM_UP_S]
