--- a/packages/berylcart/tests/coordination/serving_fakes.py
+++ b/packages/berylcart/tests/coordination/serving_fakes.py
@@ -118,6 +118,7 @@
         self.failures: dict[str, list[UpstreamError]] = {}
         self.delay_s: dict[str, float] = {}
         self.break_streams_at: list[int] = []
+        self.repeat_first_chunk = False
 
     async def call(self, call: StageCall, sink=None) -> StageReply:
         """Run one attempt."""
@@ -147,6 +148,9 @@
             if offset == end:
                 raise failed(Ran.UNKNOWN)
             await sink(StageChunk(offset, TOKENS[offset]))
+            if self.repeat_first_chunk:
+                self.repeat_first_chunk = False
+                await sink(StageChunk(offset, TOKENS[offset]))
 
     def runs_of(self, service: str) -> int:
         """Count what ran of one service."""
