Enter the entry list only when ready, with a VM list read

Ruled out: retrying in the test. A daemon announces that it takes callers only while its configuration is current and a VM list is known.

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -48,6 +48,7 @@
 
 MS_PER_S = 1000
 RETRY_BURST = 10
+READINESS_PERIOD_S = 0.1
 FLUSH_TIMEOUT_S = 5.0
 FAREWELL_TIMEOUT_S = 2.0
 
@@ -166,6 +167,7 @@
             daemon.peer_address,
             self.http_address,
             daemon.place,
+            is_leaving=True,
         )
 
     def build_server(self) -> QuietServer:
@@ -257,6 +259,13 @@
         tasks.start_soon(self.claims.run)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.exchange.run, self.membership)
+        tasks.start_soon(self.announce_readiness)
+
+    async def announce_readiness(self) -> None:
+        """Enter and leave the entry list as this daemon can serve."""
+        while True:
+            self.membership.announce(takes_callers=self.door.takes_callers())
+            await anyio.sleep(READINESS_PERIOD_S)
 
     async def serve_http(self) -> None:
         """Answer callers until the server is told to exit."""
@@ -266,7 +275,7 @@
         """Leave the entry list, then refuse, then finish what runs."""
         events.info("daemon.draining", in_flight=self.admission.in_flight)
         self.door.is_draining = True
-        self.membership.drain()
+        self.membership.announce(takes_callers=False)
         timing = self.settings.timing
         # Other entries go on naming this one until the news reaches them.
         await anyio.sleep(timing.entries_keep_s + timing.drain_margin_s)
--- a/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
@@ -88,6 +88,13 @@
     def check_ready(self) -> None:
         """Raise BerylcartError when this entry can't serve."""
         self.configs.check_current()
+        if not self.directory.is_known:
+            raise BerylcartError(Code.NOT_READY, "no VM list yet")
+
+    def takes_callers(self) -> bool:
+        """Tell whether callers may be sent here."""
+        is_ready = self.configs.is_current and self.directory.is_known
+        return is_ready and not self.is_draining
 
     def configuration(self) -> Configuration:
         """Give the newest configuration known, even a stale one."""
@@ -171,6 +178,7 @@
                     "state": member.state.name.lower(),
                     "place": member.place,
                     "config_version": member.config_version,
+                    "takes_callers": not member.is_leaving,
                 }
                 for member in self.membership.members()
             ],
--- a/packages/berylcart-tools/src/berylcart_tools/demo/system.py
+++ b/packages/berylcart-tools/src/berylcart_tools/demo/system.py
@@ -176,8 +176,12 @@
     def is_ready(self, daemon: Daemon, services: set[str]) -> bool:
         """Tell whether one daemon can serve every service."""
         is_known = services <= set(daemon.directory.pools)
-        live = len(daemon.membership.live_members())
-        return is_known and live == DAEMON_COUNT and daemon.configs.is_current
+        open_entries = [
+            member
+            for member in daemon.membership.live_members()
+            if not member.is_leaving
+        ]
+        return is_known and len(open_entries) == DAEMON_COUNT
 
 
 def standin_of(
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
@@ -294,6 +294,23 @@
                 self.group.check_alive()
                 await anyio.sleep(POLL_S)
 
+    async def wait_for_pools(self, address: str) -> None:
+        """Wait until a daemon knows every upstream and every daemon."""
+        request = HttpRequest("GET", address, "/v1/status", timeout_ms=1000)
+        with anyio.fail_after(READY_TIMEOUT_S):
+            while True:
+                answer = await self.client.request(request)
+                if self.is_complete(from_json(answer.body)):
+                    return
+                await anyio.sleep(POLL_S)
+
+    def is_complete(self, status: dict[str, Any]) -> bool:
+        """Say whether a status shows the whole deployment."""
+        replicas = sum(len(pool) for pool in status["pools"].values())
+        daemons = sum(member["takes_callers"] for member in status["members"])
+        has_replicas = replicas == len(self.layout.upstreams)
+        return has_replicas and daemons == ENTRY_COUNT
+
     async def answers(self, request: HttpRequest) -> bool:
         """Say whether a request is answered with 200."""
         try:
@@ -352,6 +369,7 @@
         await fleet.wait_for(upstream.address, "/v1/load")
     for address in layout.entry_addresses:
         await fleet.wait_for(address, "/readyz")
+        await fleet.wait_for_pools(address)
 
 
 @asynccontextmanager
--- a/packages/berylcart/src/berylcart/coordination/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership.py
@@ -73,9 +73,10 @@
             tasks.start_soon(self._exchange_loop)
             tasks.start_soon(self._rejoin_loop)
 
-    def drain(self) -> None:
-        """Announce that this daemon takes no new callers."""
-        self._roster.update_me(is_leaving=True)
+    def announce(self, *, takes_callers: bool) -> None:
+        """Announce whether this daemon takes new callers."""
+        if self.me.is_leaving is takes_callers:
+            self._roster.update_me(is_leaving=not takes_callers)
 
     async def leave(self) -> None:
         """Say goodbye to a few members, which tell the others."""
--- a/packages/berylcart/src/berylcart/coordination/vm_directory.py
+++ b/packages/berylcart/src/berylcart/coordination/vm_directory.py
@@ -82,6 +82,11 @@
         self.rebuild()
         self.on_leaving(vm_id, incarnation)
 
+    @property
+    def is_known(self) -> bool:
+        """Tell whether a list has been fetched at all."""
+        return self.page.as_of_ms >= 0
+
     def pool(self, service: str) -> tuple[Vm, ...]:
         """List the upstreams of a service that take new work."""
         return self.pools.get(service, ())
--- a/packages/berylcart/tests/coordination/test_membership.py
+++ b/packages/berylcart/tests/coordination/test_membership.py
@@ -141,7 +141,7 @@
 def test_draining_daemon_leaves_the_entry_list_but_stays_a_member(run_fleet):
     async def scenario(fleet):
         nodes = await fleet.grow(7)
-        nodes[4].membership.drain()
+        nodes[4].membership.announce(takes_callers=False)
 
         def is_listed(node):
             places = ("lahore-1", "lahore-2", "lahore-3")
