Collect claimed answers from permitted places only

Cause: a peer call could fetch an answer from a daemon in a place that the newest configuration no longer permits for the workspace; the query did not even name the workspace. Ruled out: a check at the claimant alone, which does not know the asker's place. The asker checks the claimant's place before it calls.

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -125,7 +125,9 @@
 
     def build_peers(self) -> None:
         """Build membership, claims and what answers other daemons."""
-        collector = AnswerCollector(self.peers)
+        collector = AnswerCollector(
+            self.peers, CurrentConfiguration(self.configs)
+        )
         self.claims = ClaimKeeper(
             self.log,
             self.settings.daemon.id,
--- a/packages/berylcart-daemon/src/berylcart_daemon/peer_desk.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/peer_desk.py
@@ -8,8 +8,10 @@
 from berylcart.coordination.claims import ClaimKeeper
 from berylcart.coordination.membership import Membership
 from berylcart.coordination.peer_port import Peers
+from berylcart.coordination.stage_policy import Configurations
 from berylcart.state import peer_messages
 from berylcart.state.errors import BerylcartError, Code, Ran
+from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import (
     AnswerQuery,
     AnswerState,
@@ -65,32 +67,43 @@
 class AnswerCollector:
     """Ask the daemon that claimed a key for its answer."""
 
-    def __init__(self, peers: Peers) -> None:
+    def __init__(self, peers: Peers, configurations: Configurations) -> None:
         self.peers = peers
+        self.configurations = configurations
         self.membership: Membership | None = None
 
     async def collect(
-        self, claimant: str, key_digest: str, claim_id: str
+        self, claimant: str, key_digest: str, claim_id: str, workspace: str
     ) -> Collected:
         """Collect an answer; raises BerylcartError when it is gone."""
-        daemon_id = claimant.rpartition("/")[0]
+        member = self.find_member(claimant.rpartition("/")[0])
+        self.check_place(member.place, workspace)
         message = await self.peers.collect_answer(
-            self.address_of(daemon_id),
-            AnswerQuery(key_digest, claim_id, ""),
+            member.peer_address,
+            AnswerQuery(key_digest, claim_id, workspace),
             timeout_ms=COLLECT_TIMEOUT_MS,
         )
         return decode_collected(message)
 
-    def address_of(self, daemon_id: str) -> str:
-        """Find a daemon's peer address; raises BerylcartError."""
+    def find_member(self, daemon_id: str) -> Member:
+        """Find a live daemon; raises BerylcartError."""
         members = self.membership.live_members() if self.membership else []
         for member in members:
             if member.daemon_id == daemon_id:
-                return member.peer_address
+                return member
         raise BerylcartError(
             Code.PEER_UNAVAILABLE, f"{daemon_id} is not a live member"
         )
 
+    def check_place(self, place: str, workspace: str) -> None:
+        """Raise BerylcartError unless data may come from a place."""
+        owner = self.configurations.require().workspaces.get(workspace)
+        if owner is None or place not in owner.places:
+            raise BerylcartError(
+                Code.PLACE_NOT_PERMITTED,
+                f"{place} may not handle workspace {workspace}",
+            )
+
 
 class PeerDesk:
     """Answer the calls of other daemons."""
--- a/packages/berylcart/src/berylcart/coordination/claims.py
+++ b/packages/berylcart/src/berylcart/coordination/claims.py
@@ -36,14 +36,14 @@
 MARKS_PER_KEEP = 8
 FOLLOW_PAUSE_S = 0.01
 
-CollectFrom = Callable[[str, str, str], Awaitable[Collected]]
+CollectFrom = Callable[[str, str, str, str], Awaitable[Collected]]
 
 
 class ClaimKeeper:
     """Claim, run and answer requests at most once; call run() in a task.
 
-    collect_from(claimant, key_digest, claim_id) asks the daemon of that id
-    and incarnation, and raises BerylcartError when it is gone.
+    collect_from(claimant, key_digest, claim_id, workspace) asks the daemon
+    of that id and incarnation, and raises BerylcartError when it is gone.
     """
 
     def __init__(
@@ -192,7 +192,10 @@
         try:
             with anyio.fail_after(wait_s):
                 return await self.collect_from(
-                    holder.claimant, key_digest, holder.claim_id
+                    holder.claimant,
+                    key_digest,
+                    holder.claim_id,
+                    holder.workspace,
                 )
         except (BerylcartError, TimeoutError):
             return Collected(CollectState.UNKNOWN)
--- a/packages/berylcart/src/berylcart/state/claim_ledger.py
+++ b/packages/berylcart/src/berylcart/state/claim_ledger.py
@@ -34,6 +34,7 @@
     claimant: str
     fingerprint: str
     expires_ms: int
+    workspace: str
     ran: str = ""
     code: int = 0
     answer_digest: str = ""
@@ -196,7 +197,11 @@
     def _hold(self, claim: Claim) -> None:
         expires_ms = expiry_ms(claim, self.log_time_ms, self.rules)
         self.holders[claim.key_digest] = Holder(
-            claim.claim_id, claim.claimant, claim.fingerprint, expires_ms
+            claim.claim_id,
+            claim.claimant,
+            claim.fingerprint,
+            expires_ms,
+            claim.workspace,
         )
         bucket = expires_ms // EXPIRY_BUCKET_MS
         self.expiries.setdefault(bucket, []).append(claim.key_digest)
--- a/packages/berylcart/tests/coordination/serving_fakes.py
+++ b/packages/berylcart/tests/coordination/serving_fakes.py
@@ -164,7 +164,7 @@
     )
 
 
-async def collect_nothing(claimant, key_digest, claim_id):
+async def collect_nothing(claimant, key_digest, claim_id, workspace):
     """Reach no other daemon."""
     raise BerylcartError(Code.PEER_UNAVAILABLE, "no peers here")
 
--- a/packages/berylcart/tests/coordination/test_claims.py
+++ b/packages/berylcart/tests/coordination/test_claims.py
@@ -32,7 +32,7 @@
             for n in range(count)
         ]
 
-    async def collect_from(self, claimant, key_digest, claim_id):
+    async def collect_from(self, claimant, key_digest, claim_id, workspace):
         """Ask the keeper of that name unless it is unreachable."""
         if claimant in self.unreachable:
             raise BerylcartError(Code.PEER_UNAVAILABLE, claimant)
--- a/packages/berylcart/tests/coordination/test_claims_faults.py
+++ b/packages/berylcart/tests/coordination/test_claims_faults.py
@@ -110,7 +110,7 @@
         await self.gate()
         return page
 
-    async def collect_from(self, claimant, key_digest, claim_id):
+    async def collect_from(self, claimant, key_digest, claim_id, workspace):
         """Ask another daemon, which answers unless it is frozen or dead."""
         await self.gate()
         for daemon in self.lab.daemons:
