--- a/packages/berylcart/src/berylcart/coordination/admission_table.py
+++ b/packages/berylcart/src/berylcart/coordination/admission_table.py
@@ -1,4 +1,4 @@
-"""Keep one admission for each target that callers ask for."""
+"""Keep one admission for each pool that bounds what callers ask for."""
 
 from collections import Counter
 from collections.abc import AsyncIterator, Sequence
@@ -6,7 +6,7 @@
 
 from berylcart.coordination.admission import Admission, AdmissionSettings
 from berylcart.coordination.stage_policy import StagePolicy
-from berylcart.state.config import Service, Workspace
+from berylcart.state.config import Service, ServiceKind, Workspace
 from berylcart.state.errors import BerylcartError, Code, UpstreamError
 
 MEDIAN = 0.5
@@ -14,8 +14,22 @@
 MS_PER_S = 1000
 
 
+def bounding_pool(target: str, stages: Sequence[Service]) -> str:
+    """Name what bounds a target: its engines' pool, else the target.
+
+    >>> model = Service("model", ServiceKind.ENGINE, frozenset())
+    >>> ranker = Service("ranker", ServiceKind.RERANKER, frozenset())
+    >>> bounding_pool("answer", [ranker, model])
+    'model'
+    >>> bounding_pool("ranker", [ranker])
+    'ranker'
+    """
+    engines = [s.name for s in stages if s.kind is ServiceKind.ENGINE]
+    return engines[0] if engines else target
+
+
 class AdmissionTable:
-    """Admit requests by target; all targets share the entry's own limit."""
+    """Admit requests by pool; all pools share the entry's own limit."""
 
     def __init__(
         self,
@@ -30,12 +44,12 @@
         self.max_in_flight = max_in_flight
         self.is_admitting = is_admitting
         self.in_flight = 0
-        self.targets: dict[str, Admission] = {}
+        self.pools: dict[str, Admission] = {}
 
     def heaviest(self) -> list[tuple[str, int]]:
         """List the workspaces with the most requests here, and how many."""
         total: Counter[str] = Counter()
-        for admission in self.targets.values():
+        for admission in self.pools.values():
             total.update(admission.by_workspace)
         return total.most_common(HEAVIEST)
 
@@ -68,6 +82,12 @@
         finally:
             self.in_flight -= 1
 
+    def find(self, pool: str) -> Admission:
+        """Find the admission of a pool, or begin one."""
+        if pool not in self.pools:
+            self.pools[pool] = Admission(self.settings)
+        return self.pools[pool]
+
     @asynccontextmanager
     async def enter(
         self,
@@ -76,11 +96,8 @@
         stages: Sequence[Service],
         left_s: float,
     ) -> AsyncIterator[None]:
-        """Hold a slot of one target, and tell it of overloaded upstreams."""
-        admission = self.targets.get(target)
-        if admission is None:
-            admission = Admission(self.settings)
-            self.targets[target] = admission
+        """Hold a slot of one pool, and tell it of overloaded upstreams."""
+        admission = self.find(bounding_pool(target, stages))
         expected_ms = self.expected_ms(stages)
         async with admission.admit(
             workspace, expected_ms, left_s * MS_PER_S
