Order engines from the daemons, by the duty of each pool

Cause: duties stood in the library but no daemon held one, and nothing spoke orders over HTTP. Not proved here: a frozen holder over real processes (in-memory tests of test_duties.py in the library cover it).

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -32,6 +32,10 @@
 from berylcart.transport.http_server import QuietServer, make_server
 from berylcart.transport.listening import address_of, bind
 from berylcart.transport.log_client import HttpLog
+from berylcart.transport.order_client import (
+    HttpEngineOrders,
+    HttpWeightStore,
+)
 from berylcart.transport.peer_client import GrpcPeers
 from berylcart.transport.peer_server import PeerServer
 from berylcart.transport.upstream_client import HttpUpstreams
@@ -40,6 +44,7 @@
 from berylcart_daemon.api import Parts, make_app
 from berylcart_daemon.caller_request import BodyBudget
 from berylcart_daemon.config_exchange import ConfigExchange
+from berylcart_daemon.duty_watch import DutyWatch
 from berylcart_daemon.entry_door import CurrentConfiguration, EntryDoor
 from berylcart_daemon.hooks import DaemonHooks
 from berylcart_daemon.metrics import Metrics
@@ -96,8 +101,8 @@
         self.build_platform()
         self.build_policy()
         self.build_peers()
+        self.duties = self.build_duties()
         self.server = self.build_server()
-        self.started_at_s = 0.0
 
     def build_platform(self) -> None:
         """Connect to the platform's log and VM list."""
@@ -153,6 +158,20 @@
         desk = PeerDesk(self.membership, self.exchange, self.claims)
         self.peer_server = PeerServer(desk, self.settings.daemon.peer_address)
 
+    def build_duties(self) -> DutyWatch | None:
+        """Build what orders engines, where a weight store is known."""
+        address = self.settings.platform.weight_store_address
+        if address is None:
+            return None
+        return DutyWatch(
+            self.log,
+            self.configs,
+            self.directory,
+            self.membership,
+            HttpEngineOrders(self.client),
+            HttpWeightStore(address, self.client),
+        )
+
     def membership_settings(self) -> MembershipSettings:
         """Translate the settings of membership."""
         return MembershipSettings(
@@ -262,6 +281,8 @@
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.exchange.run, self.membership)
         tasks.start_soon(self.announce_readiness)
+        if self.duties is not None:
+            tasks.start_soon(self.duties.run)
 
     async def announce_readiness(self) -> None:
         """Enter and leave the entry list as this daemon can serve."""
--- a/packages/berylcart-daemon/src/berylcart_daemon/settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/settings.py
@@ -47,6 +47,7 @@
     log_address: Address
     vm_list_address: Address
     vm_list_interval_ms: Milliseconds = 500
+    weight_store_address: Address | None = None
 
 
 class PeerSettings(NamedTuple):
--- /dev/null
+++ b/packages/berylcart-tools/tests/standins/test_duties.py
@@ -0,0 +1,128 @@
+"""Order running engines through the duty of a pool, over HTTP."""
+
+import anyio
+import pytest
+from berylcart.coordination.duties import (
+    DutyKeeper,
+    DutySettings,
+    PoolView,
+)
+from berylcart.coordination.duty_ports import Desired, Order
+from berylcart.state.vm import Vm, VmRole, VmState
+from berylcart.transport.http_client import HttpClient
+from berylcart.transport.memory_log import MemoryLog
+from berylcart.transport.order_client import (
+    HttpEngineOrders,
+    HttpWeightStore,
+)
+from berylcart_tools.standins.engine import EngineSettings, serve_engine
+from berylcart_tools.standins.registration import (
+    UpstreamSettings,
+    instance_name,
+)
+from berylcart_tools.standins.serve import running
+from berylcart_tools.standins.weight_store import (
+    WeightStoreSettings,
+    serve_weight_store,
+)
+
+UPSTREAM = UpstreamSettings("model", "lahore-1", "model-1", incarnation=1)
+STORE = WeightStoreSettings(loads_per_s=1000, load_s=0.01)
+SETTINGS = DutySettings(verify_ms=20, take_jitter_ms=5)
+PATIENCE_S = 20
+POLL_S = 0.02
+
+
+def engine_vm(address):
+    return Vm(
+        UPSTREAM.vm_id,
+        1,
+        address,
+        UPSTREAM.place,
+        VmRole.UPSTREAM,
+        UPSTREAM.service,
+        VmState.LIVE,
+        instance_name(UPSTREAM),
+    )
+
+
+class Wish:
+    """Hold what the configuration wants."""
+
+    def __init__(self, *models):
+        self.models = models
+
+    def __call__(self):
+        """Give it."""
+        return Desired(self.models)
+
+
+def keeper(name, log, vm, wish, orders, store, live):
+    view = PoolView(lambda: (vm,), wish, lambda daemon_id: daemon_id in live)
+    return DutyKeeper(log, "model", name, view, orders, store, SETTINGS)
+
+
+async def until_models(orders, vm, models):
+    while True:
+        state = await orders.state(vm)
+        if state.desired.models == models:
+            return state
+        await anyio.sleep(POLL_S)
+
+
+@pytest.mark.parametrize("is_fencing_checked", [True, False])
+def test_engine_follows_the_newest_wish_and_holder(is_fencing_checked):
+    async def scenario():
+        log = MemoryLog()
+        wish = Wish("first")
+        live = {"d1", "d2"}
+        engine = EngineSettings(
+            UPSTREAM, is_fencing_checked=is_fencing_checked
+        )
+        async with (
+            HttpClient() as client,
+            running(serve_weight_store, STORE) as store_address,
+            running(
+                serve_engine, engine._replace(weight_store=store_address)
+            ) as address,
+            anyio.create_task_group() as tasks,
+        ):
+            vm = engine_vm(address)
+            orders = HttpEngineOrders(client)
+            store = HttpWeightStore(store_address, client)
+            first = keeper("d1", log, vm, wish, orders, store, live)
+            second = keeper("d2", log, vm, wish, orders, store, live)
+            first_run = anyio.CancelScope()
+
+            async def run_first():
+                with first_run:
+                    await first.run()
+
+            with anyio.fail_after(PATIENCE_S):
+                tasks.start_soon(run_first)
+                before = await until_models(orders, vm, ("first",))
+                first_run.cancel()
+                live.remove("d1")
+                wish.models = ("first", "second")
+                tasks.start_soon(second.run)
+                after = await until_models(orders, vm, ("first", "second"))
+            assert after.fencing > before.fencing
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+def test_engine_that_checks_refuses_an_old_number():
+    async def scenario():
+        engine = EngineSettings(UPSTREAM, is_fencing_checked=True)
+        async with (
+            HttpClient() as client,
+            running(serve_engine, engine) as address,
+        ):
+            vm = engine_vm(address)
+            orders = HttpEngineOrders(client)
+            assert await orders.order(vm, Order(7, Desired(("new",))))
+            assert not await orders.order(vm, Order(6, Desired(("old",))))
+            assert (await orders.state(vm)).desired.models == ("new",)
+
+    anyio.run(scenario)
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/order_client.py
@@ -0,0 +1,104 @@
+"""Order engines and ask the weight store over HTTP."""
+
+from berylcart.coordination.duty_ports import Order
+from berylcart.protocol.order_messages import (
+    read_grant,
+    read_state,
+    write_load,
+    write_order,
+)
+from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
+from berylcart.state.vm import Vm
+from berylcart.transport.http_client import (
+    HttpAnswer,
+    HttpClient,
+    HttpRequest,
+    retry_after_ms,
+)
+
+ORDERS_PATH = "/v1/orders"
+LOADS_PATH = "/v1/loads"
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATE_TIMEOUT_MS = 1000
+# An engine answers an order once its weights are there.
+ORDER_TIMEOUT_MS = 120_000
+GRANT_TIMEOUT_MS = 2000
+
+
+def unexpected(vm: Vm, answer: HttpAnswer) -> UpstreamError:
+    """Describe an answer that the protocol does not know."""
+    return UpstreamError(
+        Code.UPSTREAM_FAILED,
+        f"{vm.vm_id} answered an order with status {answer.status}",
+        ran=Ran.UNKNOWN,
+    )
+
+
+class HttpEngineOrders:
+    """Implement the EngineOrders port over HTTP."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self.client = client
+
+    async def order(self, vm: Vm, order: Order) -> bool:
+        """Apply an order; False when its fencing number is too old.
+
+        Raises BerylcartError.
+        """
+        answer = await self.client.request(
+            HttpRequest(
+                "POST",
+                vm.address,
+                ORDERS_PATH,
+                write_order(order),
+                (("Expected-Instance", vm.instance),),
+                ORDER_TIMEOUT_MS,
+            )
+        )
+        if answer.status == STATUS_CONFLICT:
+            return False
+        if answer.status != STATUS_OK:
+            raise unexpected(vm, answer)
+        return True
+
+    async def state(self, vm: Vm) -> Order:
+        """Read the order in force; raises BerylcartError."""
+        answer = await self.client.request(
+            HttpRequest(
+                "GET", vm.address, ORDERS_PATH, timeout_ms=STATE_TIMEOUT_MS
+            )
+        )
+        if answer.status != STATUS_OK:
+            raise unexpected(vm, answer)
+        return read_state(answer.body)
+
+
+class HttpWeightStore:
+    """Implement the WeightStore port over HTTP; address is IP:PORT."""
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        self.address = address
+        self.client = client
+
+    async def load(self, instance: str, model: str) -> float:
+        """Grant one load and return its duration in seconds.
+
+        Raises BerylcartError with retry_after_ms over the store's rate.
+        """
+        answer = await self.client.request(
+            HttpRequest(
+                "POST",
+                self.address,
+                LOADS_PATH,
+                write_load(instance, model),
+                timeout_ms=GRANT_TIMEOUT_MS,
+            )
+        )
+        if answer.status != STATUS_OK:
+            raise BerylcartError(
+                Code.OVERLOADED,
+                f"the weight store answered with status {answer.status}",
+                retry_after_ms=retry_after_ms(answer.headers),
+            )
+        return read_grant(answer.body)
