Hold a workspace's limit across entries, by gossiped demand

Cause: each entry held the whole limit, so seven entries admitted seven times what the operator wrote. Ruled out: an exact limit through the log, which would cost an append for each request. Only the heaviest workspaces of each entry are gossiped.

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -154,6 +154,7 @@
             hooks,
         )
         collector.membership = self.membership
+        self.admission.demand_elsewhere = self.membership.demand_for
         self.directory.on_leaving = self.membership.mark_leaving
         desk = PeerDesk(self.membership, self.exchange, self.claims)
         self.peer_server = PeerServer(desk, self.settings.daemon.peer_address)
--- a/packages/berylcart/src/berylcart/coordination/admission_table.py
+++ b/packages/berylcart/src/berylcart/coordination/admission_table.py
@@ -1,7 +1,7 @@
 """Keep one admission for each pool that bounds what callers ask for."""
 
 from collections import Counter
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
 from berylcart.coordination.admission import Admission, AdmissionSettings
@@ -28,6 +28,11 @@
     return engines[0] if engines else target
 
 
+def no_demand(workspace: str) -> int:
+    """Know of no demand at other entries."""
+    return 0
+
+
 class AdmissionTable:
     """Admit requests by pool; all pools share the entry's own limit."""
 
@@ -45,13 +50,26 @@
         self.is_admitting = is_admitting
         self.in_flight = 0
         self.pools: dict[str, Admission] = {}
+        self.by_workspace: Counter[str] = Counter()
+        self.demand_elsewhere: Callable[[str], int] = no_demand
 
     def heaviest(self) -> list[tuple[str, int]]:
         """List the workspaces with the most requests here, and how many."""
-        total: Counter[str] = Counter()
-        for admission in self.pools.values():
-            total.update(admission.by_workspace)
-        return total.most_common(HEAVIEST)
+        return self.by_workspace.most_common(HEAVIEST)
+
+    def check_workspace(self, workspace: Workspace) -> None:
+        """Raise WORKSPACE_LIMIT at the limit that all entries share.
+
+        What other entries report is late, so the limit is approximate.
+        """
+        here = self.by_workspace[workspace.name]
+        total = here + self.demand_elsewhere(workspace.name)
+        if total >= workspace.max_in_flight:
+            raise BerylcartError(
+                Code.WORKSPACE_LIMIT,
+                f"{total} requests of {workspace.name} are in flight",
+                retry_after_ms=MS_PER_S,
+            )
 
     def expected_ms(self, stages: Sequence[Service]) -> float:
         """Estimate how long a target's stages take together."""
@@ -72,7 +90,9 @@
                 f"{self.in_flight} requests are in flight at this entry",
                 retry_after_ms=MS_PER_S,
             )
+        self.check_workspace(workspace)
         self.in_flight += 1
+        self.by_workspace[workspace.name] += 1
         try:
             if not self.is_admitting:
                 yield
@@ -81,6 +101,9 @@
                 yield
         finally:
             self.in_flight -= 1
+            self.by_workspace[workspace.name] -= 1
+            if not self.by_workspace[workspace.name]:
+                del self.by_workspace[workspace.name]
 
     def find(self, pool: str) -> Admission:
         """Find the admission of a pool, or begin one."""
--- a/packages/berylcart/tests/coordination/test_serving.py
+++ b/packages/berylcart/tests/coordination/test_serving.py
@@ -302,3 +302,18 @@
         assert reply.output == {"text": "abcd"}
 
     run(scenario)
+
+
+def test_workspace_limit_counts_what_other_entries_report():
+    async def scenario():
+        rig = Rig()
+        limit = CONFIGURATION.workspaces["both"].max_in_flight
+        rig.admission.demand_elsewhere = {"both": limit}.get
+        error = await rig.refusal("enc")
+        assert error.code is Code.WORKSPACE_LIMIT
+        assert error.ran is Ran.NO
+        assert error.retry_after_ms
+        rig.admission.demand_elsewhere = {"both": limit - 1}.get
+        assert await rig.serve("enc")
+
+    run(scenario)
