Run claims of one ordering key in the log's order, on any entry

Cause: Ordering-Key held only within one daemon; the cooperative's requests must be answered in order whichever entry took them. Ways weighed: a home daemon for each ordering key (a hop, and a failover to get right); a lock with a lease (unsafe under pauses). The claims already have one order, the log's: a granted claim waits until the earlier claims of its ordering key are settled, asking their claimants, who answer at once when they finish. A claimant that is gone is passed over. Limit: a pipeline keeps the order stage by stage across entries.

--- a/packages/berylcart/src/berylcart/coordination/claims.py
+++ b/packages/berylcart/src/berylcart/coordination/claims.py
@@ -20,15 +20,22 @@
     still_running,
     unavailable,
 )
+from berylcart.coordination.claim_turns import wait_turn
 from berylcart.coordination.own_claims import OwnClaims
 from berylcart.coordination.ports import Log
-from berylcart.state.claim_keys import fingerprint, issue_key, read_key
+from berylcart.state.claim_keys import (
+    fingerprint,
+    issue_key,
+    order_digest,
+    read_key,
+)
 from berylcart.state.claim_ledger import (
     ClaimLedger,
     Holder,
     Verdict,
     time_mark,
 )
+from berylcart.state.claim_order import OrderedClaim
 from berylcart.state.errors import BerylcartError, Ran
 from berylcart.state.records import Claim
 
@@ -88,10 +95,12 @@
         body: bytes,
         *,
         stage: str = "",
+        ordering_key: str = "",
         timeout_ms: int | None = None,
     ) -> Granted | Found:
         """Claim a request, or find what an earlier send of it led to.
 
+        Granted claims of one ordering key run in the log's order.
         Raises KEY_CONFLICT, KEY_EXPIRED, CLAIMS_UNAVAILABLE, OUTCOME_UNKNOWN
         and DEADLINE_EXCEEDED as BerylcartError.
         """
@@ -104,6 +113,7 @@
             claim_id="",
             fingerprint=fingerprint(body),
             issued_ms=wanted.issued_ms,
+            ordering_digest=order_digest(workspace, ordering_key),
         )
         wait_ms = timeout_ms or self.settings.claim_timeout_ms
         deadline = anyio.current_time() + wait_ms / MS_PER_S
@@ -134,6 +144,7 @@
             claim = self.own.name(draft)
             judgement = await self.own.append(claim, deadline)
             if judgement.verdict is Verdict.GRANTED:
+                await self._wait_turn(claim, deadline)
                 return Granted(claim.claim_id)
             check_verdict(judgement.verdict, self.settings.batch.down_ms)
             holder = judgement.holder
@@ -143,6 +154,18 @@
             check_verdict(Verdict.CONFLICT, 0)
         return await self._follow(draft.key_digest, holder, deadline)
 
+    async def _wait_turn(self, claim: Claim, deadline: float) -> None:
+        """Wait for earlier claims; give the own one up on any failure."""
+        if not claim.ordering_digest:
+            return
+        try:
+            await wait_turn(
+                claim, lambda: self.ledger, self._collect_earlier, deadline
+            )
+        except BaseException:
+            self.release(claim.claim_id)
+            raise
+
     def _check_before_append(self, draft: Claim) -> None:
         """Spare the log a claim that is refused anyway."""
         down_ms = self.own.batch.down_ms()
@@ -186,16 +209,29 @@
     ) -> Collected:
         if anyio.current_time() >= deadline:
             raise still_running()
-        if holder.claimant == self.claimant:
-            return await self.collect(key_digest, holder.claim_id)
+        return await self._ask(
+            holder.claimant, key_digest, holder.claim_id, holder.workspace
+        )
+
+    async def _collect_earlier(self, earlier: OrderedClaim) -> Collected:
+        return await self._ask(
+            earlier.claimant,
+            earlier.key_digest,
+            earlier.claim_id,
+            earlier.workspace,
+        )
+
+    async def _ask(
+        self, claimant: str, key_digest: str, claim_id: str, workspace: str
+    ) -> Collected:
+        """Ask a claimant, be it this daemon; a silent one knows nothing."""
+        if claimant == self.claimant:
+            return await self.collect(key_digest, claim_id)
         wait_s = 2 * self.settings.collect_wait_ms / MS_PER_S
         try:
             with anyio.fail_after(wait_s):
                 return await self.collect_from(
-                    holder.claimant,
-                    key_digest,
-                    holder.claim_id,
-                    holder.workspace,
+                    claimant, key_digest, claim_id, workspace
                 )
         except (BerylcartError, TimeoutError):
             return Collected(CollectState.UNKNOWN)
--- a/packages/berylcart/src/berylcart/coordination/serving.py
+++ b/packages/berylcart/src/berylcart/coordination/serving.py
@@ -226,6 +226,7 @@
             task.workspace,
             task.claim_name,
             body_bytes(request.payload),
+            ordering_key=request.ordering_key,
             timeout_ms=max(1, int(left_s * MS_PER_S)),
         )
         if isinstance(verdict, Found):
--- a/packages/berylcart/src/berylcart/state/claim_keys.py
+++ b/packages/berylcart/src/berylcart/state/claim_keys.py
@@ -66,3 +66,12 @@
     return IdempotencyKey(
         digest(workspace, service, stage, key), issued_ms(key)
     )
+
+
+def order_digest(workspace: str, ordering_key: str) -> str:
+    """Hash an ordering key within its workspace; no key has no digest.
+
+    >>> order_digest("w", ""), len(order_digest("w", "raft-7"))
+    ('', 32)
+    """
+    return digest(workspace, ordering_key) if ordering_key else ""
--- a/packages/berylcart/src/berylcart/state/claim_ledger.py
+++ b/packages/berylcart/src/berylcart/state/claim_ledger.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
+from berylcart.state.claim_order import ClaimOrder, OrderedClaim
 from berylcart.state.records import Claim, LogEntry, Outcome, Release
 
 BEGINNING_MS = -(1 << 62)
@@ -138,6 +139,7 @@
         self.log_time_ms = 0
         self.holders: dict[str, Holder] = {}
         self.expiries: dict[int, list[str]] = {}
+        self.order = ClaimOrder()
 
     def holder(self, key_digest: str) -> Holder | None:
         """Find the claim that holds a key."""
@@ -182,6 +184,7 @@
         holder = self.holder(record.key_digest)
         if holder is None or holder.claim_id != record.claim_id:
             return
+        self.order.settle(record.claim_id)
         self.holders[record.key_digest] = holder._replace(
             ran=record.ran,
             code=record.code,
@@ -192,6 +195,7 @@
     def _(self, record: Release) -> None:
         holder = self.holder(record.key_digest)
         if holder is not None and holder.claim_id == record.claim_id:
+            self.order.settle(record.claim_id)
             del self.holders[record.key_digest]
 
     def _hold(self, claim: Claim) -> None:
@@ -203,6 +207,15 @@
             expires_ms,
             claim.workspace,
         )
+        if claim.ordering_digest:
+            ordered = OrderedClaim(
+                claim.ordering_digest,
+                claim.claim_id,
+                claim.claimant,
+                claim.key_digest,
+                claim.workspace,
+            )
+            self.order.add(ordered)
         bucket = expires_ms // EXPIRY_BUCKET_MS
         self.expiries.setdefault(bucket, []).append(claim.key_digest)
 
@@ -221,4 +234,5 @@
         for key in key_digests:
             holder = self.holders.get(key)
             if holder is not None and holder.expires_ms < self.log_time_ms:
+                self.order.settle(holder.claim_id)
                 del self.holders[key]
--- a/packages/berylcart/src/berylcart/state/records.py
+++ b/packages/berylcart/src/berylcart/state/records.py
@@ -42,6 +42,7 @@
     """Claim the sole right to run a non-idempotent request.
 
     issued_ms is the log time that a dated key carries, 0 for a plain key.
+    An empty ordering_digest waits for no other claim.
     """
 
     key_digest: str
@@ -51,6 +52,7 @@
     claim_id: str
     fingerprint: str
     issued_ms: int = 0
+    ordering_digest: str = ""
 
 
 class Outcome(NamedTuple):
