--- a/packages/berylcart-daemon/src/berylcart_daemon/api.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/api.py
@@ -1,19 +1,17 @@
 """Answer callers over HTTP."""
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol, TypedDict
+from typing import NamedTuple
 
 import anyio
 from berylcart import events
 from berylcart.coordination.serving import Server
 from berylcart.protocol.answers import answer_bytes
-from berylcart.protocol.problem import problem_reply
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.request import ServeReply, ServeRequest
 from berylcart.state.stage import StageChunk
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 from starlette.types import Receive, Scope, Send
 
@@ -22,73 +20,12 @@
     BodyShare,
     parse_request,
 )
+from berylcart_daemon.door import UNKNOWN, Door
+from berylcart_daemon.info_pages import InfoPages, unknown_path
 from berylcart_daemon.metrics import Metrics
 from berylcart_daemon.reply_stream import ReplyStream
 from berylcart_daemon.settings import LimitSettings
 
-UNKNOWN = "unknown"
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-
-
-class EntryAnswer(TypedDict):
-    """Show one entry that a caller may use."""
-
-    daemon_id: str
-    address: str
-    place: str
-
-
-class EntriesAnswer(TypedDict):
-    """Show the entries to use and how long to keep the answer."""
-
-    entries: list[EntryAnswer]
-    keep_ms: int
-
-
-class StatusAnswer(TypedDict):
-    """Show what this daemon knows."""
-
-    daemon_id: str
-    incarnation: int
-    place: str
-    config_version: int
-    config_as_of_offset: int
-    is_ready: bool
-    is_draining: bool
-    in_flight: int
-    members: list[dict[str, str | int | float]]
-    pools: dict[str, list[str]]
-    leaving: list[str]
-    refused: dict[str, int]
-
-
-class Door(Protocol):
-    """Tell whether the daemon takes new requests, and what it knows."""
-
-    def check_open(self) -> None:
-        """Raise BerylcartError DRAINING when it takes no new request."""
-        ...
-
-    def check_ready(self) -> None:
-        """Raise BerylcartError when it cannot serve."""
-        ...
-
-    def entries(self, workspace: str) -> EntriesAnswer:
-        """List the entries for a workspace, best first."""
-        ...
-
-    def status(self) -> StatusAnswer:
-        """Describe the daemon."""
-        ...
-
-    def note_refused(self, error: BerylcartError) -> None:
-        """Count an error answer."""
-        ...
-
-    def labels(self, request: ServeRequest) -> tuple[str, str]:
-        """Give the tier and target under which a request is counted."""
-        ...
-
 
 class Parts(NamedTuple):
     """Hold what the endpoints need."""
@@ -253,54 +190,6 @@
             return
 
 
-def problem_response(error: BerylcartError) -> Response:
-    """Build the answer for an error."""
-    reply = problem_reply(error)
-    return Response(reply["body"], reply["status"], reply["headers"])
-
-
-async def unknown_path(request: Request, fault: Exception) -> Response:
-    """Answer a path or method that does not exist."""
-    detail = f"{request.method} {request.url.path} does not exist"
-    return problem_response(BerylcartError(Code.UNKNOWN_TARGET, detail))
-
-
-def info_routes(parts: Parts) -> list[Route]:
-    """Build the endpoints that describe the daemon."""
-
-    async def entries(request: Request) -> Response:
-        workspace = request.query_params.get("workspace", "")
-        try:
-            return JSONResponse(parts.door.entries(workspace))
-        except BerylcartError as error:
-            return problem_response(error)
-
-    async def status(request: Request) -> Response:
-        return JSONResponse(parts.door.status())
-
-    async def metrics(request: Request) -> Response:
-        return PlainTextResponse(parts.metrics.text(), media_type=METRICS_TYPE)
-
-    async def healthz(request: Request) -> Response:
-        return PlainTextResponse("ok\n")
-
-    async def readyz(request: Request) -> Response:
-        try:
-            parts.door.check_open()
-            parts.door.check_ready()
-        except BerylcartError as error:
-            return PlainTextResponse(f"{error}\n", status_code=503)
-        return PlainTextResponse("ready\n")
-
-    return [
-        Route("/v1/entries", entries),
-        Route("/v1/status", status),
-        Route("/metrics", metrics),
-        Route("/healthz", healthz),
-        Route("/readyz", readyz),
-    ]
-
-
 def make_app(parts: Parts) -> Starlette:
     """Build the ASGI application of an entry."""
     pipelines = ServeEndpoint(parts, is_pipeline=True)
@@ -309,7 +198,7 @@
         routes=[
             Route("/v1/pipelines/{name}", pipelines, methods=["POST"]),
             Route("/v1/services/{name}", services, methods=["POST"]),
-            *info_routes(parts),
+            *InfoPages(parts.door, parts.metrics).routes(),
         ],
         exception_handlers={404: unknown_path, 405: unknown_path},
     )
--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -16,6 +16,7 @@
 from berylcart.coordination.claims import ClaimKeeper
 from berylcart.coordination.config_keeper import ConfigKeeper
 from berylcart.coordination.ejection import Ejector
+from berylcart.coordination.key_issuer import KeyIssuer
 from berylcart.coordination.latency import LatencyTable
 from berylcart.coordination.load_poller import LoadPoller
 from berylcart.coordination.load_table import LoadTable
@@ -202,6 +203,8 @@
             self.directory,
             self.membership,
             self.admission,
+            KeyIssuer(self.log),
+            claim_settings(self.settings).rules.claim_keep_ms,
         )
         upstreams = HttpUpstreams(self.client)
         runner = StageRunner(upstreams, self.policy)
--- a/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
@@ -5,16 +5,18 @@
 
 from berylcart.coordination.admission_table import AdmissionTable
 from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.coordination.key_issuer import KeyIssuer
 from berylcart.coordination.membership import Membership
 from berylcart.coordination.vm_directory import VmDirectory
 from berylcart.state.config import Configuration, Workspace
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.request import ServeRequest
 
-from berylcart_daemon.api import (
+from berylcart_daemon.door import (
     UNKNOWN,
     EntriesAnswer,
     EntryAnswer,
+    KeysAnswer,
     StatusAnswer,
 )
 
@@ -65,12 +67,16 @@
         directory: VmDirectory,
         membership: Membership,
         admission: AdmissionTable,
+        issuer: KeyIssuer,
+        claim_keep_ms: int,
     ) -> None:
         self.place = place
         self.configs = configs
         self.directory = directory
         self.membership = membership
         self.admission = admission
+        self.issuer = issuer
+        self.claim_keep_ms = claim_keep_ms
         self.is_draining = False
         self.is_closed = False
         self.refused: Counter[str] = Counter()
@@ -142,6 +148,15 @@
         ]
         return EntriesAnswer(entries=rows, keep_ms=chosen.keep_ms)
 
+    async def issue_keys(self, count: int) -> KeysAnswer:
+        """Issue dated idempotency keys; raises CLAIMS_UNAVAILABLE."""
+        keys = await self.issuer.issue(count)
+        return KeysAnswer(keys=keys, keep_ms=self.claim_keep_ms)
+
+    def config_version(self) -> int:
+        """Give the configuration version in force here."""
+        return self.configs.current.version
+
     def labels(self, request: ServeRequest) -> tuple[str, str]:
         """Give the tier and target under which a request is counted."""
         configuration = self.configuration()
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/info_pages.py
@@ -0,0 +1,96 @@
+"""Answer the pages that describe the daemon."""
+
+from berylcart.protocol.problem import problem_reply
+from berylcart.state.errors import BerylcartError, Code
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from berylcart_daemon.door import Door
+from berylcart_daemon.metrics import Metrics
+
+MAX_KEYS = 1000
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+def problem_response(error: BerylcartError) -> Response:
+    """Build the answer for an error."""
+    reply = problem_reply(error)
+    return Response(reply["body"], reply["status"], reply["headers"])
+
+
+async def unknown_path(request: Request, fault: Exception) -> Response:
+    """Answer a path or method that does not exist."""
+    detail = f"{request.method} {request.url.path} does not exist"
+    return problem_response(BerylcartError(Code.UNKNOWN_TARGET, detail))
+
+
+def read_count(text: str) -> int:
+    """Read how many keys are wanted; raises BAD_REQUEST.
+
+    >>> read_count("3")
+    3
+    """
+    is_number = text.isascii() and text.isdecimal() and len(text) < 6
+    if not is_number or not 1 <= int(text) <= MAX_KEYS:
+        raise BerylcartError(
+            Code.BAD_REQUEST, f"count must be from 1 to {MAX_KEYS}"
+        )
+    return int(text)
+
+
+class InfoPages:
+    """Serve the daemon's state, entries, keys, metrics and health."""
+
+    def __init__(self, door: Door, metrics: Metrics) -> None:
+        self.door = door
+        self.metrics = metrics
+
+    def routes(self) -> list[Route]:
+        """List the pages."""
+        return [
+            Route("/v1/entries", self.entries),
+            Route("/v1/keys", self.keys),
+            Route("/v1/status", self.status),
+            Route("/metrics", self.show_metrics),
+            Route("/healthz", self.healthz),
+            Route("/readyz", self.readyz),
+        ]
+
+    async def entries(self, request: Request) -> Response:
+        """List the entries for a workspace."""
+        workspace = request.query_params.get("workspace", "")
+        try:
+            return JSONResponse(self.door.entries(workspace))
+        except BerylcartError as error:
+            return problem_response(error)
+
+    async def keys(self, request: Request) -> Response:
+        """Issue idempotency keys."""
+        try:
+            count = read_count(request.query_params.get("count", "1"))
+            return JSONResponse(await self.door.issue_keys(count))
+        except BerylcartError as error:
+            return problem_response(error)
+
+    async def status(self, request: Request) -> Response:
+        """Describe what the daemon knows."""
+        return JSONResponse(self.door.status())
+
+    async def show_metrics(self, request: Request) -> Response:
+        """Show the metrics for Prometheus."""
+        self.metrics.config_version.set(self.door.config_version())
+        return PlainTextResponse(self.metrics.text(), media_type=METRICS_TYPE)
+
+    async def healthz(self, request: Request) -> Response:
+        """Show that the process runs."""
+        return PlainTextResponse("ok\n")
+
+    async def readyz(self, request: Request) -> Response:
+        """Show whether the daemon can serve."""
+        try:
+            self.door.check_open()
+            self.door.check_ready()
+        except BerylcartError as error:
+            return PlainTextResponse(f"{error}\n", status_code=503)
+        return PlainTextResponse("ready\n")
--- a/packages/berylcart-daemon/tests/test_api.py
+++ b/packages/berylcart-daemon/tests/test_api.py
@@ -88,10 +88,19 @@
             raise BerylcartError(Code.UNKNOWN_WORKSPACE, "unknown")
         return {"entries": [], "keep_ms": 5000}
 
+    async def issue_keys(self, count):
+        """Issue numbered keys."""
+        keys = [f"key-{number}" for number in range(count)]
+        return {"keys": keys, "keep_ms": 1000}
+
     def status(self):
         """Describe nothing."""
         return {}
 
+    def config_version(self):
+        """Have version 3 in force."""
+        return 3
+
     def labels(self, request):
         """Label everything alike."""
         return ("standard", "target")
@@ -374,6 +383,7 @@
             'target="target",tier="standard"} 1.0' in text
         )
         assert 'code="1000"' in text
+        assert "berylcart_config_version 3.0" in text
         assert "berylcart_request_seconds_bucket" in text
 
     serving(scenario)
@@ -394,6 +404,19 @@
     serving(scenario)
 
 
+def test_keys_are_issued_within_a_bound():
+    async def scenario(rig):
+        request = HttpRequest("GET", rig.address, "/v1/keys?count=2")
+        answer = await rig.client.request(request)
+        assert json.loads(answer.body)["keys"] == ["key-0", "key-1"]
+        for count in ("0", "1001", "x", "9" * 30):
+            path = f"/v1/keys?count={count}"
+            request = HttpRequest("GET", rig.address, path)
+            problem(await rig.client.request(request), Code.BAD_REQUEST)
+
+    serving(scenario)
+
+
 def test_answer_cut_short_is_seen_by_the_client():
     async def scenario(rig):
         rig.server.is_stuck = True
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_key_issuer.py
@@ -0,0 +1,56 @@
+"""Check that issued keys carry the log's time."""
+
+import anyio
+import pytest
+from berylcart.coordination.key_issuer import KeyIssuer
+from berylcart.state.claim_keys import issued_ms
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.transport.memory_log import MemoryLog
+
+from .serving_fakes import run
+
+AHEAD_MS = 5_000_000
+
+
+def ahead_ms():
+    """Read a log's clock that is far from the runtime's."""
+    return AHEAD_MS + int(anyio.current_time() * 1000)
+
+
+def test_keys_are_dated_by_the_log_and_all_different():
+    async def scenario():
+        log = MemoryLog(clock_ms=ahead_ms)
+        issuer = KeyIssuer(log)
+        before_ms = ahead_ms()
+        keys = await issuer.issue(3)
+        await anyio.sleep(2)
+        later = await issuer.issue(1)
+        assert len(set(keys)) == 3
+        assert all(issued_ms(key) == before_ms for key in keys)
+        assert issued_ms(later[0]) == before_ms + 2000
+        assert log.append_calls == 1
+
+    run(scenario)
+
+
+def test_time_is_read_again_after_a_minute():
+    async def scenario():
+        log = MemoryLog(clock_ms=ahead_ms)
+        issuer = KeyIssuer(log)
+        await issuer.issue(1)
+        await anyio.sleep(61)
+        await issuer.issue(1)
+        assert log.append_calls == 2
+
+    run(scenario)
+
+
+def test_log_that_is_down_issues_no_key():
+    async def scenario():
+        log = MemoryLog()
+        log.is_down = True
+        with pytest.raises(BerylcartError) as caught:
+            await KeyIssuer(log).issue(1)
+        assert caught.value.code is Code.CLAIMS_UNAVAILABLE
+
+    run(scenario)
