Hedge only what is really late, with a budget for each service

Cause: with one hedge budget for all stages, cheap stages spent it at their p95 all the time, and engine hedges found it empty when an engine became 5 times slower. Change: a budget for each service, and a hedge after the larger of p95 and twice the median.

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -11,7 +11,7 @@
 from berylcart.coordination.admission import AdmissionSettings
 from berylcart.coordination.admission_table import AdmissionTable
 from berylcart.coordination.attempts import StageRunner
-from berylcart.coordination.budgets import RetryBudget
+from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
 from berylcart.coordination.claim_results import ClaimSettings
 from berylcart.coordination.claims import ClaimKeeper
 from berylcart.coordination.config_keeper import ConfigKeeper
@@ -67,7 +67,7 @@
         ejector=ejector,
         latencies=LatencyTable(),
         retries=RetryBudget(settings.policy.retry_ratio, RETRY_BURST),
-        hedges=RetryBudget(settings.policy.hedge_ratio, RETRY_BURST),
+        hedges=ServiceBudgets(settings.policy.hedge_ratio, RETRY_BURST),
         policy=policy,
     )
 
--- a/packages/berylcart/src/berylcart/coordination/attempts.py
+++ b/packages/berylcart/src/berylcart/coordination/attempts.py
@@ -150,7 +150,7 @@
         Raises BerylcartError with the last attempt's code.
         """
         run = StageRun(task, progress, sink)
-        self.policy.note_fresh()
+        self.policy.note_fresh(task.service.name)
         while True:
             vm = self.policy.choose(
                 task.service, task.workspace, task.payload, run.tried
--- a/packages/berylcart/src/berylcart/coordination/budgets.py
+++ b/packages/berylcart/src/berylcart/coordination/budgets.py
@@ -1,8 +1,11 @@
 """Bound extra attempts to a share of the requests."""
 
+from cachetools import LRUCache
+
 RETRY_RATIO = 0.10
 HEDGE_RATIO = 0.05
 DEFAULT_BURST = 10
+MAX_SERVICES = 256
 
 
 class RetryBudget:
@@ -34,3 +37,38 @@
             return False
         self.tokens -= 1
         return True
+
+
+class ServiceBudgets:
+    """Keep one budget for each service.
+
+    Extra attempts of a cheap stage then never use up a costly one's.
+
+    >>> budgets = ServiceBudgets(ratio=0.5, burst=1)
+    >>> budgets.try_take("encoder"), budgets.try_take("encoder")
+    (True, False)
+    >>> budgets.try_take("model")
+    True
+    """
+
+    def __init__(
+        self, ratio: float = HEDGE_RATIO, burst: float = DEFAULT_BURST
+    ) -> None:
+        self.ratio = ratio
+        self.burst = burst
+        self.budgets: LRUCache[str, RetryBudget] = LRUCache(MAX_SERVICES)
+
+    def note_request(self, service: str) -> None:
+        """Earn the share of one fresh request to a service."""
+        self._find(service).note_request()
+
+    def try_take(self, service: str) -> bool:
+        """Spend a token of a service, if there is one."""
+        return self._find(service).try_take()
+
+    def _find(self, service: str) -> RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.ratio, self.burst)
+            self.budgets[service] = budget
+        return budget
--- a/packages/berylcart/src/berylcart/coordination/stage_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/stage_policy.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from berylcart.coordination.budgets import RetryBudget
+from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
 from berylcart.coordination.ejection import Ejector
 from berylcart.coordination.latency import LatencyTable
 from berylcart.coordination.load_table import LoadTable
@@ -20,6 +20,8 @@
 NO_UPSTREAM_RETRY_AFTER_MS = 1000
 PREFIX_CHARS = 256
 HEDGE_QUANTILE = 0.95
+HEDGE_FACTOR = 2.0
+MEDIAN = 0.5
 MS_PER_S = 1000
 
 
@@ -41,7 +43,7 @@
     ejector: Ejector
     latencies: LatencyTable
     retries: RetryBudget
-    hedges: RetryBudget
+    hedges: ServiceBudgets
     policy: Policy
 
 
@@ -109,14 +111,14 @@
             affinity=affinity_of(service, payload),
             exclude=frozenset(tried),
         )
-        if vm is None or not self.parts.hedges.try_take():
+        if vm is None or not self.parts.hedges.try_take(service.name):
             return None
         return vm
 
-    def note_fresh(self) -> None:
+    def note_fresh(self, service: str) -> None:
         """Let a fresh stage earn its share of extra attempts."""
         self.parts.retries.note_request()
-        self.parts.hedges.note_request()
+        self.parts.hedges.note_request(service)
 
     def may_retry(self) -> bool:
         """Spend retry budget on one more attempt."""
@@ -136,7 +138,9 @@
         """Give the time after which a hedge is worth its cost, if ever."""
         if not service.is_idempotent or not self.parts.policy.is_hedging:
             return None
-        return self.expected_ms(service, HEDGE_QUANTILE) or None
+        late_ms = self.expected_ms(service, HEDGE_QUANTILE)
+        typical_ms = self.expected_ms(service, MEDIAN)
+        return max(late_ms, HEDGE_FACTOR * typical_ms) or None
 
     def mark_leaving(self, vm: Vm) -> None:
         """Give an upstream that drains no new work."""
--- a/packages/berylcart/tests/coordination/serving_fakes.py
+++ b/packages/berylcart/tests/coordination/serving_fakes.py
@@ -8,7 +8,7 @@
 from berylcart.coordination.admission import AdmissionSettings
 from berylcart.coordination.admission_table import AdmissionTable
 from berylcart.coordination.attempts import StageRunner
-from berylcart.coordination.budgets import RetryBudget
+from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
 from berylcart.coordination.claims import ClaimKeeper
 from berylcart.coordination.ejection import Ejector
 from berylcart.coordination.latency import LatencyTable
@@ -192,7 +192,7 @@
             ejector,
             LatencyTable(),
             RetryBudget(0.1, 10),
-            RetryBudget(0.05, 10),
+            ServiceBudgets(0.05, 10),
             DEFAULT_POLICY,
         )
         policy = StagePolicy(self.parts)
--- a/packages/berylcart/tests/coordination/test_budgets.py
+++ b/packages/berylcart/tests/coordination/test_budgets.py
@@ -1,6 +1,6 @@
 """Check that extra attempts stay within their share."""
 
-from berylcart.coordination.budgets import RetryBudget
+from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,3 +16,12 @@
         elif budget.try_take():
             taken += 1
     assert taken <= 3 + 0.1 * requests + 1e-9
+
+
+def test_one_services_budget_is_not_another_ones():
+    budgets = ServiceBudgets(ratio=0.1, burst=2)
+    taken = [budgets.try_take("encoder") for _ in range(5)]
+    assert taken.count(True) == 2
+    assert budgets.try_take("model")
+    budgets.note_request("model")
+    assert not budgets.try_take("encoder")
