Count wasted work; keep rejections and load from ejecting replicas

Cause: a caller's malformed payloads, or a refusal as overloaded, counted as a replica's failure: three in a row ejected it. Work of losers and failures was not counted at all. Ruled out: telling the ejector of every refusal with less weight.

--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -197,6 +197,7 @@
         """Build the HTTP server for callers."""
         limits = self.settings.limits
         self.metrics = Metrics()
+        self.policy.on_waste = self.metrics.note_waste
         self.door = EntryDoor(
             self.settings.daemon.place,
             self.configs,
--- a/packages/berylcart-daemon/src/berylcart_daemon/metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/metrics.py
@@ -1,5 +1,6 @@
 """Count requests, stages and costs for Prometheus."""
 
+from berylcart.coordination.stage_policy import Waste
 from berylcart.state.errors import BerylcartError
 from berylcart.state.request import StageReport
 from prometheus_client import (
@@ -68,6 +69,12 @@
             ["service", "unit"],
             registry=self.registry,
         )
+        self.wasted_seconds = Counter(
+            "berylcart_wasted_seconds",
+            "Time of attempts whose work was for nothing.",
+            ["service", "why"],
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "berylcart_attempts",
             "Attempts sent to upstreams.",
@@ -108,6 +115,11 @@
         self.stage_cost.labels(service, "tokens").inc(report.usage.tokens)
         self.stage_cost.labels(service, "seconds").inc(report.usage.seconds)
 
+    def note_waste(self, service: str, latency_ms: float, why: Waste) -> None:
+        """Count the time of an attempt that came to nothing."""
+        seconds = latency_ms / MS_PER_S
+        self.wasted_seconds.labels(service, why.value).inc(seconds)
+
     def text(self) -> bytes:
         """Write all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/berylcart/src/berylcart/coordination/stage_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/stage_policy.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Callable, Iterator, Set
+from enum import StrEnum
 from typing import Any, NamedTuple, Protocol
 
 import anyio
@@ -33,6 +34,13 @@
         ...
 
 
+class Waste(StrEnum):
+    """Say why an attempt's work was for nothing."""
+
+    CANCELLED = "cancelled"
+    FAILED = "failed"
+
+
 class PolicyParts(NamedTuple):
     """Hold the parts that a policy combines."""
 
@@ -65,6 +73,7 @@
     def __init__(self, parts: PolicyParts) -> None:
         self.parts = parts
         self.on_use: Callable[[Vm], None] = ignore
+        self.on_waste: Callable[[str, float, Waste], None] = ignore
 
     def pool(self, service: Service, workspace: str) -> tuple[Vm, ...]:
         """List the upstreams that the newest configuration permits."""
@@ -160,20 +169,33 @@
         self.parts.load_table.started(vm)
         try:
             yield
-        except BerylcartError:
-            self.note_end(vm, elapsed_ms(started_at_s), is_ok=False)
+        except BerylcartError as error:
+            self.note_failure(vm, elapsed_ms(started_at_s), error)
             raise
         except BaseException:
             taken_ms = elapsed_ms(started_at_s)
             self.parts.load_table.cancelled(vm, taken_ms)
             self.parts.ejector.cancelled(vm, taken_ms)
+            self.on_waste(vm.service, taken_ms, Waste.CANCELLED)
             raise
-        self.note_end(vm, elapsed_ms(started_at_s), is_ok=True)
-
-    def note_end(self, vm: Vm, latency_ms: float, *, is_ok: bool) -> None:
-        """Learn from an attempt that ended by itself."""
-        self.parts.load_table.finished(vm, latency_ms, is_ok)
-        self.parts.ejector.note(vm, latency_ms, is_ok)
+        latency_ms = elapsed_ms(started_at_s)
+        self.parts.load_table.finished(vm, latency_ms, True)
+        self.parts.ejector.note(vm, latency_ms, True)
+
+    def note_failure(
+        self, vm: Vm, latency_ms: float, error: BerylcartError
+    ) -> None:
+        """Learn from an attempt that gave no reply.
+
+        A rejected payload is the caller's fault and a refusal as overloaded
+        is load; neither makes a replica a failing one.
+        """
+        if error.code is Code.UPSTREAM_REJECTED or error.retry_after_ms:
+            self.parts.load_table.cancelled(vm, 0.0)
+            return
+        self.parts.load_table.finished(vm, latency_ms, False)
+        self.parts.ejector.note(vm, latency_ms, False)
+        self.on_waste(vm.service, latency_ms, Waste.FAILED)
 
 
 def elapsed_ms(started_at_s: float) -> float:
--- a/packages/berylcart/tests/coordination/test_serving.py
+++ b/packages/berylcart/tests/coordination/test_serving.py
@@ -2,7 +2,8 @@
 
 import anyio
 import pytest
-from berylcart.state.errors import Code, Ran
+from berylcart.coordination.stage_policy import Waste
+from berylcart.state.errors import Code, Ran, UpstreamError
 from berylcart.state.vm import VmPage, VmState
 
 from .serving_fakes import CONFIGURATION, POOL, Rig, failed, run
@@ -317,3 +318,36 @@
         assert await rig.serve("enc")
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        UpstreamError(Code.UPSTREAM_REJECTED, "bad payload", ran=Ran.NO),
+        UpstreamError(Code.OVERLOADED, "full", ran=Ran.NO, retry_after_ms=100),
+    ],
+)
+def test_rejections_and_load_do_not_eject_a_replica(error):
+    async def scenario():
+        rig = Rig()
+        rig.upstreams.failures = {"enc-1": [error] * 50, "enc-2": [error] * 50}
+        for _ in range(20):
+            await rig.refusal("enc")
+        usable = rig.parts.ejector.usable(rig.directory.pool("enc"))
+        assert {vm.vm_id for vm in usable} == {"enc-1", "enc-2"}
+
+    run(scenario)
+
+
+def test_work_for_nothing_is_counted_by_its_cause():
+    async def scenario():
+        rig = Rig()
+        wasted = []
+        rig.server.runner.policy.on_waste = lambda *waste: wasted.append(waste)
+        rig.upstreams.failures = {"enc-1": [failed(Ran.UNKNOWN)]}
+        rig.upstreams.delay_s = {"enc-2": 60}
+        await rig.refusal("enc")
+        assert {why for _, _, why in wasted} >= {Waste.CANCELLED}
+        assert all(service == "enc" for service, _, _ in wasted)
+
+    run(scenario)
