--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,16 @@
 SOURCES := packages
 export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src
 
-.PHONY: demo test setup format check lint types layers unit
+.PHONY: demo test prove setup format check lint types layers unit
 
 demo: setup
 	$(BIN)/berylcart demo
 
 test: check unit
 
+prove: setup
+	for each in spec/*.py; do $(BIN)/python $$each || exit 1; done
+
 setup: $(VENV)/.installed
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
