--- a/packages/berylcart-tools/src/berylcart_tools/commands/publish.py
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/publish.py
@@ -75,7 +75,11 @@
         from berylcart.state.records import Publication
 
         from berylcart_tools.config_file import read_config_file
-        from berylcart_tools.publishing import publish_text, wait_in_force
+        from berylcart_tools.publishing import (
+            publish_text,
+            rejection,
+            wait_in_force,
+        )
 
         text = read_config_file(self.file)
         parse(text)
@@ -88,7 +92,7 @@
             self.timeout_s,
         )
         if verdict.version is None:
-            raise BerylcartError(Code.CONFIG_CONFLICT, verdict.reason)
+            raise rejection(verdict.reason)
         report(f"accepted as version {verdict.version}")
         total = len(self.entry)
         if total == 0:
--- a/packages/berylcart-tools/src/berylcart_tools/publishing.py
+++ b/packages/berylcart-tools/src/berylcart_tools/publishing.py
@@ -104,3 +104,16 @@
             if behind:
                 await anyio.sleep(POLL_S)
     return len(entries) - len(behind)
+
+
+def rejection(reason: str) -> BerylcartError:
+    """Read a verdict's reason back into the error that it names.
+
+    >>> rejection("4002 CONFIG_INVALID: line 3: unknown key").detail
+    'line 3: unknown key'
+    """
+    head, _, detail = reason.partition(": ")
+    number = head.partition(" ")[0]
+    if number.isdecimal() and int(number) in set(Code):
+        return BerylcartError(Code(int(number)), detail)
+    return BerylcartError(Code.CONFIG_CONFLICT, reason)
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -10,6 +10,7 @@
 
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol.peer_grpc import PeerStub
+from berylcart.state.config_text import MAX_TEXT_BYTES
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import (
     AnswerQuery,
@@ -22,7 +23,8 @@
 )
 from berylcart.transport.listening import split_address
 
-MAX_MESSAGE_BYTES = 4 * 2**20
+# A configuration text of the largest size, and its verdicts, must fit.
+MAX_MESSAGE_BYTES = 2 * MAX_TEXT_BYTES
 MAX_CHANNELS = 32
 MS_PER_S = 1000
 
