--- a/packages/berylcart/tests/coordination/test_membership.py
+++ b/packages/berylcart/tests/coordination/test_membership.py
@@ -270,7 +270,7 @@
     run_fleet(scenario, seed)
 
 
-@pytest.mark.parametrize("seed", (*SEEDS, 11))
+@pytest.mark.parametrize("seed", [*SEEDS, 11])
 def test_two_halves_rejoin_without_a_false_death(run_fleet, seed):
     async def scenario(fleet):
         nodes = await fleet.grow(12)
