Report an engine's load right when attempts begin and are cancelled

A test that polled for an idle engine passed without any cancelling: the report lagged by 200 ms and showed 0 in flight from the start. With no lag and slow steps it showed two faults: - a sequence was reported before it had joined the batch, so that in_flight was one too low, - a cancelled sequence stayed in the last report until the next change, for ever on an engine without other work.

--- a/packages/berylcart-tools/src/berylcart_tools/standins/engine.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/engine.py
@@ -102,7 +102,7 @@
 
     def load(self) -> Load:
         """Count the sequences that run and those that wait."""
-        return Load(len(self.batcher.active), self.batcher.queued)
+        return Load(self.batcher.running, self.batcher.queued)
 
     def is_full(self) -> bool:
         """Say whether a further sequence would be refused."""
--- a/packages/berylcart-tools/src/berylcart_tools/standins/engine_batch.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/engine_batch.py
@@ -119,6 +119,11 @@
         self.active: list[Sequence] = []
         self.arrived = anyio.Event()
 
+    @property
+    def running(self) -> int:
+        """Count the sequences that run and are still wanted."""
+        return sum(not sequence.is_cancelled for sequence in self.active)
+
     @property
     def queued(self) -> int:
         """Count the sequences that wait."""
@@ -160,8 +165,8 @@
         while self.waiting and len(self.active) < self.max_batch:
             sequence = heapq.heappop(self.waiting)[2]
             if not sequence.is_cancelled:
-                sequence.begin()
                 self.active.append(sequence)
+                sequence.begin()
 
     async def step(self) -> None:
         """Run one step of the batch."""
--- a/packages/berylcart-tools/tests/standins/test_log.py
+++ b/packages/berylcart-tools/tests/standins/test_log.py
@@ -139,6 +139,18 @@
     with_log(scenario)
 
 
+def test_dropped_answer_waits_for_a_call_with_an_effect():
+    async def scenario(log):
+        await set_faults(log, drop_answer=1)
+        await log.read("s", -1, wait_ms=0, limit=1)
+        refused = await send(log, "POST", "/v1/streams/s/records", b"?")
+        assert refused.status == 400
+        with pytest.raises(LogAmbiguousError):
+            await log.append("s", [RELEASE])
+
+    with_log(scenario)
+
+
 def test_expire_leaves_a_gap():
     async def scenario(log):
         await log.append("s", [RELEASE, RELEASE])
--- a/packages/berylcart-tools/tests/standins/test_upstream.py
+++ b/packages/berylcart-tools/tests/standins/test_upstream.py
@@ -23,7 +23,9 @@
 from berylcart_tools.standins.tokens import answer_text
 from berylcart_tools.standins.vm_list import VmListSettings, serve_vm_list
 
-UPSTREAM = UpstreamSettings("service", "lahore-1", "vm-1", incarnation=1)
+UPSTREAM = UpstreamSettings(
+    "service", "lahore-1", "vm-1", incarnation=1, load_lag_ms=0
+)
 PLAIN = PlainSettings(UPSTREAM, step_ms=1)
 ENGINE = EngineSettings(UPSTREAM, CostModel(step_ms=1), models=("drafts",))
 PROMPT = "hem the coat for a wedding"
@@ -308,6 +310,9 @@
             async with anyio.create_task_group() as tasks:
 
                 async def sink(chunk):
+                    # From here on the tokens take longer than the test.
+                    await bench.set_faults(slow_factor=100)
+                    assert not await bench.is_idle()
                     tasks.cancel_scope.cancel()
 
                 call = bench.stage_call(payload, is_stream=True)
--- a/packages/berylcart-tools/tests/standins/test_vm_list.py
+++ b/packages/berylcart-tools/tests/standins/test_vm_list.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 import trio
+from berylcart.protocol.vm_messages import write_vm
 from berylcart.state.vm import Vm, VmRole, VmState
 from berylcart.transport.http_client import HttpClient, HttpRequest
 from berylcart.transport.vm_list_client import HttpVmList, VmListError
@@ -78,11 +79,20 @@
     with_list(scenario)
 
 
-def test_vm_under_another_path_is_refused():
+def test_malformed_vm_is_refused():
     async def scenario(vm_list):
-        vm = VM._replace(vm_id="vm-2")
         with pytest.raises(VmListError):
-            await vm_list.put(vm._replace(address="nowhere:1"))
-        await vm_list.put(vm)
+            await vm_list.put(VM._replace(address="nowhere:1"))
+
+    with_list(scenario)
+
+
+def test_vm_under_another_path_is_refused():
+    async def scenario(vm_list):
+        request = HttpRequest(
+            "PUT", vm_list.address, "/v1/vms/vm-2", write_vm(VM)
+        )
+        assert (await vm_list.client.request(request)).status == 400
+        assert (await vm_list.fetch()).vms == ()
 
     with_list(scenario)
