Let a caller's Request-Id lead the daemon's own id

The daemon's own part keeps ids apart whatever callers send. Ruled out: taking the caller's id as it is (two requests could share it, and attempts with it).

--- a/packages/berylcart-daemon/src/berylcart_daemon/api.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/api.py
@@ -94,6 +94,7 @@
 
     async def serve(self, request: ServeRequest, reply: ReplyStream) -> None:
         """Serve a request and send its answer."""
+        reply.request_id = request.request_id
         started_at_s = anyio.current_time()
         tier, target = self.parts.door.labels(request)
         metrics = self.parts.metrics
--- a/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
@@ -17,9 +17,31 @@
 MS_PER_S = 1000
 DEFAULT_DEADLINE_MS = 3000
 KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}")
+REQUEST_ID_PATTERN = re.compile(r"[0-9A-Za-z._-]{1,64}")
+REQUEST_ID_BYTES = 8
 EVENT_STREAM = "text/event-stream"
 
 
+def make_request_id(wanted: str) -> str:
+    """Make an id of our own, with the caller's in front of it.
+
+    Raises BAD_REQUEST when the caller's id is malformed. Two requests never
+    share an id, whatever their callers send.
+
+    >>> make_request_id("visit-7").startswith("visit-7~")
+    True
+    """
+    own = secrets.token_hex(REQUEST_ID_BYTES)
+    if not wanted:
+        return own
+    if not REQUEST_ID_PATTERN.fullmatch(wanted):
+        raise BerylcartError(
+            Code.BAD_REQUEST,
+            "Request-Id must be 1 to 64 letters, digits, '.', '_' or '-'",
+        )
+    return f"{wanted}~{own}"
+
+
 def header_key(request: Request, name: str) -> str:
     """Read an optional key header; raises BerylcartError if malformed."""
     value = request.headers.get(name, "")
@@ -153,7 +175,7 @@
     ordering_key = header_key(request, "ordering-key")
     body = await read_body(request, limits, share)
     return ServeRequest(
-        request_id=secrets.token_hex(8),
+        request_id=make_request_id(request.headers.get("request-id", "")),
         workspace=workspace,
         target=request.path_params["name"],
         is_pipeline=is_pipeline,
--- a/packages/berylcart-daemon/src/berylcart_daemon/reply_stream.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/reply_stream.py
@@ -32,11 +32,14 @@
 
     def __init__(self, send: Send) -> None:
         self.send = send
+        self.request_id = ""
         self.has_begun = False
 
     async def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the status line and headers."""
         self.has_begun = True
+        if self.request_id:
+            headers = {**headers, "Request-Id": self.request_id}
         await self.send(
             {
                 "type": "http.response.start",
--- a/packages/berylcart-daemon/tests/test_api.py
+++ b/packages/berylcart-daemon/tests/test_api.py
@@ -183,9 +183,14 @@
             ("Deadline-Ms", "1234"),
             ("Idempotency-Key", "k-1"),
             ("Ordering-Key", "o-1"),
+            ("Request-Id", "visit-7"),
         )
-        await rig.post(headers=headers, path="pipelines/ask")
+        first = await rig.post(headers=headers, path="pipelines/ask")
+        second = await rig.post(headers=headers, path="pipelines/ask")
         request = rig.server.requests[0]
+        assert request.request_id.startswith("visit-7~")
+        assert first.headers["request-id"] == request.request_id
+        assert second.headers["request-id"] != request.request_id
         assert request.is_pipeline
         assert request.target == "ask"
         assert request.deadline_ms == 1234
@@ -208,6 +213,7 @@
         (b"{}", (WORKSPACE, ("Deadline-Ms", "1.5")), Code.DEADLINE_INVALID),
         (b"{}", (WORKSPACE, ("Deadline-Ms", "9" * 40)), Code.DEADLINE_INVALID),
         (b"{}", (WORKSPACE, ("Idempotency-Key", "a b")), Code.BAD_REQUEST),
+        (b"{}", (WORKSPACE, ("Request-Id", "a/b")), Code.BAD_REQUEST),
         (b" " * 1001, (WORKSPACE,), Code.BODY_TOO_LARGE),
     ],
 )
--- a/packages/berylcart-tools/src/berylcart_tools/caller.py
+++ b/packages/berylcart-tools/src/berylcart_tools/caller.py
@@ -28,6 +28,7 @@
     deadline_ms: int = 3000
     idempotency_key: str = ""
     ordering_key: str = ""
+    request_id: str = ""
 
 
 class Entry(NamedTuple):
@@ -60,6 +61,8 @@
         headers.append(("Idempotency-Key", call.idempotency_key))
     if call.ordering_key:
         headers.append(("Ordering-Key", call.ordering_key))
+    if call.request_id:
+        headers.append(("Request-Id", call.request_id))
     return tuple(headers)
 
 
--- a/packages/berylcart-tools/src/berylcart_tools/standins/witness.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/witness.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from berylcart import events
 from berylcart.protocol.json_values import to_plain
 from berylcart.protocol.upstream_messages import RunMessage
 from starlette.requests import Request
@@ -43,6 +44,7 @@
             now_ms(),
         )
         self.runs.append(run)
+        events.info("standin.ran", **run._asdict())
 
     def other_attempt(self, attempt_id: str) -> str:
         """Name another attempt, as a crossed answer does."""
