Begin no stage and no retry that can't end in time

Cause: under overload, requests that had waited still began their stages and were then late. A stage counts as too late when even the p10 of what is left does not fit. Both new tests fail without the change.

--- a/packages/berylcart/src/berylcart/coordination/attempts.py
+++ b/packages/berylcart/src/berylcart/coordination/attempts.py
@@ -228,6 +228,9 @@
             raise error
         if error.code is Code.UPSTREAM_REJECTED:
             raise error
+        left_s = task.deadline_at_s - anyio.current_time()
+        if not self.policy.can_finish([task.service], left_s):
+            raise error
         is_repeatable = task.service.is_idempotent
         if task.claim_name and error.ran is Ran.NO:
             is_repeatable = True
--- a/packages/berylcart/src/berylcart/coordination/serving.py
+++ b/packages/berylcart/src/berylcart/coordination/serving.py
@@ -1,6 +1,7 @@
 """Serve one request: check, admit, claim, run its stages."""
 
 import json
+from collections.abc import Sequence
 from typing import Any, NamedTuple, Protocol
 
 import anyio
@@ -151,6 +152,19 @@
             entries=self.entries.permitted_entries(workspace),
         )
 
+    def check_time(
+        self, request: ServeRequest, stages: Sequence[Service]
+    ) -> None:
+        """Begin no stage when what is left of them can't be in time."""
+        left_s = request.deadline_at_s - anyio.current_time()
+        if self.runner.policy.can_finish(stages, left_s):
+            return
+        raise BerylcartError(
+            Code.DEADLINE_TOO_CLOSE,
+            f"{left_s:.2f} s are too little for {stages[0].name} and after",
+            retry_after_ms=RETRY_AFTER_DEADLINE_MS,
+        )
+
     async def run_in_turn(
         self,
         request: ServeRequest,
@@ -175,6 +189,7 @@
         reports: list[StageReport] = []
         last = len(target.stages) - 1
         for index, service in enumerate(target.stages):
+            self.check_time(request, target.stages[index:])
             is_stream = request.is_stream and index == last
             task = self.stage_task(request, target, index, context, is_stream)
             result = await self.run_stage(
--- a/packages/berylcart/src/berylcart/coordination/stage_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/stage_policy.py
@@ -1,12 +1,13 @@
 """Choose the upstream of each attempt by the newest configuration."""
 
 import contextlib
-from collections.abc import Callable, Iterator, Set
+from collections.abc import Callable, Iterator, Sequence, Set
 from enum import StrEnum
 from typing import Any, NamedTuple, Protocol
 
 import anyio
 
+from berylcart.coordination import deadlines
 from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
 from berylcart.coordination.ejection import Ejector
 from berylcart.coordination.latency import LatencyTable
@@ -23,6 +24,7 @@
 HEDGE_QUANTILE = 0.95
 HEDGE_FACTOR = 2.0
 MEDIAN = 0.5
+FAST_QUANTILE = 0.1
 MS_PER_S = 1000
 
 
@@ -144,6 +146,14 @@
         """Estimate a stage's latency from recent ones."""
         return self.parts.latencies.quantile_ms(service.name, quantile, 0.0)
 
+    def can_finish(self, stages: Sequence[Service], left_s: float) -> bool:
+        """Say whether even fast attempts would end in the time left."""
+        fast = [
+            (stage.name, self.expected_ms(stage, FAST_QUANTILE))
+            for stage in stages
+        ]
+        return deadlines.can_finish(left_s * MS_PER_S, fast)
+
     def hedge_delay_ms(self, service: Service) -> float | None:
         """Give the time after which a hedge is worth its cost, if ever."""
         if not service.is_idempotent or not self.parts.policy.is_hedging:
--- a/packages/berylcart/tests/coordination/serving_fakes.py
+++ b/packages/berylcart/tests/coordination/serving_fakes.py
@@ -117,6 +117,7 @@
         self.ran: list[StageCall] = []
         self.failures: dict[str, list[UpstreamError]] = {}
         self.delay_s: dict[str, float] = {}
+        self.failure_delay_s = 0.0
         self.break_streams_at: list[int] = []
         self.repeat_first_chunk = False
 
@@ -125,6 +126,7 @@
         self.calls.append(call)
         failures = self.failures.get(call.vm.vm_id, [])
         if failures:
+            await anyio.sleep(self.failure_delay_s)
             error = failures.pop(0)
             if error.ran is not Ran.NO:
                 self.ran.append(call)
--- a/packages/berylcart/tests/coordination/test_serving.py
+++ b/packages/berylcart/tests/coordination/test_serving.py
@@ -336,6 +336,20 @@
         usable = rig.parts.ejector.usable(rig.directory.pool("enc"))
         assert {vm.vm_id for vm in usable} == {"enc-1", "enc-2"}
 
+
+def test_no_stage_begins_whose_followers_would_be_late():
+    async def scenario():
+        rig = Rig()
+        for _ in range(20):
+            rig.parts.latencies.record("enc", 10)
+            rig.parts.latencies.record("llm", 500)
+        deadline_at_s = anyio.current_time() + 0.4
+        rig.admission.is_admitting = False
+        error = await rig.refusal("ask", deadline_at_s=deadline_at_s)
+        assert error.code is Code.DEADLINE_TOO_CLOSE
+        assert error.ran is Ran.NO
+        assert rig.upstreams.calls == []
+
     run(scenario)
 
 
@@ -350,4 +364,20 @@
         assert {why for _, _, why in wasted} >= {Waste.CANCELLED}
         assert all(service == "enc" for service, _, _ in wasted)
 
+
+def test_no_retry_begins_that_would_be_late():
+    async def scenario():
+        rig = Rig()
+        for _ in range(20):
+            rig.parts.latencies.record("enc", 350)
+        rig.admission.is_admitting = False
+        rig.upstreams.failures = {
+            name: [failed(Ran.NO)] for name in ("enc-1", "enc-2")
+        }
+        rig.upstreams.failure_delay_s = 0.2
+        deadline_at_s = anyio.current_time() + 0.4
+        error = await rig.refusal("enc", deadline_at_s=deadline_at_s)
+        assert error.code is Code.UPSTREAM_FAILED
+        assert len(rig.upstreams.calls) == 1
+
     run(scenario)
