Let stand-ins send their answers without Nagle's delay

Cause: every answer took 44 ms (p50, one call at a time), because the body waited for the acknowledgement of the head. asyncio sets TCP_NODELAY only on sockets whose protocol number is named, which socket.create_server leaves at 0. Ruled out: the client, whose sockets asyncio creates itself.

--- a/packages/berylcart-tools/src/berylcart_tools/standins/serve.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/serve.py
@@ -26,11 +26,15 @@
     """
     host, _, port = address.rpartition(":")
     try:
-        return socket.create_server((host, int(port)), backlog=BACKLOG)
+        sock = socket.create_server((host, int(port)), backlog=BACKLOG)
     except (OSError, ValueError) as error:
         raise BerylcartError(
             Code.ADDRESS_IN_USE, f"cannot listen on {address}: {error}"
         ) from error
+    # Accepted sockets inherit it. asyncio sets it only on sockets that name
+    # their protocol, and Nagle's algorithm would hold back each body.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
 
 
 def bound_address(sock: socket.socket) -> str:
