--- a/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
@@ -54,7 +54,7 @@
     def start(self, name: str, module: str, arguments: Sequence[str]) -> None:
         """Start a module of this interpreter as a process of its own."""
         log_path = self.directory / f"{name}.log"
-        with log_path.open("wb") as log:
+        with log_path.open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
                 stdin=subprocess.DEVNULL,
