--- /dev/null
+++ b/packages/berylcart/tests/coordination/serving_fakes.py
@@ -0,0 +1,248 @@
+"""Fake upstreams and assemble a server around them."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import trio
+from berylcart.coordination.admission import AdmissionSettings
+from berylcart.coordination.admission_table import AdmissionTable
+from berylcart.coordination.attempts import StageRunner
+from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
+from berylcart.coordination.claims import ClaimKeeper
+from berylcart.coordination.ejection import Ejector
+from berylcart.coordination.latency import LatencyTable
+from berylcart.coordination.load_table import LoadTable
+from berylcart.coordination.routing import DEFAULT_POLICY
+from berylcart.coordination.serving import Server
+from berylcart.coordination.stage_policy import PolicyParts, StagePolicy
+from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.state.config import (
+    Configuration,
+    Pipeline,
+    Place,
+    Service,
+    ServiceKind,
+    Workspace,
+)
+from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
+from berylcart.state.request import ServeRequest
+from berylcart.state.stage import StageCall, StageChunk, StageReply, Usage
+from berylcart.state.vm import Vm, VmPage, VmRole, VmState
+from berylcart.transport.memory_log import MemoryLog
+from trio.testing import MockClock
+
+HERE = frozenset({"p1", "p2"})
+SERVICES = {
+    "enc": Service("enc", ServiceKind.ENCODER, HERE),
+    "llm": Service("llm", ServiceKind.ENGINE, HERE),
+    "book": Service("book", ServiceKind.PLAIN, HERE, is_idempotent=False),
+}
+CONFIGURATION = Configuration(
+    {name: Place(name, "r", {}) for name in ("p1", "p2")},
+    SERVICES,
+    {"ask": Pipeline("ask", ("enc", "llm"))},
+    {
+        "both": Workspace("both", HERE),
+        "one": Workspace("one", frozenset({"p1"})),
+    },
+)
+FLUSH_TIMEOUT_S = 10
+TOKENS = ("a", "b", "c", "d")
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run a scenario on a clock that jumps over every sleep."""
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def upstream(vm_id: str, service: str, place: str = "p1") -> Vm:
+    """Describe a live upstream."""
+    return Vm(
+        vm_id,
+        1,
+        "127.0.0.1:1",
+        place,
+        VmRole.UPSTREAM,
+        service,
+        VmState.LIVE,
+        f"{vm_id}/1",
+    )
+
+
+POOL = (
+    upstream("enc-1", "enc"),
+    upstream("enc-2", "enc", "p2"),
+    upstream("llm-1", "llm"),
+    upstream("llm-2", "llm", "p2"),
+    upstream("book-1", "book"),
+    upstream("book-2", "book", "p2"),
+)
+
+
+class FakeConfigurations:
+    """Give a configuration that a test may replace or withdraw."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = CONFIGURATION
+
+    def require(self) -> Configuration:
+        """Return it, or refuse."""
+        if self.configuration is None:
+            raise BerylcartError(Code.CONFIG_STALE, "withdrawn")
+        return self.configuration
+
+
+class FakeEntries:
+    """Name one other entry."""
+
+    def permitted_entries(self, workspace: Workspace) -> tuple[str, ...]:
+        """List it."""
+        return ("127.0.0.1:9",)
+
+
+class FakeVmList:
+    """Show the pool."""
+
+    async def fetch(self) -> VmPage:
+        """Return it."""
+        return VmPage(1, POOL)
+
+
+class FakeUpstreams:
+    """Run calls by a script and witness what ran."""
+
+    def __init__(self) -> None:
+        self.calls: list[StageCall] = []
+        self.ran: list[StageCall] = []
+        self.failures: dict[str, list[UpstreamError]] = {}
+        self.delay_s: dict[str, float] = {}
+        self.break_streams_at: list[int] = []
+        self.repeat_first_chunk = False
+
+    async def call(self, call: StageCall, sink=None) -> StageReply:
+        """Run one attempt."""
+        self.calls.append(call)
+        failures = self.failures.get(call.vm.vm_id, [])
+        if failures:
+            error = failures.pop(0)
+            if error.ran is not Ran.NO:
+                self.ran.append(call)
+            raise error
+        self.ran.append(call)
+        await anyio.sleep(self.delay_s.get(call.vm.vm_id, 0.01))
+        if call.is_stream:
+            await self.stream(call, sink)
+        output = {
+            "enc": {"vector": [1.0]},
+            "llm": {"text": "".join(TOKENS)},
+            "book": {"run": len(self.ran)},
+        }[call.service]
+        usage = Usage(1, 1, 0.01)
+        return StageReply(call.attempt_id, call.vm.instance, output, usage)
+
+    async def stream(self, call: StageCall, sink) -> None:
+        """Give tokens from the wanted offset, or break off."""
+        end = self.break_streams_at.pop(0) if self.break_streams_at else None
+        for offset in range(call.start_offset, len(TOKENS)):
+            if offset == end:
+                raise failed(Ran.UNKNOWN)
+            await sink(StageChunk(offset, TOKENS[offset]))
+            if self.repeat_first_chunk:
+                self.repeat_first_chunk = False
+                await sink(StageChunk(offset, TOKENS[offset]))
+
+    def runs_of(self, service: str) -> int:
+        """Count what ran of one service."""
+        return sum(call.service == service for call in self.ran)
+
+
+def failed(ran: Ran, *, is_draining: bool = False) -> UpstreamError:
+    """Make a failure of an attempt."""
+    return UpstreamError(
+        Code.UPSTREAM_FAILED, "scripted", ran=ran, is_draining=is_draining
+    )
+
+
+async def collect_nothing(claimant, key_digest, claim_id, workspace):
+    """Reach no other daemon."""
+    raise BerylcartError(Code.PEER_UNAVAILABLE, "no peers here")
+
+
+class Rig:
+    """Assemble a server in place p1 around fake upstreams."""
+
+    def __init__(self) -> None:
+        self.configurations = FakeConfigurations()
+        self.upstreams = FakeUpstreams()
+        self.directory = VmDirectory(FakeVmList())
+        self.directory.apply(VmPage(1, POOL))
+        self.log = MemoryLog()
+        self.claims = ClaimKeeper(self.log, "e1", 1, collect_nothing)
+        load_table = LoadTable()
+        ejector = Ejector()
+        router = DEFAULT_POLICY.make_router(
+            load_table, ejector, random.Random(1)
+        )
+        self.parts = PolicyParts(
+            self.configurations,
+            self.directory,
+            router,
+            load_table,
+            ejector,
+            LatencyTable(),
+            RetryBudget(0.1, 10),
+            ServiceBudgets(0.05, 10),
+            DEFAULT_POLICY,
+        )
+        policy = StagePolicy(self.parts)
+        self.admission = AdmissionTable(policy, AdmissionSettings(), 100)
+        self.server = Server(
+            "p1",
+            self.configurations,
+            FakeEntries(),
+            self.admission,
+            self.claims,
+            StageRunner(self.upstreams, policy),
+        )
+
+    def request(self, target: str, **changes) -> ServeRequest:
+        """Make a request with a deadline of 3 s."""
+        request = ServeRequest(
+            request_id="r1",
+            workspace="both",
+            target=target,
+            is_pipeline=target == "ask",
+            payload={"text": "hem", "prompt": "hem", "max_tokens": 4},
+            deadline_ms=3000,
+            deadline_at_s=anyio.current_time() + 3,
+        )
+        return request._replace(**changes)
+
+    async def serve(self, target: str, sink=None, **changes):
+        """Serve one request while the claims are kept."""
+        result = await self.outcome(target, sink, **changes)
+        if isinstance(result, BerylcartError):
+            raise result
+        return result
+
+    async def refusal(self, target: str, **changes) -> BerylcartError:
+        """Serve one request that must fail, and return its error."""
+        result = await self.outcome(target, None, **changes)
+        assert isinstance(result, BerylcartError)
+        return result
+
+    async def outcome(self, target: str, sink, **changes):
+        """Serve one request and return its reply or its error."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.claims.run)
+            try:
+                result = await self.server.serve(
+                    self.request(target, **changes), sink
+                )
+            except BerylcartError as error:
+                result = error
+            with anyio.move_on_after(FLUSH_TIMEOUT_S):
+                await self.claims.flush()
+            tasks.cancel_scope.cancel()
+        return result
