--- /dev/null
+++ b/packages/berylcart-tools/src/berylcart_tools/history/__init__.py
@@ -0,0 +1,1 @@
+"""Judge recorded histories of concurrent runs against each promise."""
