Break real processes and judge the histories that they leave

Cause: promises under failure were shown on a paused clock only. Found on the way: ports from the ephemeral range were taken by outgoing connections when two fleets started at once (a relay ended with address in use), so ports now come from below it, each process from a block of its own; a judge failed on a history without accepted versions. Ruled out: the daemons' own word for what ran.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,16 @@
 SOURCES := packages
 export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src
 
-.PHONY: demo test prove setup format check lint types layers unit proto
+.PHONY: demo test faults prove setup format check lint types layers unit proto
 
 demo: setup
 	$(BIN)/berylcart demo
 
 test: check unit
 
+faults: setup
+	$(BIN)/berylcart faults --pairs 10
+
 prove: setup
 	for each in spec/*.py; do $(BIN)/python $$each || exit 1; done
 
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/processes.py
@@ -8,13 +8,18 @@
 import sys
 import time
 from collections.abc import Sequence
-from contextlib import ExitStack
+from itertools import count as count_from
 from pathlib import Path
 from typing import NamedTuple
 
 import anyio
 
 PR_SET_PDEATHSIG = 1
+LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+PORT_COUNT = 22_000
+PORTS_PER_BLOCK = 500
+NEXT_PORT = count_from(os.getpid() * PORTS_PER_BLOCK)
 STOP_TIMEOUT_S = 5.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -26,13 +31,29 @@
     LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def can_listen(port: int) -> bool:
+    """Say whether a port is free on loopback."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
 def free_ports(count: int) -> list[int]:
-    """Ask the system for ports that are free now, all different."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
+    """Find free ports that the system gives to no outgoing connection.
+
+    Each process begins in a block of its own, so that several may look at
+    once, and goes on after the ports that it found before.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(NEXT_PORT) % PORT_COUNT
+        if can_listen(port):
+            ports.append(port)
+    return ports
 
 
 class Started(NamedTuple):
--- a/packages/berylcart-tools/src/berylcart_tools/history/events.py
+++ b/packages/berylcart-tools/src/berylcart_tools/history/events.py
@@ -11,7 +11,10 @@
 
 
 class Send(TypedDict):
-    """Record that a client sent a request."""
+    """Record that a client sent a request.
+
+    expected is the output that deterministic upstreams must give.
+    """
 
     kind: Literal["send"]
     at_ms: int
@@ -19,6 +22,7 @@
     client: str
     workspace: str
     key: NotRequired[str]
+    expected: NotRequired[object]
 
 
 class Answer(TypedDict):
--- a/packages/berylcart-tools/src/berylcart_tools/history/judge_config.py
+++ b/packages/berylcart-tools/src/berylcart_tools/history/judge_config.py
@@ -113,6 +113,8 @@
 ) -> list[Line[ev.Accepted]]:
     """List the versions that may still be in force somewhere at a time."""
     known = [line for line in accepted if line.event["at_ms"] <= at_ms]
+    if not known:
+        return []
     replaced_ms = [line.event["at_ms"] for line in known[1:]]
     return [
         line
--- a/packages/berylcart-tools/src/berylcart_tools/history/judge_results.py
+++ b/packages/berylcart-tools/src/berylcart_tools/history/judge_results.py
@@ -66,7 +66,15 @@
 
 
 def lost(history: History) -> Iterator[Violation]:
-    """Find whole answers given without a result of a stage that ran."""
+    """Find whole answers given without a result of a stage that ran.
+
+    Where a send says what output it expects, the answer itself shows that.
+    """
+    expecting = {
+        line.event["send_id"]
+        for line in history.sends
+        if "expected" in line.event
+    }
     used = {
         (line.event["send_id"], line.event["stage"]) for line in history.used
     }
@@ -74,6 +82,8 @@
     for answer in history.answers:
         if answer.event["status"] != "whole":
             continue
+        if answer.event["send_id"] in expecting:
+            continue
         for run in runs[answer.event["send_id"]]:
             if (run.event["send_id"], run.event["stage"]) not in used:
                 yield Violation(
@@ -144,6 +154,10 @@
         return None
     if "output" not in answer:
         return f"{send_id} got an answer without its output"
+    if "expected" in send:
+        if answer["output"] != send["expected"]:
+            return f"{send_id} got an output that is not its own"
+        return None
     if answer["output"] not in outputs.get(key_of(send), []):
         return f"{send_id} got an output that its stages did not give"
     return None
--- a/packages/berylcart-tools/src/berylcart_tools/main.py
+++ b/packages/berylcart-tools/src/berylcart_tools/main.py
@@ -12,6 +12,8 @@
 from berylcart_tools.commands.demo import Demo
 from berylcart_tools.commands.entries import Entries
 from berylcart_tools.commands.experiment import Experiment
+from berylcart_tools.commands.faults import Faults
+from berylcart_tools.commands.history import History
 from berylcart_tools.commands.load import Load
 from berylcart_tools.commands.publish import Publish
 from berylcart_tools.commands.report import Report
@@ -25,6 +27,8 @@
     | Demo
     | Entries
     | Experiment
+    | Faults
+    | History
     | Load
     | Publish
     | Report
--- a/packages/berylcart-tools/tests/history/test_judges.py
+++ b/packages/berylcart-tools/tests/history/test_judges.py
@@ -309,3 +309,18 @@
         cappa.invoke(HistoryCheck, argv=[str(path)])
     assert caught.value.code == CODE_INFO[Code.BAD_REQUEST].exit_status
     assert str(path) in capsys.readouterr().err
+
+
+def test_expected_output_is_held_against_the_answer():
+    sent = send(1, "s1") | {"expected": "own"}
+    right = answer(2, "s1", ran="yes", output="own")
+    wrong = answer(2, "s1", ran="yes", output="other")
+
+    def promises(events):
+        history = read_history(json.dumps(event) for event in events)
+        return [violation.promise for violation in judge_history(history)]
+
+    assert promises([sent, run(1, "a1", "s1", "model"), right]) == []
+    assert promises([sent, run(1, "a1", "s1", "model"), wrong]) == [
+        judge_results.WHOLE_ANSWERS
+    ]
