Ask a woken daemon which version it acts upon

The fault was the recorder's, not the daemon's: its status after SIGCONT shows version 1. Ruled out: dropping the check for woken daemons.

--- a/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
@@ -294,13 +294,20 @@
                 self.group.check_alive()
                 await anyio.sleep(POLL_S)
 
+    async def read_status(self, address: str) -> dict[str, Any]:
+        """Fetch what a daemon knows; raises HttpError."""
+        request = HttpRequest(
+            "GET", address, "/v1/status", timeout_ms=ADMIN_TIMEOUT_MS
+        )
+        answer = await self.client.request(request)
+        status: dict[str, Any] = from_json(answer.body)
+        return status
+
     async def wait_for_pools(self, address: str) -> None:
         """Wait until a daemon knows every upstream and every daemon."""
-        request = HttpRequest("GET", address, "/v1/status", timeout_ms=1000)
         with anyio.fail_after(READY_TIMEOUT_S):
             while True:
-                answer = await self.client.request(request)
-                if self.is_complete(from_json(answer.body)):
+                if self.is_complete(await self.read_status(address)):
                     return
                 await anyio.sleep(POLL_S)
 
--- a/packages/berylcart-tools/src/berylcart_tools/faults/perform.py
+++ b/packages/berylcart-tools/src/berylcart_tools/faults/perform.py
@@ -22,6 +22,7 @@
 from berylcart_tools.faults.recorder import Recorder, now_ms
 from berylcart_tools.history.events import (
     Died,
+    InForce,
     Joined,
     Leaving,
     StopPlanned,
@@ -42,6 +43,9 @@
     def address_of(self, process: str) -> str:
         """Find a stand-in's address."""
         layout = self.fleet.layout
+        if process in self.entries:
+            number = int(process.removeprefix("entry-")) - 1
+            return layout.entry_addresses[number]
         if process == "log":
             return layout.log_address
         if process.startswith("vm-list-"):
@@ -71,6 +75,18 @@
             )
         )
     stage.fleet.group.send(action.process, action.signal)
+    is_woken = action.signal is signal.SIGCONT
+    if is_woken and action.process in stage.entries:
+        await note_version(action.process, stage)
+
+
+async def note_version(entry: str, stage: Stage) -> None:
+    """Record the version that a woken daemon acts upon, 0 if on none."""
+    status = await stage.fleet.read_status(stage.address_of(entry))
+    version = status["config_version"] if status["is_ready"] else 0
+    stage.recorder.add(
+        InForce(kind="in_force", at_ms=now_ms(), daemon=entry, version=version)
+    )
 
 
 def note_entry_signal(action: SendSignal, recorder: Recorder) -> None:
