--- a/packages/berylcart-tools/tests/standins/test_serve.py
+++ b/packages/berylcart-tools/tests/standins/test_serve.py
@@ -8,13 +8,12 @@
 
 
 def test_accepted_connection_sends_small_writes_at_once():
-    with bind("127.0.0.1:0") as listener:
-        with socket.create_connection(listener.getsockname()):
-            accepted, _ = listener.accept()
-            with accepted:
-                assert accepted.getsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_NODELAY
-                )
+    with (
+        bind("127.0.0.1:0") as listener,
+        socket.create_connection(listener.getsockname()),
+        listener.accept()[0] as accepted,
+    ):
+        assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
 
 def test_taken_or_malformed_address_is_a_numbered_error():
