Settle a failed claim in one place

Cause: serving and run_once each decided between release and outcome. Ruled out: serving through run_once whole, which knows only an error's own ran, not the attempts that were open when a request was cancelled.

--- a/packages/berylcart/src/berylcart/coordination/run_once.py
+++ b/packages/berylcart/src/berylcart/coordination/run_once.py
@@ -10,14 +10,6 @@
 Run = Callable[[], Awaitable[StoredAnswer]]
 
 
-def unknown_answer(error: BaseException) -> StoredAnswer:
-    """Make the answer to a run whose end nobody saw."""
-    code = Code.OUTCOME_UNKNOWN
-    if isinstance(error, BerylcartError):
-        code = error.code
-    return StoredAnswer(Ran.UNKNOWN, int(code), b"")
-
-
 async def run_once(
     keeper: ClaimKeeper, claimed: Granted | Found, run: Run
 ) -> Found:
@@ -31,17 +23,29 @@
     try:
         answer = await run()
     except BaseException as error:
-        settle_failure(keeper, claimed.claim_id, error)
+        settle_failure(keeper, claimed.claim_id, ran_of(error), error)
         raise
     keeper.finish(claimed.claim_id, answer)
     return Found(answer.ran, answer.code, answer)
 
 
+def ran_of(error: BaseException) -> Ran:
+    """Say whether a run that ended in an error ran; others may have run.
+
+    >>> ran_of(BerylcartError(Code.OVERLOADED, "full")).value
+    'no'
+    """
+    return error.ran if isinstance(error, BerylcartError) else Ran.UNKNOWN
+
+
 def settle_failure(
-    keeper: ClaimKeeper, claim_id: str, error: BaseException
+    keeper: ClaimKeeper, claim_id: str, ran: Ran, error: BaseException
 ) -> None:
     """Release a claim that did not run, else record what is known."""
-    if isinstance(error, BerylcartError) and error.ran is Ran.NO:
+    if ran is Ran.NO:
         keeper.release(claim_id)
-    else:
-        keeper.finish(claim_id, unknown_answer(error))
+        return
+    code = Code.OUTCOME_UNKNOWN
+    if isinstance(error, BerylcartError):
+        code = error.code
+    keeper.finish(claim_id, StoredAnswer(ran, int(code), b""))
--- a/packages/berylcart/src/berylcart/coordination/serving.py
+++ b/packages/berylcart/src/berylcart/coordination/serving.py
@@ -17,6 +17,7 @@
 from berylcart.coordination.claims import ClaimKeeper
 from berylcart.coordination.ordering import OrderingQueue
 from berylcart.coordination.ports import ChunkSink
+from berylcart.coordination.run_once import settle_failure
 from berylcart.coordination.stage_payload import merge_output, stage_payload
 from berylcart.state.config import Configuration, Service, Workspace
 from berylcart.state.errors import BerylcartError, Code, Ran
@@ -253,13 +254,11 @@
     ) -> StageResult:
         """Run a claimed stage and settle its claim whatever happens."""
         stage_progress = Progress()
-        code = int(Code.OUTCOME_UNKNOWN)
         try:
             result = await self.runner.run(task, stage_progress)
         except BaseException as error:
-            if isinstance(error, BerylcartError):
-                code = int(error.code)
-            self.settle_failed(granted.claim_id, stage_progress.ran, code)
+            ran = stage_progress.ran
+            settle_failure(self.claims, granted.claim_id, ran, error)
             raise
         finally:
             progress.settle(stage_progress.ran)
@@ -268,13 +267,6 @@
         self.claims.finish(granted.claim_id, answer)
         return result
 
-    def settle_failed(self, claim_id: str, ran: Ran, code: int) -> None:
-        """Free the key if nothing ran, else record that it may have run."""
-        if ran is Ran.NO:
-            self.claims.release(claim_id)
-            return
-        self.claims.finish(claim_id, StoredAnswer(ran, code, b""))
-
 
 def found_result(service: str, found: Found) -> StageResult:
     """Take over what an earlier send led to; raises its error."""
