--- a/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/daemon.py
@@ -1,254 +1,21 @@
-"""Assemble and run one daemon."""
+"""Run one daemon from its start to its end."""
 
-import random
 import signal
-import time
-from collections.abc import Sequence
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 from berylcart import events
-from berylcart.coordination.admission import AdmissionSettings
-from berylcart.coordination.admission_table import AdmissionTable
-from berylcart.coordination.attempts import StageRunner
-from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
-from berylcart.coordination.claim_results import ClaimSettings
-from berylcart.coordination.claims import ClaimKeeper
-from berylcart.coordination.config_keeper import ConfigKeeper
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.key_issuer import KeyIssuer
-from berylcart.coordination.latency import LatencyTable
-from berylcart.coordination.load_poller import LoadPoller
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.membership_settings import MembershipSettings
-from berylcart.coordination.policies import load_policy
-from berylcart.coordination.serving import Server
-from berylcart.coordination.stage_policy import PolicyParts, StagePolicy
-from berylcart.coordination.vm_directory import VmDirectory
-from berylcart.state.claim_ledger import ClaimRules
-from berylcart.state.member_table import Member
-from berylcart.state.peer_messages import Demand
-from berylcart.transport.http_client import HttpClient
-from berylcart.transport.http_server import QuietServer, make_server
-from berylcart.transport.listening import address_of, bind
-from berylcart.transport.log_client import HttpLog
-from berylcart.transport.order_client import (
-    HttpEngineOrders,
-    HttpWeightStore,
-)
-from berylcart.transport.peer_client import GrpcPeers
-from berylcart.transport.peer_server import PeerServer
-from berylcart.transport.upstream_client import HttpUpstreams
-from berylcart.transport.vm_list_client import HttpVmList
 
-from berylcart_daemon.api import Parts, make_app
-from berylcart_daemon.caller_request import BodyBudget
-from berylcart_daemon.config_exchange import ConfigExchange
-from berylcart_daemon.duty_watch import DutyWatch
-from berylcart_daemon.entry_door import CurrentConfiguration, EntryDoor
-from berylcart_daemon.hooks import DaemonHooks
-from berylcart_daemon.metrics import Metrics
-from berylcart_daemon.peer_desk import AnswerCollector, PeerDesk
+from berylcart_daemon.parts import DaemonParts
 from berylcart_daemon.settings import Settings
 
-MS_PER_S = 1000
-RETRY_BURST = 10
 READINESS_PERIOD_S = 0.1
 FLUSH_TIMEOUT_S = 5.0
 FAREWELL_TIMEOUT_S = 2.0
 
 
-def policy_parts(
-    settings: Settings, configs: ConfigKeeper, directory: VmDirectory
-) -> PolicyParts:
-    """Build the parts that choose upstreams; raises SETTINGS_INVALID."""
-    policy = load_policy(settings.policy.name)
-    rng = random.Random(settings.policy.seed)
-    load_table = LoadTable()
-    ejector = Ejector()
-    return PolicyParts(
-        configurations=CurrentConfiguration(configs),
-        directory=directory,
-        router=policy.make_router(load_table, ejector, rng),
-        load_table=load_table,
-        ejector=ejector,
-        latencies=LatencyTable(),
-        retries=RetryBudget(settings.policy.retry_ratio, RETRY_BURST),
-        hedges=ServiceBudgets(settings.policy.hedge_ratio, RETRY_BURST),
-        policy=policy,
-    )
-
-
-def claim_settings(settings: Settings) -> ClaimSettings:
-    """Translate the settings of claims."""
-    keep_ms = int(settings.timing.claim_keep_s * MS_PER_S)
-    return ClaimSettings(
-        rules=ClaimRules(claim_keep_ms=keep_ms),
-        answer_keep_s=settings.timing.answer_keep_s,
-    )
-
-
-class Daemon:
-    """Hold the parts of one daemon and the order of its life."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
-        self.socket = bind(settings.daemon.http_address)
-        self.http_address = address_of(self.socket)
-        self.incarnation = time.time_ns()
-        self.client = HttpClient()
-        self.peers = GrpcPeers()
-        self.build_platform()
-        self.build_policy()
-        self.build_peers()
-        self.duties = self.build_duties()
-        self.server = self.build_server()
-
-    def build_platform(self) -> None:
-        """Connect to the platform's log and VM list."""
-        platform = self.settings.platform
-        self.log = HttpLog(platform.log_address, self.client)
-        vm_list = HttpVmList(platform.vm_list_address, self.client)
-        self.directory = VmDirectory(
-            vm_list, platform.vm_list_interval_ms / MS_PER_S
-        )
-        self.configs = ConfigKeeper(
-            self.log, lease_s=self.settings.timing.config_lease_s
-        )
-
-    def build_policy(self) -> None:
-        """Build what chooses upstreams and admits requests."""
-        parts = policy_parts(self.settings, self.configs, self.directory)
-        self.policy = StagePolicy(parts)
-        self.directory.on_change = self.policy.retain
-        self.admission = AdmissionTable(
-            self.policy,
-            AdmissionSettings(),
-            self.settings.limits.max_in_flight,
-            is_admitting=parts.policy.is_admitting,
-        )
-
-    def build_peers(self) -> None:
-        """Build membership, claims and what answers other daemons."""
-        collector = AnswerCollector(
-            self.peers, CurrentConfiguration(self.configs)
-        )
-        self.claims = ClaimKeeper(
-            self.log,
-            self.settings.daemon.id,
-            self.incarnation,
-            collector.collect,
-            claim_settings(self.settings),
-        )
-        self.exchange = ConfigExchange(
-            self.configs, self.directory, self.peers
-        )
-        hooks = DaemonHooks(
-            self.exchange, self.directory, self.load, self.demand
-        )
-        self.membership = Membership(
-            self.me(),
-            self.peers,
-            self.seeds,
-            self.membership_settings(),
-            hooks,
-        )
-        collector.membership = self.membership
-        self.admission.demand_elsewhere = self.membership.demand_for
-        self.directory.on_leaving = self.membership.mark_leaving
-        desk = PeerDesk(self.membership, self.exchange, self.claims)
-        self.peer_server = PeerServer(desk, self.settings.daemon.peer_address)
-
-    def build_duties(self) -> DutyWatch | None:
-        """Build what orders engines, where a weight store is known."""
-        address = self.settings.platform.weight_store_address
-        if address is None:
-            return None
-        return DutyWatch(
-            self.log,
-            self.configs,
-            self.directory,
-            self.membership,
-            HttpEngineOrders(self.client),
-            HttpWeightStore(address, self.client),
-        )
-
-    def membership_settings(self) -> MembershipSettings:
-        """Translate the settings of membership."""
-        return MembershipSettings(
-            probe_period_ms=self.settings.peers.probe_interval_ms,
-            entry_keep_ms=int(self.settings.timing.entries_keep_s * MS_PER_S),
-        )
-
-    def me(self) -> Member:
-        """Describe this daemon to the others."""
-        daemon = self.settings.daemon
-        return Member(
-            daemon.id,
-            self.incarnation,
-            daemon.peer_address,
-            self.http_address,
-            daemon.place,
-            is_leaving=True,
-        )
-
-    def build_server(self) -> QuietServer:
-        """Build the HTTP server for callers."""
-        limits = self.settings.limits
-        self.metrics = Metrics()
-        self.policy.on_waste = self.metrics.note_waste
-        self.door = EntryDoor(
-            self.settings.daemon.place,
-            self.configs,
-            self.directory,
-            self.membership,
-            self.admission,
-            KeyIssuer(self.log),
-            claim_settings(self.settings).rules.claim_keep_ms,
-        )
-        upstreams = HttpUpstreams(self.client)
-        runner = StageRunner(upstreams, self.policy)
-        self.poller = LoadPoller(
-            upstreams.load,
-            self.policy.parts.load_table,
-            self.directory,
-            self.settings.policy.load_polls_per_s,
-        )
-        self.policy.on_use = self.poller.note_used
-        server = Server(
-            self.settings.daemon.place,
-            CurrentConfiguration(self.configs),
-            self.door,
-            self.admission,
-            self.claims,
-            runner,
-        )
-        bodies = BodyBudget(limits.total_body_bytes)
-        parts = Parts(server, self.door, self.metrics, limits, bodies)
-        app = make_app(parts)
-        return make_server(
-            app,
-            header_bytes=limits.header_bytes,
-            head_timeout_s=limits.request_timeout_ms / MS_PER_S,
-            max_connections=limits.max_connections,
-        )
-
-    def load(self) -> float:
-        """Give the share of this daemon's capacity in use."""
-        return self.admission.in_flight / self.settings.limits.max_in_flight
-
-    def demand(self) -> Sequence[Demand]:
-        """Give this daemon's few heaviest workspaces."""
-        daemon_id = self.settings.daemon.id
-        return [
-            Demand(daemon_id, workspace, count)
-            for workspace, count in self.admission.heaviest()
-        ]
-
-    def seeds(self) -> Sequence[str]:
-        """List peer addresses to join through."""
-        return self.settings.peers.seeds
+class Daemon(DaemonParts):
+    """Start a daemon's parts, and stop them in order."""
 
     async def run(
         self,
@@ -285,6 +52,7 @@
         tasks.start_soon(self.claims.run)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.exchange.run, self.membership)
+        tasks.start_soon(self.finder.run, self.membership)
         tasks.start_soon(self.announce_readiness)
         if self.duties is not None:
             tasks.start_soon(self.duties.run)
--- a/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
@@ -192,6 +192,7 @@
                     "daemon_id": member.daemon_id,
                     "state": member.state.name.lower(),
                     "place": member.place,
+                    "peer_address": member.peer_address,
                     "config_version": member.config_version,
                     "takes_callers": not member.is_leaving,
                 }
--- a/packages/berylcart-daemon/src/berylcart_daemon/settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/settings.py
@@ -10,6 +10,7 @@
 from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
 
 MAX_PORT = 65535
+CLAIM_KEEPS_PER_RETENTION = 2
 
 
 def check_address(value: str) -> str:
@@ -26,7 +27,15 @@
     return value
 
 
+def check_peer_address(value: str) -> str:
+    """Accept IP:PORT with a port that others can be told beforehand."""
+    if check_address(value).endswith(":0"):
+        raise ValueError("expected a port from 1")
+    return value
+
+
 Address = Annotated[str, AfterValidator(check_address)]
+PeerAddress = Annotated[str, AfterValidator(check_peer_address)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
@@ -38,7 +47,7 @@
     id: Name
     place: Name
     http_address: Address
-    peer_address: Address
+    peer_address: PeerAddress
 
 
 class PlatformSettings(NamedTuple):
@@ -47,6 +56,7 @@
     log_address: Address
     vm_list_address: Address
     vm_list_interval_ms: Milliseconds = 500
+    log_retention_s: Annotated[float, Field(gt=0, le=31_536_000)] = 86_400.0
     weight_store_address: Address | None = None
 
 
@@ -129,11 +139,24 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"not TOML: {error}") from None
     try:
-        return SETTINGS.validate_json(
+        settings = SETTINGS.validate_json(
             json.dumps(table, default=str), strict=True
         )
     except ValidationError as error:
         raise SettingsError(describe_fault(error)) from None
+    check_together(settings)
+    return settings
+
+
+def check_together(settings: Settings) -> None:
+    """Check the rules across keys; raises SettingsError."""
+    keep_s = settings.timing.claim_keep_s
+    retention_s = settings.platform.log_retention_s
+    if keep_s * CLAIM_KEEPS_PER_RETENTION > retention_s:
+        raise SettingsError(
+            f"timing.claim_keep_s: expected at most a half of "
+            f"platform.log_retention_s ({retention_s:g}), got {keep_s:g}"
+        )
 
 
 def load_settings(path: Path) -> Settings:
--- a/packages/berylcart-daemon/tests/test_settings.py
+++ b/packages/berylcart-daemon/tests/test_settings.py
@@ -29,6 +29,7 @@
     ("[timing]\nconfig_lease_ms = 5", "timing.config_lease_ms: unknown key"),
     ('[peers]\nseeds = ["lahore"]', "peers.seeds.0: expected IP:PORT"),
     ("[peer]", "peer: unknown key"),
+    ("[timing]\nclaim_keep_s = 50000", "timing.claim_keep_s: expected at"),
     ("[peers", "not TOML"),
 ]
 
@@ -47,6 +48,12 @@
     assert "\n" not in caught.value.detail
 
 
+def test_peer_port_must_be_known_beforehand():
+    text = WHOLE.replace("127.0.0.1:8081", "127.0.0.1:0")
+    with pytest.raises(SettingsError, match=r"daemon\.peer_address: expected"):
+        parse_settings(text)
+
+
 def test_missing_key_is_named():
     with pytest.raises(SettingsError, match=r"daemon\.place: missing key"):
         parse_settings(WHOLE.replace('place = "lahore-1"\n', ""))
