--- a/packages/berylcart/src/berylcart/coordination/claim_batch.py
+++ b/packages/berylcart/src/berylcart/coordination/claim_batch.py
@@ -1,6 +1,7 @@
 """Append claim records in groups, with one append in flight."""
 
 import math
+import random
 from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
@@ -24,6 +25,7 @@
     down_ms: int = 500
     ambiguous_wait_ms: int = 50
     max_rate_wait_ms: int = 250
+    rate_spread_ms: float = 16.0
 
 
 class Appended(StrEnum):
@@ -55,6 +57,7 @@
         self.filled = anyio.Event()
         self.emptied = anyio.Event()
         self.down_until = -math.inf
+        self.jitter = random.Random()
 
     @property
     def is_empty(self) -> bool:
@@ -108,24 +111,36 @@
         self._settle(result)
         await anyio.sleep(wait_ms / MS_PER_S)
 
-    async def _append(self, records: list[Record]) -> tuple[Appended, int]:
-        """Append once, or again after a short limit of the log's rate."""
+    async def _append(self, records: list[Record]) -> tuple[Appended, float]:
+        """Append once, or again after a short limit of the log's rate.
+
+        The longer a batch has waited, the sooner it tries again, so that
+        daemons which share the rate take turns.
+        """
         settings = self.settings
+        attempts = 0
         while True:
             try:
                 with anyio.fail_after(settings.append_timeout_ms / MS_PER_S):
                     await self.log.append(CLAIM_STREAM, records)
             except LogUnavailableError as error:
-                wait_ms = error.retry_after_ms
-                if wait_ms is None or wait_ms > settings.max_rate_wait_ms:
-                    return Appended.REFUSED, self._mark_down(wait_ms)
+                asked_ms = error.retry_after_ms
+                if asked_ms is None or asked_ms > settings.max_rate_wait_ms:
+                    return Appended.REFUSED, self._mark_down(asked_ms)
+                wait_ms = float(asked_ms)
             except LogAmbiguousError:
                 return Appended.AMBIGUOUS, settings.ambiguous_wait_ms
             except TimeoutError:
                 return Appended.AMBIGUOUS, self._mark_down(None)
             else:
                 self.down_until = -math.inf
-                return Appended.DONE, 0
+                return (
+                    Appended.DONE,
+                    settings.rate_spread_ms if attempts else 0,
+                )
+            attempts += 1
+            spread_ms = settings.rate_spread_ms / attempts
+            wait_ms += self.jitter.uniform(0, spread_ms)
             await anyio.sleep(wait_ms / MS_PER_S)
 
     def _mark_down(self, wait_ms: int | None) -> int:
--- a/packages/berylcart/src/berylcart/coordination/claims.py
+++ b/packages/berylcart/src/berylcart/coordination/claims.py
@@ -201,8 +201,7 @@
         current = self._current(key_digest, holder)
         if current is None:
             return None
-        ran = Ran(current.ran or Ran.UNKNOWN)
-        return found(ran, current.code, None)
+        return found(current.ran or Ran.UNKNOWN, current.code, None)
 
     async def _collect(
         self, key_digest: str, holder: Holder, deadline: float
--- a/packages/berylcart/src/berylcart/state/claim_ledger.py
+++ b/packages/berylcart/src/berylcart/state/claim_ledger.py
@@ -1,10 +1,12 @@
 """Fold claim records in log order into who may run which request."""
 
+import sys
 from enum import StrEnum
 from functools import singledispatchmethod
 from typing import NamedTuple
 
 from berylcart.state.claim_order import ClaimOrder, OrderedClaim
+from berylcart.state.errors import Ran
 from berylcart.state.records import Claim, LogEntry, Outcome, Release
 
 BEGINNING_MS = -(1 << 62)
@@ -36,9 +38,8 @@
     fingerprint: str
     expires_ms: int
     workspace: str
-    ran: str = ""
+    ran: Ran | None = None
     code: int = 0
-    answer_digest: str = ""
 
 
 class Judgement(NamedTuple):
@@ -116,6 +117,18 @@
     return Verdict.GRANTED
 
 
+def read_ran(text: str) -> Ran:
+    """Read what an outcome says; an unknown word tells nothing.
+
+    >>> read_ran("yes"), read_ran("perhaps")
+    (<Ran.YES: 'yes'>, <Ran.UNKNOWN: 'unknown'>)
+    """
+    try:
+        return Ran(text)
+    except ValueError:
+        return Ran.UNKNOWN
+
+
 def time_mark() -> Release:
     """Make a record that carries nothing but the log's time."""
     return Release("", "")
@@ -186,9 +199,7 @@
             return
         self.order.settle(record.claim_id)
         self.holders[record.key_digest] = holder._replace(
-            ran=record.ran,
-            code=record.code,
-            answer_digest=record.answer_digest,
+            ran=read_ran(record.ran), code=record.code
         )
 
     @_apply.register
@@ -199,13 +210,16 @@
             del self.holders[record.key_digest]
 
     def _hold(self, claim: Claim) -> None:
+        forgotten = self.holders.get(claim.key_digest)
+        if forgotten is not None:
+            self.order.settle(forgotten.claim_id)
         expires_ms = expiry_ms(claim, self.log_time_ms, self.rules)
         self.holders[claim.key_digest] = Holder(
             claim.claim_id,
-            claim.claimant,
+            sys.intern(claim.claimant),
             claim.fingerprint,
             expires_ms,
-            claim.workspace,
+            sys.intern(claim.workspace),
         )
         if claim.ordering_digest:
             ordered = OrderedClaim(
