List the entries' VMs in the fleets of experiments and fault runs

Cause: the configuration lease counts the daemons that the VM list shows live; the fleets listed only upstreams, so that side was never exercised. Ruled out: daemons that list themselves, which is the platform's part.

--- a/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
@@ -209,6 +209,21 @@
     )
 
 
+def entry_vm(layout: Layout, number: int) -> Vm:
+    """Describe the VM of one daemon."""
+    name = entry_name(number)
+    return Vm(
+        name,
+        1,
+        layout.entry_addresses[number],
+        layout.entry_place(number),
+        VmRole.ENTRY,
+        "",
+        VmState.LIVE,
+        name,
+    )
+
+
 class Fleet:
     """Control one running deployment."""
 
@@ -263,19 +278,26 @@
             for number in range(ENTRY_COUNT)
         ]
 
-    async def register_upstreams(self) -> None:
-        """Put every upstream into the VM list of every place."""
+    async def register_vms(self) -> None:
+        """Put every upstream and entry into the VM list of every place."""
         for place, address in self.layout.vm_lists.items():
             for upstream in self.layout.upstreams:
                 vm = vm_seen_from(self.layout, upstream, place)
-                request = HttpRequest(
-                    "PUT",
-                    address,
-                    f"/v1/vms/{vm.vm_id}",
-                    write_vm(vm),
-                    timeout_ms=ADMIN_TIMEOUT_MS,
-                )
-                await self.client.request(request)
+                await self.register(address, vm)
+            for number in range(ENTRY_COUNT):
+                await self.register(address, entry_vm(self.layout, number))
+
+    async def register(self, vm_list: str, vm: Vm) -> None:
+        """Put one VM into one VM list."""
+        await self.client.request(
+            HttpRequest(
+                "PUT",
+                vm_list,
+                f"/v1/vms/{vm.vm_id}",
+                write_vm(vm),
+                timeout_ms=ADMIN_TIMEOUT_MS,
+            )
+        )
 
     async def publish(self) -> None:
         """Append the deployment's configuration to the log."""
@@ -371,7 +393,7 @@
     for address in layout.vm_lists.values():
         await fleet.wait_for(address, "/v1/vms")
     await fleet.publish()
-    await fleet.register_upstreams()
+    await fleet.register_vms()
     for upstream in layout.upstreams:
         await fleet.wait_for(upstream.address, "/v1/load")
     for address in layout.entry_addresses:
