--- a/packages/berylcart/src/berylcart/coordination/checkpoint_duty.py
+++ b/packages/berylcart/src/berylcart/coordination/checkpoint_duty.py
@@ -19,7 +19,8 @@
 
 CHECKPOINTS_PER_RETENTION = 3
 RECORDS_PER_CHECKPOINT = 64
-RECORDS_WINDOW_S = 60.0
+URGENT_WINDOW_S = 60.0
+URGENT_SHARE = 0.1
 RETRY_S = 5.0
 JITTER_STEEPNESS = 8.0
 MS_PER_S = 1000
@@ -55,21 +56,26 @@
         self.take_checkpoint = take_checkpoint
         self.every_s = retention_s / CHECKPOINTS_PER_RETENTION
         self.window_s = self.every_s / 2
+        self.urgent_s = min(URGENT_WINDOW_S, URGENT_SHARE * self.window_s)
         self.source = source
         self.due_at_s = math.inf
+        self.newest_s = -math.inf
+        self.log_ahead_s: float | None = None
         self.records = 0
         self.changed = anyio.Event()
 
-    def note_checkpoint(self) -> None:
-        """Put the duty off: some daemon's checkpoint was read."""
+    def note_checkpoint(self, time_ms: int) -> None:
+        """Put the duty off: a checkpoint that the log took at time_ms."""
         self.records = 0
-        self.plan(self.every_s, self.window_s)
+        self.newest_s = max(self.newest_s, time_ms / MS_PER_S)
+        if self.log_ahead_s is not None:
+            self.plan_by_age(self.log_ahead_s)
 
     def note_record(self) -> None:
         """Count a record; many of them bring the duty forward."""
         self.records += 1
         if self.records == RECORDS_PER_CHECKPOINT:
-            self.plan(0, min(RECORDS_WINDOW_S, self.window_s))
+            self.plan(0, self.urgent_s)
 
     def plan(self, after_s: float, window_s: float) -> None:
         """Fall due after a time and a random share of a window."""
@@ -88,34 +94,38 @@
             await self.append()
 
     async def plan_first(self) -> None:
-        """Learn the age of the newest checkpoint from the log."""
-        while self.due_at_s == math.inf:
+        """Learn the log's time and the age of its newest checkpoint."""
+        while self.log_ahead_s is None:
             try:
-                age_s = await self.find_age_s()
+                time_ms = await find_checkpoint_time_ms(self.log)
+                log_time_ms = await read_log_time_ms(self.log)
             except (LogUnavailableError, LogAmbiguousError, LogGapError):
                 await anyio.sleep(RETRY_S * self.source.uniform(0.5, 1.5))
                 continue
-            if self.due_at_s == math.inf:
-                self.plan(max(0.0, self.every_s - age_s), self.window_s)
-
-    async def find_age_s(self) -> float:
-        """Measure the newest checkpoint's age; infinite without one."""
-        time_ms = await find_checkpoint_time_ms(self.log)
-        if time_ms is None:
-            return math.inf
-        return (await read_log_time_ms(self.log) - time_ms) / MS_PER_S
+            log_time_s = log_time_ms / MS_PER_S
+            self.log_ahead_s = log_time_s - anyio.current_time()
+            if time_ms is not None:
+                self.newest_s = max(self.newest_s, time_ms / MS_PER_S)
+            self.plan_by_age(self.log_ahead_s)
+
+    def plan_by_age(self, log_ahead_s: float) -> None:
+        """Fall due in what is left of the newest checkpoint's turn."""
+        age_s = anyio.current_time() + log_ahead_s - self.newest_s
+        after_s = max(0.0, self.every_s - age_s)
+        left_s = self.every_s + self.window_s - age_s - after_s
+        self.plan(after_s, max(self.urgent_s, left_s))
 
     async def append(self) -> None:
         """Append one checkpoint, or try again soon."""
         checkpoint = self.take_checkpoint()
         if checkpoint is None:
-            self.plan(0, self.window_s)
+            self.plan(RETRY_S, self.urgent_s)
             return
         try:
             offset = await self.log.append(CONFIG_STREAM, [checkpoint])
         except (LogUnavailableError, LogAmbiguousError) as error:
             events.warning("config.checkpoint_failed", detail=str(error))
-            self.plan(RETRY_S, min(RECORDS_WINDOW_S, self.window_s))
+            self.plan(RETRY_S, self.urgent_s)
             return
         events.info(
             "config.checkpoint",
@@ -123,4 +133,5 @@
             as_of_offset=checkpoint.as_of_offset,
             version=checkpoint.version,
         )
-        self.note_checkpoint()
+        self.records = 0
+        self.plan(self.every_s, self.window_s)
--- a/packages/berylcart/src/berylcart/coordination/config_keeper.py
+++ b/packages/berylcart/src/berylcart/coordination/config_keeper.py
@@ -31,6 +31,7 @@
     LogGapError,
     LogUnavailableError,
 )
+from berylcart.state.peer_messages import ConfigFreshness
 from berylcart.state.records import (
     CONFIG_STREAM,
     Checkpoint,
@@ -40,6 +41,7 @@
 )
 
 MS_PER_S = 1000
+MAX_AGE_S = 1_000_000.0
 LEASE_S = 10.0
 RETENTION_S = 86_400.0
 POLLS_PER_LEASE = 4
@@ -82,7 +84,7 @@
         self._has_checkpoint_duty = has_checkpoint_duty
         self.lease = ConfigLease(lease_s)
         self._duty = CheckpointDuty(
-            log, self._take_checkpoint, retention_s, random.Random(seed)
+            log, self.checkpoint, retention_s, random.Random(seed)
         )
 
     @property
@@ -133,10 +135,23 @@
         """Give the verdicts that are kept, the oldest first."""
         return self._state.verdicts
 
-    def checkpoint(self) -> Checkpoint:
-        """Give the state that a peer may be offered."""
+    def checkpoint(self) -> Checkpoint | None:
+        """Give the state that a peer may take, None while there is none."""
+        if not self._is_caught_up or self._state.unknown_format is not None:
+            return None
         return checkpoint_of(self._state)
 
+    def freshness(self) -> ConfigFreshness:
+        """Say how far the log was folded and how long ago that was all."""
+        if self.checkpoint() is None:
+            return ConfigFreshness()
+        age_s = anyio.current_time() - self.lease.verified_at_s
+        return ConfigFreshness(
+            self._state.version,
+            self._state.next_offset,
+            int(min(age_s, MAX_AGE_S) * MS_PER_S),
+        )
+
     def offer(self, checkpoint: Checkpoint) -> bool:
         """Take over a peer's state if it is newer; say whether it was."""
         try:
@@ -155,13 +170,17 @@
         *,
         asked_at_s: float,
     ) -> None:
-        """Note a peer's answer to a question asked at asked_at_s.
+        """Note what a peer knows; a peer that knows nothing counts not.
 
-        as_of_offset is how far the peer has folded, age_ms the time since it
-        knew this to be the newest, live_count the number of daemons that the
-        newest VM list shows live.
+        asked_at_s is when the question was sent that the peer answered, less
+        the age of what it passes on of others; a message that came unasked
+        may have waited in this process, which was frozen. as_of_offset is
+        how far the peer has folded, age_ms the time since it knew that to be
+        all, live_count the number of daemons that the newest VM list shows.
         """
         self.lease.live_count = live_count
+        if as_of_offset < 0:
+            return
         self.lease.hear(peer_id, as_of_offset, asked_at_s)
         if as_of_offset <= self._state.next_offset:
             self.lease.verify(asked_at_s - age_ms / MS_PER_S)
@@ -260,7 +279,7 @@
             return
         self._set_state(fold(self._state, entry), "log")
         if isinstance(entry.record, Checkpoint):
-            self._duty.note_checkpoint()
+            self._duty.note_checkpoint(entry.time_ms)
         else:
             self._duty.note_record()
 
@@ -306,13 +325,6 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def _take_checkpoint(self) -> Checkpoint | None:
-        """Give the state to append, if it is one that others may use."""
-        is_known = self._state.unknown_format is None
-        if not self._is_caught_up or not is_known:
-            return None
-        return self.checkpoint()
-
 
 def log_outage(retry: RetryCallState) -> None:
     """Log that the configuration can't be read now."""
--- a/packages/berylcart/tests/coordination/test_config_keeper.py
+++ b/packages/berylcart/tests/coordination/test_config_keeper.py
@@ -94,3 +94,23 @@
             tasks.cancel_scope.cancel()
 
     run(scenario)
+
+
+def test_offers_never_lower_the_version():
+    async def scenario():
+        log = MemoryLog()
+        keeper = ConfigKeeper(log, seed=1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keeper.run)
+            await publish(log, 1)
+            await keeper.wait_for(1)
+            old = keeper.checkpoint()
+            await publish(log, 2)
+            await keeper.wait_for(2)
+            assert not keeper.offer(old)
+            assert not keeper.offer(old._replace(as_of_offset=9))
+            assert not keeper.offer(old._replace(as_of_offset=9, text="?"))
+            assert keeper.current.version == 2
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
