--- a/packages/berylcart/src/berylcart/coordination/config_keeper.py
+++ b/packages/berylcart/src/berylcart/coordination/config_keeper.py
@@ -15,6 +15,7 @@
 from berylcart.coordination.checkpoint_duty import CheckpointDuty
 from berylcart.coordination.config_lease import ConfigLease
 from berylcart.coordination.config_recovery import PAGE_RECORDS, find_start
+from berylcart.coordination.paged_log import PagedLog
 from berylcart.coordination.ports import Log
 from berylcart.state.config import Configuration
 from berylcart.state.config_fold import (
@@ -75,7 +76,7 @@
         has_checkpoint_duty: bool = True,
         seed: int | None = None,
     ) -> None:
-        self._log = log
+        self._log = PagedLog(log)
         self._state = INITIAL_STATE
         self._has_start = False
         self._is_caught_up = False
@@ -84,7 +85,7 @@
         self._has_checkpoint_duty = has_checkpoint_duty
         self.lease = ConfigLease(lease_s)
         self._duty = CheckpointDuty(
-            log, self.checkpoint, retention_s, random.Random(seed)
+            self._log, self.checkpoint, retention_s, random.Random(seed)
         )
 
     @property
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_paged_log.py
@@ -0,0 +1,40 @@
+"""Check that pages too large for one answer are read in smaller ones."""
+
+import trio
+from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.state.errors import LogUnavailableError
+from berylcart.state.records import CONFIG_STREAM, Publication
+from berylcart.transport.memory_log import MemoryLog
+from trio.testing import MockClock
+
+TEXT = 'format = 1\n[place.a]\nregion = "r{}"\n'
+ANSWER_RECORDS = 3
+
+
+class NarrowLog(MemoryLog):
+    """Fail to answer with more than a few records."""
+
+    async def read(self, stream, offset, *, wait_ms, limit):
+        """Read a page, unless it would be too large."""
+        page = await super().read(stream, offset, wait_ms=wait_ms, limit=limit)
+        if len(page.entries) > ANSWER_RECORDS:
+            raise LogUnavailableError("the answer is too large")
+        return page
+
+
+def test_keeper_reads_what_one_answer_can_carry():
+    async def scenario():
+        log = NarrowLog()
+        records = [
+            Publication(f"p{number}", None, 1, TEXT.format(number))
+            for number in range(100)
+        ]
+        await log.append(CONFIG_STREAM, records)
+        keeper = ConfigKeeper(log, seed=1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keeper.run)
+            with trio.fail_after(600):
+                await keeper.wait_for(100)
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
