Keep an offer's age on the wire; compress configuration texts

Cause 1 (a fault): an offer of no newer configuration lost its age on the wire, so a peer that had not heard of the log for long renewed the asker's lease as if it had read it just now. Ruled out: deltas for now (a fold that must find the base text would need more records to be retained); compression by HTTP, which leaves the log's stored records large.

--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -1,6 +1,7 @@
 """Translate peer messages to and from protobuf."""
 
 from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol.text_packing import pack, unpack
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
 from berylcart.state.peer_messages import (
@@ -215,14 +216,15 @@
 def encode_config_offer(offer: ConfigOffer) -> pb.ConfigMessage:
     """Encode a configuration, or that there is no newer one."""
     if offer.checkpoint is None:
-        return pb.ConfigMessage(is_newer=False)
+        age_ms = clamp_age(offer.age_ms)
+        return pb.ConfigMessage(is_newer=False, age_ms=age_ms)
     checkpoint = offer.checkpoint
     return pb.ConfigMessage(
         is_newer=True,
         version=checkpoint.version,
         as_of_offset=checkpoint.as_of_offset,
         format_version=checkpoint.format_version,
-        text=checkpoint.text,
+        text_zlib=pack(checkpoint.text),
         verdicts=[encode_verdict(item) for item in checkpoint.verdicts],
         age_ms=clamp_age(offer.age_ms),
     )
@@ -231,12 +233,12 @@
 def decode_config_offer(message: pb.ConfigMessage) -> ConfigOffer:
     """Decode a configuration, or that there is no newer one."""
     if not message.is_newer:
-        return ConfigOffer(None)
+        return ConfigOffer(None, message.age_ms)
     checkpoint = Checkpoint(
         as_of_offset=message.as_of_offset,
         version=message.version,
         format_version=message.format_version,
-        text=message.text,
+        text=unpack(message.text_zlib),
         verdicts=tuple(decode_verdict(item) for item in message.verdicts),
     )
     return ConfigOffer(checkpoint, message.age_ms)
--- a/packages/berylcart/src/berylcart/protocol/record_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/record_codec.py
@@ -10,6 +10,11 @@
     to_plain,
     write_json,
 )
+from berylcart.protocol.text_packing import (
+    PACK_ABOVE_CHARS,
+    pack_word,
+    unpack_word,
+)
 from berylcart.state.records import (
     Checkpoint,
     Claim,
@@ -22,6 +27,8 @@
 )
 
 KIND = "kind"
+TEXT = "text"
+PACKED_TEXT = "text_zlib"
 
 KIND_OF_TYPE: dict[type[Record], str] = {
     Publication: "publication",
@@ -56,6 +63,9 @@
     {'kind': 'release', 'key_digest': 'digest', 'claim_id': 'claim-1'}
     """
     fields: dict[str, Any] = to_plain(record)
+    text = fields.get(TEXT)
+    if isinstance(text, str) and len(text) > PACK_ABOVE_CHARS:
+        fields[PACKED_TEXT] = pack_word(fields.pop(TEXT))
     return {KIND: KIND_OF_TYPE[type(record)], **fields}
 
 
@@ -69,6 +79,8 @@
         raise MessageError("a record is an object")
     fields = dict(value)
     kind = fields.pop(KIND, None)
+    if PACKED_TEXT in fields and TEXT not in fields:
+        fields[TEXT] = unpack_word(fields.pop(PACKED_TEXT))
     adapter = ADAPTERS.get(kind) if isinstance(kind, str) else None
     if adapter is None:
         raise MessageError("the record's kind is unknown")
--- a/packages/berylcart/tests/protocol/test_record_codec.py
+++ b/packages/berylcart/tests/protocol/test_record_codec.py
@@ -9,6 +9,7 @@
     decode_record,
     encode_record,
 )
+from berylcart.state.config_text import MAX_TEXT_BYTES
 from berylcart.state.records import (
     Checkpoint,
     Claim,
@@ -87,3 +88,26 @@
 def test_any_bytes_are_json_or_a_message_error(body):
     with contextlib.suppress(MessageError):
         read_json(body)
+
+
+def test_large_text_is_packed_and_restored():
+    text = "[workspace.w]\n" * 1000
+    record = Publication("p", None, 1, text)
+    plain = encode_record(record)
+    assert "text" not in plain
+    assert len(plain["text_zlib"]) < len(text) / 10
+    assert decode_record(plain) == record
+
+
+@pytest.mark.parametrize("word", ["", "!", "aGVt", 7, None])
+def test_damaged_packed_text_is_a_message_error(word):
+    plain = encode_record(Publication("p", None, 1, "x" * 5000))
+    with pytest.raises(MessageError):
+        decode_record(plain | {"text_zlib": word})
+
+
+def test_packed_text_cannot_exceed_the_limit():
+    bomb = "x" * (MAX_TEXT_BYTES + 1)
+    plain = encode_record(Publication("p", None, 1, bomb))
+    with pytest.raises(MessageError):
+        decode_record(plain)
