--- a/packages/berylcart-tools/src/berylcart_tools/experiments/__init__.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Run experiments over real processes."""
+"""Measure policies with real processes under load and failures."""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/budgets.py
@@ -0,0 +1,74 @@
+"""Bound extra attempts to a share of the requests."""
+
+from cachetools import LRUCache
+
+RETRY_RATIO = 0.10
+HEDGE_RATIO = 0.05
+DEFAULT_BURST = 10
+MAX_SERVICES = 256
+
+
+class RetryBudget:
+    """Earn a share of a token per request and spend one per attempt.
+
+    >>> budget = RetryBudget(ratio=0.5, burst=2)
+    >>> [budget.try_take() for _ in range(3)]
+    [True, True, False]
+    >>> budget.note_request()
+    >>> budget.note_request()
+    >>> budget.try_take()
+    True
+    """
+
+    def __init__(
+        self, ratio: float = RETRY_RATIO, burst: float = DEFAULT_BURST
+    ) -> None:
+        self.ratio = ratio
+        self.burst = burst
+        self.tokens = burst
+
+    def note_request(self) -> None:
+        """Earn the share of one fresh request."""
+        self.tokens = min(self.burst, self.tokens + self.ratio)
+
+    def try_take(self) -> bool:
+        """Spend a token on one more attempt, if there is one."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class ServiceBudgets:
+    """Keep one budget for each service.
+
+    Extra attempts of a cheap stage then never use up a costly one's.
+
+    >>> budgets = ServiceBudgets(ratio=0.5, burst=1)
+    >>> budgets.try_take("encoder"), budgets.try_take("encoder")
+    (True, False)
+    >>> budgets.try_take("model")
+    True
+    """
+
+    def __init__(
+        self, ratio: float = HEDGE_RATIO, burst: float = DEFAULT_BURST
+    ) -> None:
+        self.ratio = ratio
+        self.burst = burst
+        self.budgets: LRUCache[str, RetryBudget] = LRUCache(MAX_SERVICES)
+
+    def note_request(self, service: str) -> None:
+        """Earn the share of one fresh request to a service."""
+        self._find(service).note_request()
+
+    def try_take(self, service: str) -> bool:
+        """Spend a token of a service, if there is one."""
+        return self._find(service).try_take()
+
+    def _find(self, service: str) -> RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.ratio, self.burst)
+            self.budgets[service] = budget
+        return budget
--- a/packages/berylcart/src/berylcart/coordination/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership.py
@@ -73,9 +73,10 @@
             tasks.start_soon(self._gossip_loop, tasks)
             tasks.start_soon(self._exchanger.run)
 
-    def drain(self) -> None:
-        """Announce that this daemon takes no new callers."""
-        self._roster.update_me(is_leaving=True)
+    def announce(self, *, takes_callers: bool) -> None:
+        """Announce whether this daemon takes new callers."""
+        if self.me.is_leaving is takes_callers:
+            self._roster.update_me(is_leaving=not takes_callers)
 
     async def leave(self) -> None:
         """Say goodbye to a few members, which tell the others."""
@@ -122,6 +123,10 @@
         )
         return HeardCount(heard, len(daemon_ids))
 
+    def heard_at(self, daemon_id: str) -> float:
+        """Give the runtime's time at which a member was last heard."""
+        return self._roster.vitals.of(daemon_id).heard_at
+
     def mark_leaving(self, vm_id: str, incarnation: int) -> None:
         """Mark an upstream VM's incarnation as leaving, everywhere."""
         self._gossiper.mark(LeavingMark(vm_id, incarnation))
@@ -160,7 +165,7 @@
             if name is not None:
                 await self._prober.probe(name)
             next_at = start + period_ms / MS_PER_S
-            await anyio.sleep(max(0.0, next_at - anyio.current_time()))
+            await anyio.sleep_until(next_at)
 
     async def _gossip_loop(self, tasks: TaskGroup) -> None:
         period_s = self._settings.gossip_period_ms / MS_PER_S
--- a/packages/berylcart/src/berylcart/events.py
+++ b/packages/berylcart/src/berylcart/events.py
@@ -1,12 +1,16 @@
 """Log one key=value line for each event."""
 
 import json
+import logging as stdlib_logging
 import re
+from datetime import UTC, datetime
 from enum import Enum
 
-from absl import logging
+from absl import flags, logging
 
 PLAIN_VALUE = re.compile(r"[\w.:/+@,-]+")
+EVENT_PREFIX = "event="
+QUIET_LIBRARIES = ("uvicorn", "grpclib", "httpcore")
 
 Value = str | int | float | bool | None
 
@@ -32,7 +36,7 @@
     'event=config.applied version=3 detail="two words"'
     """
     pairs = [f"{key}={format_value(value)}" for key, value in fields.items()]
-    return " ".join([f"event={name}", *pairs])
+    return " ".join([f"{EVENT_PREFIX}{name}", *pairs])
 
 
 def info(name: str, **fields: Value) -> None:
@@ -48,3 +52,29 @@
 def error(name: str, **fields: Value) -> None:
     """Log a fault that needs an operator."""
     logging.error("%s", format_event(name, **fields))
+
+
+class EventFormatter(stdlib_logging.Formatter):
+    """Put the time and the level before an event's pairs."""
+
+    def format(self, record: stdlib_logging.LogRecord) -> str:
+        """Write one line for one event."""
+        at = datetime.fromtimestamp(record.created, UTC)
+        stamp = at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+        level = record.levelname.lower()
+        pairs = record.getMessage()
+        if not pairs.startswith(EVENT_PREFIX):
+            pairs = format_event("library.log", detail=pairs)
+        return f"time={stamp} level={level} {pairs}"
+
+
+def start_logging() -> None:
+    """Send events to standard error, one line each."""
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(EventFormatter())
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold("info")
+    for name in QUIET_LIBRARIES:
+        stdlib_logging.getLogger(name).setLevel(stdlib_logging.WARNING)
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -10,6 +10,7 @@
 
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol.peer_grpc import PeerStub
+from berylcart.state.config_text import MAX_TEXT_BYTES
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import (
     AnswerQuery,
@@ -20,8 +21,10 @@
     PingRequest,
     StoredAnswer,
 )
+from berylcart.transport.listening import split_address
 
-MAX_MESSAGE_BYTES = 4 * 2**20
+# A configuration text of the largest size, and its verdicts, must fit.
+MAX_MESSAGE_BYTES = 2 * MAX_TEXT_BYTES
 MAX_CHANNELS = 32
 MS_PER_S = 1000
 
@@ -37,16 +40,6 @@
 )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split an IP:PORT address.
-
-    >>> split_address("127.0.0.1:7000"), split_address("[::1]:7000")
-    (('127.0.0.1', 7000), ('::1', 7000))
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class PeerChannel:
     """Hold a channel and close it once it is retired and no call uses it."""
 
--- /dev/null
+++ b/packages/berylcart/tests/coordination/test_budgets.py
@@ -0,0 +1,27 @@
+"""Check that extra attempts stay within their share."""
+
+from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
+from hypothesis import given
+from hypothesis import strategies as st
+
+
+@given(events=st.lists(st.booleans(), max_size=500))
+def test_extra_attempts_never_pass_ratio_and_burst(events):
+    budget = RetryBudget(ratio=0.1, burst=3)
+    requests = taken = 0
+    for is_request in events:
+        if is_request:
+            budget.note_request()
+            requests += 1
+        elif budget.try_take():
+            taken += 1
+    assert taken <= 3 + 0.1 * requests + 1e-9
+
+
+def test_one_services_budget_is_not_another_ones():
+    budgets = ServiceBudgets(ratio=0.1, burst=2)
+    taken = [budgets.try_take("encoder") for _ in range(5)]
+    assert taken.count(True) == 2
+    assert budgets.try_take("model")
+    budgets.note_request("model")
+    assert not budgets.try_take("encoder")
