--- a/packages/berylcart-tools/src/berylcart_tools/faults/plans.py
+++ b/packages/berylcart-tools/src/berylcart_tools/faults/plans.py
@@ -130,6 +130,13 @@
             SendSignal(MIDDLE_S, "entry-5", signal.SIGKILL),
         ),
     ),
+    Plan(
+        "stopped-while-log-down",
+        (
+            SendSignal(BEGIN_S, "entry-6", signal.SIGTERM),
+            *switched(["log"], BEGIN_S, END_S, {"outage": True}),
+        ),
+    ),
     Plan("daemon-frozen", frozen("entry-3", BEGIN_S, END_S)),
     Plan(
         "daemons-stopped",
--- a/packages/berylcart-tools/src/berylcart_tools/standins/vm_list.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/vm_list.py
@@ -1,5 +1,6 @@
 """Stand in for the platform's lagging list of VMs."""
 
+import secrets
 from collections import deque
 from typing import NamedTuple
 
@@ -21,6 +22,8 @@
 LIST_PATH = "/v1/vms"
 VM_PATH = "/v1/vms/{vm_id}"
 LAG_MS = 1000
+STATUS_UNCHANGED = 304
+LIFE_BYTES = 4
 
 
 class VmListSettings(NamedTuple):
@@ -45,6 +48,13 @@
         self.lag_ms = lag_ms
         self.pending: deque[Change] = deque()
         self.visible: dict[str, Vm] = {}
+        self.changes = 0
+        self.life = secrets.token_hex(LIFE_BYTES)
+
+    @property
+    def tag(self) -> str:
+        """Name the shown list, anew after each change and restart."""
+        return f'"{self.life}-{self.changes}"'
 
     def change(self, vm_id: str, vm: Vm | None) -> None:
         """Take a change, to be shown after the lag."""
@@ -59,6 +69,7 @@
 
     def apply(self, change: Change) -> None:
         """Make one change visible."""
+        self.changes += 1
         if change.vm is None:
             self.visible.pop(change.vm_id, None)
         else:
@@ -84,9 +95,13 @@
         )
 
     async def get(self, request: Request) -> Response:
-        """Show the list."""
-        body = write_vm_page(self.list.page())
-        return Response(body, media_type=JSON_TYPE)
+        """Show the list, unless the caller has it already."""
+        page = self.list.page()
+        headers = {"ETag": self.list.tag, "As-Of-Ms": str(page.as_of_ms)}
+        if request.headers.get("if-none-match") == self.list.tag:
+            return Response(None, STATUS_UNCHANGED, headers)
+        body = write_vm_page(page)
+        return Response(body, headers=headers, media_type=JSON_TYPE)
 
     async def put(self, request: Request) -> Response:
         """Register a VM or change its entry."""
--- a/packages/berylcart-tools/tests/standins/test_vm_list.py
+++ b/packages/berylcart-tools/tests/standins/test_vm_list.py
@@ -96,3 +96,31 @@
         assert (await vm_list.fetch()).vms == ()
 
     with_list(scenario)
+
+
+def test_unchanged_list_is_not_sent_again_but_its_time_goes_on():
+    async def scenario(vm_list):
+        await vm_list.put(VM)
+        first = await vm_list.fetch()
+        await anyio.sleep(0.01)
+        second = await vm_list.fetch()
+        assert second.vms is first.vms
+        assert second.as_of_ms > first.as_of_ms
+        changed = VM._replace(state=VmState.LEAVING)
+        await vm_list.put(changed)
+        assert (await vm_list.fetch()).vms == (changed,)
+
+    with_list(scenario)
+
+
+def test_restarted_list_is_read_anew():
+    async def scenario(vm_list):
+        await vm_list.put(VM)
+        await vm_list.fetch()
+        async with running(serve_vm_list, VmListSettings(lag_ms=0)) as other:
+            vm_list.address = other
+            changed = VM._replace(incarnation=2)
+            await vm_list.put(changed)
+            assert (await vm_list.fetch()).vms == (changed,)
+
+    with_list(scenario)
--- a/packages/berylcart/src/berylcart/coordination/vm_directory.py
+++ b/packages/berylcart/src/berylcart/coordination/vm_directory.py
@@ -53,7 +53,10 @@
         """Take a list unless it is older than the newest one seen."""
         if page.as_of_ms < self.page.as_of_ms:
             return
+        is_same = page.vms is self.page.vms
         self.page = page
+        if is_same:
+            return
         for vm in page.vms:
             if vm.state is VmState.LEAVING:
                 self.mark_leaving(vm.vm_id, vm.incarnation)
--- a/packages/berylcart/src/berylcart/transport/vm_list_client.py
+++ b/packages/berylcart/src/berylcart/transport/vm_list_client.py
@@ -1,5 +1,6 @@
 """Read and write the platform's VM list over HTTP."""
 
+import re
 from urllib.parse import quote
 
 from berylcart import events
@@ -7,12 +8,19 @@
 from berylcart.protocol.vm_messages import read_vm_page, write_vm
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.vm import Vm, VmPage
-from berylcart.transport.http_client import HttpClient, HttpError, HttpRequest
+from berylcart.transport.http_client import (
+    HttpAnswer,
+    HttpClient,
+    HttpError,
+    HttpRequest,
+)
 
 TIMEOUT_MS = 2000
 LIST_PATH = "/v1/vms"
 STATUS_OK = 200
 STATUS_DONE = 204
+STATUS_UNCHANGED = 304
+AS_OF = re.compile(r"-?\d{1,18}", re.ASCII)
 
 
 class VmListError(BerylcartError):
@@ -31,40 +39,69 @@
         self.address = address
         self.client = client
         self.timeout_ms = timeout_ms
+        self.tag = ""
+        self.page = VmPage(-1, ())
 
     async def fetch(self) -> VmPage:
-        """Fetch the list, without unreadable VMs; raises VmListError."""
-        body = await self.send("GET", LIST_PATH, b"", STATUS_OK)
+        """Fetch the list, without unreadable VMs; raises VmListError.
+
+        A list that did not change since the last call is not sent again.
+        """
+        headers = (("If-None-Match", self.tag),) if self.tag else ()
+        answer = await self.send("GET", LIST_PATH, b"", headers)
+        if answer.status == STATUS_UNCHANGED and self.tag:
+            self.page = self.page._replace(as_of_ms=read_as_of_ms(answer))
+            return self.page
+        check_status(answer, STATUS_OK)
         try:
-            page, unreadable = read_vm_page(body)
+            page, unreadable = read_vm_page(answer.body)
         except MessageError as error:
             raise VmListError(error.detail) from error
         if unreadable:
             events.warning("vm_list.unreadable", vms=unreadable)
+        self.tag = answer.headers.get("etag", "")
+        self.page = page
         return page
 
     async def put(self, vm: Vm) -> None:
         """Register a VM or change its entry; raises VmListError."""
-        await self.send("PUT", vm_path(vm.vm_id), write_vm(vm), STATUS_DONE)
+        answer = await self.send("PUT", vm_path(vm.vm_id), write_vm(vm))
+        check_status(answer, STATUS_DONE)
 
     async def delete(self, vm_id: str) -> None:
         """Remove a VM; raises VmListError."""
-        await self.send("DELETE", vm_path(vm_id), b"", STATUS_DONE)
+        answer = await self.send("DELETE", vm_path(vm_id), b"")
+        check_status(answer, STATUS_DONE)
 
     async def send(
-        self, method: str, path: str, body: bytes, status: int
-    ) -> bytes:
-        """Send one call and expect a status; raises VmListError."""
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpAnswer:
+        """Send one call; raises VmListError without an answer."""
         request = HttpRequest(
-            method, self.address, path, body, timeout_ms=self.timeout_ms
+            method, self.address, path, body, headers, self.timeout_ms
         )
         try:
-            answer = await self.client.request(request)
+            return await self.client.request(request)
         except HttpError as error:
             raise VmListError(error.detail) from error
-        if answer.status != status:
-            raise VmListError(f"the VM list answered {answer.status}")
-        return answer.body
+
+
+def check_status(answer: HttpAnswer, status: int) -> None:
+    """Raise VmListError unless an answer has the expected status."""
+    if answer.status != status:
+        raise VmListError(f"the VM list answered {answer.status}")
+
+
+def read_as_of_ms(answer: HttpAnswer) -> int:
+    """Read when an unchanged list was true; raises VmListError."""
+    text = answer.headers.get("as-of-ms", "")
+    if not AS_OF.fullmatch(text):
+        raise VmListError("the VM list gave no time for an unchanged list")
+    return int(text)
 
 
 def vm_path(vm_id: str) -> str:
