--- a/packages/berylcart/src/berylcart/coordination/claim_reader.py
+++ b/packages/berylcart/src/berylcart/coordination/claim_reader.py
@@ -34,6 +34,7 @@
         self.on_entry = on_entry
         self.ledger = ClaimLedger(rules, covered_since_ms=None)
         self.position = -1
+        self.is_shortened = False
         self.caught_up = anyio.Event()
         self.read_at = -math.inf
 
@@ -58,6 +59,9 @@
             wait_ms=READ_WAIT_MS if self.caught_up.is_set() else 0,
             limit=READ_LIMIT,
         )
+        if page.end_offset < self.position:
+            self.is_shortened = True
+            raise LogGapError(self.position, page.start_offset)
         for entry in page.entries:
             self.position = entry.offset + 1
             self.on_entry(entry, self.ledger.fold(entry))
@@ -67,8 +71,12 @@
         await anyio.lowlevel.checkpoint()
 
     async def _start(self) -> None:
-        """Begin at the oldest retained record with nothing yet known."""
+        """Begin at the oldest retained record with nothing yet known.
+
+        A stream that once ended earlier than before lost records, wherever
+        it starts.
+        """
         bounds = await self.log.read(CLAIM_STREAM, -1, wait_ms=0, limit=1)
-        whole = bounds.start_offset == 0
+        whole = bounds.start_offset == 0 and not self.is_shortened
         self.ledger = ClaimLedger(self.rules, BEGINNING_MS if whole else None)
         self.position = bounds.start_offset
--- a/packages/berylcart/src/berylcart/state/claim_ledger.py
+++ b/packages/berylcart/src/berylcart/state/claim_ledger.py
@@ -175,8 +175,12 @@
         )
 
     def fold(self, entry: LogEntry) -> Judgement | None:
-        """Apply the next entry; a claim gets a judgement."""
-        if self.covered_since_ms is None:
+        """Apply the next entry; a claim gets a judgement.
+
+        An unreadable entry may be the first claim of any key, so nothing
+        before it counts as read.
+        """
+        if self.covered_since_ms is None or entry.record is None:
             self.covered_since_ms = entry.time_ms
         self._advance(entry.time_ms)
         return self._apply(entry.record)
--- a/packages/berylcart/tests/coordination/test_claims_faults.py
+++ b/packages/berylcart/tests/coordination/test_claims_faults.py
@@ -323,6 +323,31 @@
     run(scenario)
 
 
+def test_log_that_lost_its_stream_lets_no_old_key_through():
+    async def scenario():
+        async with lab() as made:
+            first, second, _ = made.daemons
+            for n in range(5):
+                first.send(f"k{n}")
+            await anyio.sleep(1)
+            dated = second.keeper.issue_key()
+            made.log.streams.clear()
+            await anyio.sleep(PAUSE_S)
+            first.kill()
+            told = [second.send("k1"), second.send(dated)]
+            await anyio.sleep(PAUSE_S)
+            assert len(made.witness) == 5
+            for send_id in told:
+                code = made.result(send_id).code
+                assert code is Code.CLAIMS_UNAVAILABLE
+            await anyio.sleep(KEEP_MS / 4000)
+            fresh = second.send(second.keeper.issue_key())
+            await anyio.sleep(PAUSE_S)
+            assert made.result(fresh).answer is not None
+
+    run(scenario)
+
+
 def test_restart_under_the_same_incarnation_runs_nothing_again():
     async def scenario():
         async with lab() as made:
--- a/packages/berylcart/tests/state/test_claim_ledger.py
+++ b/packages/berylcart/tests/state/test_claim_ledger.py
@@ -95,6 +95,24 @@
     ]
 
 
+def test_unreadable_record_may_have_been_any_claim():
+    ledger = ClaimLedger(RULES)
+    fold(ledger, (100, claim("a", key="known")), (200, None))
+    verdicts = fold(
+        ledger,
+        (300, claim("b", key="known")),
+        (300, claim("b", key="plain")),
+        (300, claim("b", key="old", issued_ms=150)),
+        (300, claim("b", key="new", issued_ms=250)),
+    )
+    assert verdicts == [
+        Verdict.DUPLICATE,
+        Verdict.UNJUDGED,
+        Verdict.UNJUDGED,
+        Verdict.GRANTED,
+    ]
+
+
 def test_forgotten_keys_hold_no_memory():
     ledger = ClaimLedger(RULES)
     for n in range(1000):
