--- a/packages/berylcart/tests/coordination/test_membership.py
+++ b/packages/berylcart/tests/coordination/test_membership.py
@@ -233,6 +233,19 @@
     run_fleet(scenario)
 
 
+def test_rumours_do_not_wait_for_the_next_probe(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        nodes[1].membership.mark_leaving("vm-9", 4)
+        await fleet.until(
+            lambda: all(n.membership.is_leaving("vm-9", 4) for n in nodes),
+            LEAVING_TARGET_S,
+        )
+
+    settings = DEFAULT_SETTINGS._replace(probe_period_ms=15_000)
+    run_fleet(scenario, settings=settings)
+
+
 def test_daemon_that_missed_a_join_reconciles(run_fleet):
     async def scenario(fleet):
         nodes = await fleet.grow(40)
