--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,19 @@
 SOURCES := packages
 export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src
 
-.PHONY: demo test setup format check lint types layers unit
+.PHONY: demo test faults prove setup format check lint types layers unit proto
 
 demo: setup
 	$(BIN)/berylcart demo
 
 test: check unit
 
+faults: setup
+	$(BIN)/berylcart faults --pairs 10
+
+prove: setup
+	for each in spec/*.py; do $(BIN)/python $$each || exit 1; done
+
 setup: $(VENV)/.installed
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
@@ -35,3 +41,11 @@
 
 unit: setup
 	$(BIN)/pytest
+
+proto: setup
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc \
+		-Iberylcart/protocol=proto \
+		--python_out=packages/berylcart/src \
+		--pyi_out=packages/berylcart/src \
+		--grpclib_python_out=packages/berylcart/src \
+		berylcart/protocol/peer.proto
--- a/packages/berylcart/src/berylcart/state/records.py
+++ b/packages/berylcart/src/berylcart/state/records.py
@@ -39,7 +39,11 @@
 
 
 class Claim(NamedTuple):
-    """Claim the sole right to run a non-idempotent request."""
+    """Claim the sole right to run a non-idempotent request.
+
+    issued_ms is the log time that a dated key carries, 0 for a plain key.
+    An empty ordering_digest waits for no other claim.
+    """
 
     key_digest: str
     workspace: str
@@ -47,6 +51,8 @@
     claimant: str
     claim_id: str
     fingerprint: str
+    issued_ms: int = 0
+    ordering_digest: str = ""
 
 
 class Outcome(NamedTuple):
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -0,0 +1,191 @@
+"""Call other daemons over gRPC."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+from cachetools import LRUCache
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from berylcart.protocol import peer_codec as codec
+from berylcart.protocol.peer_grpc import PeerStub
+from berylcart.state.config_text import MAX_TEXT_BYTES
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.peer_messages import (
+    AnswerQuery,
+    ConfigOffer,
+    ConfigQuery,
+    Gossip,
+    Ping,
+    PingRequest,
+    StoredAnswer,
+)
+from berylcart.transport.listening import split_address
+
+# A configuration text of the largest size, and its verdicts, must fit.
+MAX_MESSAGE_BYTES = 2 * MAX_TEXT_BYTES
+MAX_CHANNELS = 32
+MS_PER_S = 1000
+
+Decoded = TypeVar("Decoded")
+
+CALL_ERRORS = (
+    GRPCError,
+    OSError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+    ValueError,
+)
+
+
+class PeerChannel:
+    """Hold a channel and close it once it is retired and no call uses it."""
+
+    def __init__(self, address: str) -> None:
+        host, port = split_address(address)
+        self.channel = Channel(host, port)
+        self._calls = 0
+        self._is_retired = False
+
+    async def call(
+        self, method: str, message: object, timeout_s: float
+    ) -> Any:
+        """Make one call; raises TimeoutError when it takes too long."""
+        stub = PeerStub(self.channel)
+        call: Callable[..., Awaitable[Any]] = getattr(stub, method)
+        self._calls += 1
+        try:
+            with anyio.fail_after(timeout_s):
+                return await call(message)
+        finally:
+            self._calls -= 1
+            self._close_if_unused()
+
+    def retire(self) -> None:
+        """Take no more calls, and let those in progress end."""
+        self._is_retired = True
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        if self._is_retired and self._calls == 0:
+            self.channel.close()
+
+
+class ChannelCache(LRUCache[str, PeerChannel]):
+    """Keep the channels last used and retire the others."""
+
+    def popitem(self) -> tuple[str, PeerChannel]:
+        """Evict the channel that was unused for longest."""
+        address, channel = super().popitem()
+        channel.retire()
+        return address, channel
+
+
+class GrpcPeers:
+    """Implement the Peers port over grpclib; needs a running asyncio loop."""
+
+    def __init__(self, max_channels: int = MAX_CHANNELS) -> None:
+        self._channels = ChannelCache(maxsize=max_channels)
+
+    def close(self) -> None:
+        """Retire every channel."""
+        while self._channels:
+            self._channels.popitem()
+
+    def _channel(self, address: str) -> PeerChannel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = PeerChannel(address)
+            self._channels[address] = channel
+        return channel
+
+    def _retire(self, address: str, channel: PeerChannel) -> None:
+        """Replace a channel that failed.
+
+        A connection that a cut has broken can stay silent for minutes after
+        the cut is mended.
+        """
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+            channel.retire()
+
+    async def _call(
+        self,
+        address: str,
+        method: str,
+        message: object,
+        decode: Callable[[Any], Decoded],
+        timeout_ms: int,
+    ) -> Decoded:
+        channel = self._channel(address)
+        try:
+            reply = await channel.call(method, message, timeout_ms / MS_PER_S)
+            return decode(reply)
+        except CALL_ERRORS as error:
+            self._retire(address, channel)
+            raise BerylcartError(
+                Code.PEER_UNAVAILABLE,
+                f"{method} to {address} failed: {type(error).__name__}",
+            ) from error
+
+    async def ping(
+        self, address: str, ping: Ping, *, timeout_ms: int
+    ) -> Gossip:
+        """Probe a daemon, piggybacking gossip both ways."""
+        return await self._call(
+            address,
+            "Ping",
+            codec.encode_ping(ping),
+            codec.decode_gossip,
+            timeout_ms,
+        )
+
+    async def ping_request(
+        self, address: str, request: PingRequest, *, timeout_ms: int
+    ) -> bool:
+        """Have a peer probe a third daemon and say whether it answered."""
+        return await self._call(
+            address,
+            "PingRequest",
+            codec.encode_ping_request(request),
+            lambda reply: bool(reply.is_reached),
+            timeout_ms,
+        )
+
+    async def exchange(
+        self, address: str, gossip: Gossip, *, timeout_ms: int
+    ) -> Gossip:
+        """Swap the whole membership state."""
+        return await self._call(
+            address,
+            "Exchange",
+            codec.encode_gossip(gossip),
+            codec.decode_gossip,
+            timeout_ms,
+        )
+
+    async def pull_config(
+        self, address: str, query: ConfigQuery, *, timeout_ms: int
+    ) -> ConfigOffer:
+        """Fetch a peer's configuration if it is newer."""
+        return await self._call(
+            address,
+            "PullConfig",
+            codec.encode_config_query(query),
+            codec.decode_config_offer,
+            timeout_ms,
+        )
+
+    async def collect_answer(
+        self, address: str, query: AnswerQuery, *, timeout_ms: int
+    ) -> StoredAnswer:
+        """Collect the stored answer of a claimed request."""
+        return await self._call(
+            address,
+            "CollectAnswer",
+            codec.encode_answer_query(query),
+            codec.decode_answer,
+            timeout_ms,
+        )
