Refuse orders for another instance and grants of no real duration

The order client names the instance that it expects, which the engine stand-in passed over: an order could reach a VM that reuses an address. It answers 412 now, as for attempts.

--- a/packages/berylcart-tools/src/berylcart_tools/standins/engine.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/engine.py
@@ -154,6 +154,7 @@
         desk = OrderDesk(
             settings.models,
             loader,
+            instance,
             is_fencing_checked=settings.is_fencing_checked,
         )
         engine = EngineWork(settings, faults, desk)
--- a/packages/berylcart-tools/src/berylcart_tools/standins/orders.py
+++ b/packages/berylcart-tools/src/berylcart_tools/standins/orders.py
@@ -4,6 +4,7 @@
 
 import anyio
 from berylcart.protocol.json_values import read_message
+from berylcart.protocol.upstream_messages import INSTANCE_HEADER
 from pydantic import ConfigDict, Field, TypeAdapter, with_config
 from starlette.requests import Request
 from starlette.responses import Response
@@ -14,6 +15,7 @@
 
 ORDERS_PATH = "/v1/orders"
 STATUS_CONFLICT = 409
+STATUS_OTHER_INSTANCE = 412
 
 Names = list[Annotated[str, Field(min_length=1)]]
 
@@ -54,6 +56,7 @@
         self,
         models: tuple[str, ...],
         loader: Loader,
+        instance: str,
         *,
         is_fencing_checked: bool,
     ) -> None:
@@ -61,6 +64,7 @@
             models=list(models), adapters=[], version="", role=""
         )
         self.loader = loader
+        self.instance = instance
         self.is_fencing_checked = is_fencing_checked
         self.highest_seen = 0
         self.fencing = 0
@@ -86,6 +90,11 @@
     async def post(self, request: Request) -> Response:
         """Take one order and say whether it was applied."""
         order = read_message(ORDER, await request.body())
+        expected = request.headers.get(INSTANCE_HEADER, self.instance)
+        if expected != self.instance:
+            return json_answer(
+                {"instance": self.instance}, STATUS_OTHER_INSTANCE
+            )
         if await self.take(order):
             return json_answer({"applied": True})
         return json_answer({"fencing": self.highest_seen}, STATUS_CONFLICT)
--- a/packages/berylcart-tools/tests/standins/test_orders.py
+++ b/packages/berylcart-tools/tests/standins/test_orders.py
@@ -81,6 +81,22 @@
     anyio.run(main)
 
 
+def test_order_for_another_instance_is_not_applied():
+    async def scenario(engine):
+        request = HttpRequest(
+            "POST",
+            engine.address,
+            "/v1/orders",
+            json.dumps(order(3, "new")).encode(),
+            (("Expected-Instance", "vm-1/0"),),
+        )
+        assert (await engine.client.request(request)).status == 412
+        _, state = await engine.send("GET", "/v1/orders")
+        assert state["models"] == ["old"]
+
+    with_engine(scenario)
+
+
 def test_order_loads_what_is_missing():
     async def scenario(engine):
         status, _ = await engine.send("POST", "/v1/orders", order(3, "new"))
@@ -125,7 +141,9 @@
 def test_newer_order_overtakes_one_that_loads(is_checked, results):
     async def scenario():
         loader = GatedLoader()
-        desk = OrderDesk(("old",), loader, is_fencing_checked=is_checked)
+        desk = OrderDesk(
+            ("old",), loader, "vm-1/1", is_fencing_checked=is_checked
+        )
         found = {}
 
         async def take(fencing, *models):
--- a/packages/berylcart/src/berylcart/protocol/order_messages.py
+++ b/packages/berylcart/src/berylcart/protocol/order_messages.py
@@ -7,6 +7,7 @@
 
 from berylcart.coordination.duty_ports import Desired, Order
 from berylcart.protocol.json_values import read_message
+from berylcart.protocol.upstream_messages import Seconds
 
 
 class StateMessage(TypedDict):
@@ -22,7 +23,7 @@
 class GrantMessage(TypedDict):
     """Carry how long a granted load takes."""
 
-    seconds: float
+    seconds: Seconds
 
 
 STATE = TypeAdapter(StateMessage)
--- a/packages/berylcart/tests/protocol/test_messages.py
+++ b/packages/berylcart/tests/protocol/test_messages.py
@@ -10,6 +10,7 @@
     read_bounds,
     read_page,
 )
+from berylcart.protocol.order_messages import read_grant, read_state
 from berylcart.protocol.sse import ServerEvent
 from berylcart.protocol.upstream_messages import (
     read_load,
@@ -61,6 +62,14 @@
         "output": {"text": ""},
         "usage": {"steps": 1, "tokens": 1, "seconds": 0.5},
     },
+    "grant": {"seconds": 0.5},
+    "state": {
+        "fencing": 1,
+        "models": ["m"],
+        "adapters": [],
+        "version": "",
+        "role": "",
+    },
     "refusal": {"reason": "overloaded", "retry_after_ms": 1},
     "load": {
         "instance": "vm-1/1",
@@ -79,6 +88,8 @@
     "bounds": read_bounds,
     "run": read_run,
     "reply": read_reply,
+    "grant": read_grant,
+    "state": read_state,
     "refusal": read_refusal,
     "load": read_load,
     "vms": read_vm_page,
@@ -177,6 +188,12 @@
         read_page(body, 1)
 
 
+@pytest.mark.parametrize("seconds", ["-1", "NaN", "Infinity", "1e400"])
+def test_grant_of_no_real_duration_is_refused(seconds):
+    with pytest.raises(MessageError):
+        read_grant(b'{"seconds": %s}' % seconds.encode())
+
+
 def test_unreadable_vm_does_not_hide_the_others():
     vm = MESSAGES["vm"]
     vms = [{**vm, "state": "novel"}, vm, {**vm, "incarnation": "1"}, None]
