Count a pulled peer once, and confirm only what its answer says

Three faults between the lease and the daemon's exchange: a peer counted under its id and under its address, so 2 of 5 passed for a majority; a pull whose offer was refused confirmed our own older state; a daemon that had read nothing reported offset 0 as folded, and one that can't judge the newest record reported itself as not ahead.

The exchange now tells the keeper's own freshness, and a pull confirms with the offset that the peer gave.

--- a/packages/berylcart-daemon/src/berylcart_daemon/config_exchange.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/config_exchange.py
@@ -36,10 +36,7 @@
 
     def freshness(self) -> ConfigFreshness:
         """Give the version in force here and how lately it was confirmed."""
-        current = self.configs.current
-        return ConfigFreshness(
-            current.version, current.as_of_offset, self.age_ms()
-        )
+        return self.configs.freshness()
 
     def age_ms(self) -> int:
         """Give the time since the configuration was known to be newest."""
@@ -61,11 +58,13 @@
 
     def offer_for(self, query: ConfigQuery) -> ConfigOffer:
         """Answer a peer that asks for a newer configuration."""
-        current = self.configs.current
-        is_ahead = current.as_of_offset > query.known_offset
-        if not is_ahead or current.version == 0:
+        checkpoint = self.configs.checkpoint()
+        if checkpoint is None:
+            return ConfigOffer(None, int(self.longest_age_s() * MS_PER_S))
+        is_ahead = checkpoint.as_of_offset > query.known_offset
+        if not is_ahead or checkpoint.version == 0:
             return ConfigOffer(None, self.age_ms())
-        return ConfigOffer(self.configs.checkpoint(), self.age_ms())
+        return ConfigOffer(checkpoint, self.age_ms())
 
     async def run(self, membership: Membership) -> None:
         """Pull when asked to and renew the lease until cancelled."""
@@ -94,15 +93,11 @@
                 "config.pull_failed", peer=address, detail=error.detail
             )
             return
+        as_of_offset = current.as_of_offset
         if offer.checkpoint is not None:
             self.configs.offer(offer.checkpoint)
-        self.configs.heard_freshness(
-            address,
-            self.configs.current.as_of_offset,
-            offer.age_ms,
-            len(self.directory.entries()),
-            asked_at_s=asked_at_s,
-        )
+            as_of_offset = offer.checkpoint.as_of_offset
+        self.configs.confirm(as_of_offset, offer.age_ms, asked_at_s)
 
     async def renew_forever(self, membership: Membership) -> None:
         """Tell the lease each second which daemons were heard."""
--- a/packages/berylcart-daemon/tests/test_config_exchange.py
+++ b/packages/berylcart-daemon/tests/test_config_exchange.py
@@ -220,3 +220,54 @@
             tasks.cancel_scope.cancel()
 
     run(scenario)
+
+
+def test_peer_that_is_heard_and_pulled_from_counts_once():
+    async def scenario():
+        log, _, reader, follower = await pair()
+        names = ("d1", "d2", "d3", "d4", "d5")
+        follower.list_daemons(*names)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(reader.configs.run)
+            await reader.configs.wait_for(1)
+            await follower.exchange.pull("a")
+            log.is_down = True
+            await anyio.sleep(LEASE_S * 2)
+            await follower.exchange.pull("a")
+            heard = {"d2": (1, anyio.current_time())}
+            follower.exchange.renew(FakeMembership(heard))
+            assert follower.configs.is_ready
+            assert not follower.configs.is_current
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_refused_offer_confirms_nothing():
+    async def scenario():
+        _, _, reader, follower = await pair()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(reader.configs.run)
+            await reader.configs.wait_for(1)
+            follower.configs.offer = lambda checkpoint: False
+            await follower.exchange.pull("a")
+            assert follower.configs.current.verified_at_s < 0
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_daemon_that_has_read_nothing_offers_and_confirms_nothing():
+    async def scenario():
+        log, _, reader, follower = await pair()
+        log.is_down = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(reader.configs.run)
+            await anyio.sleep(1)
+            assert reader.exchange.freshness().as_of_offset < 0
+            await follower.exchange.pull("a")
+            assert not follower.configs.is_ready
+            assert follower.configs.current.verified_at_s < -LEASE_S
+            tasks.cancel_scope.cancel()
+
+    run(scenario)
--- a/packages/berylcart/src/berylcart/coordination/config_keeper.py
+++ b/packages/berylcart/src/berylcart/coordination/config_keeper.py
@@ -180,10 +180,14 @@
         all, live_count the number of daemons that the newest VM list shows.
         """
         self.lease.live_count = live_count
-        if as_of_offset < 0:
-            return
         self.lease.hear(peer_id, as_of_offset, asked_at_s)
-        if as_of_offset <= self._state.next_offset:
+        self.confirm(as_of_offset, age_ms, asked_at_s)
+
+    def confirm(
+        self, as_of_offset: int, age_ms: int, asked_at_s: float
+    ) -> None:
+        """Note how far the log went age_ms before asked_at_s."""
+        if 0 <= as_of_offset <= self._state.next_offset:
             self.lease.verify(asked_at_s - age_ms / MS_PER_S)
 
     async def wait_for(self, version: int) -> Snapshot:
--- a/packages/berylcart/src/berylcart/coordination/config_lease.py
+++ b/packages/berylcart/src/berylcart/coordination/config_lease.py
@@ -30,7 +30,12 @@
         self.verified_at_s = max(self.verified_at_s, at_s)
 
     def hear(self, peer_id: str, as_of_offset: int, asked_at_s: float) -> None:
-        """Record the answer of a peer to a question asked at a time."""
+        """Record the answer of a peer to a question asked at a time.
+
+        A peer that has folded nothing confirms nothing.
+        """
+        if as_of_offset < 0:
+            return
         known = self.peers.get(peer_id)
         if known is None or known.asked_at_s <= asked_at_s:
             self.peers[peer_id] = Freshness(asked_at_s, as_of_offset)
