Mix faults with expiry under dated keys; back off while the log is down

Twelve seeds (0 to 11) of kills, freezes, outages, lost answers and records that expire early, over the age of keys.

Readers now wait 0.1 s and up to 1 s between tries.

--- a/packages/berylcart/src/berylcart/coordination/claim_reader.py
+++ b/packages/berylcart/src/berylcart/coordination/claim_reader.py
@@ -20,7 +20,8 @@
 READ_LIMIT = 1000
 READ_WAIT_MS = 10_000
 READ_TIMEOUT_S = 15
-RETRY_S = 0.2
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
 
 OnEntry = Callable[[LogEntry, Judgement | None], None]
 
@@ -40,15 +41,18 @@
 
     async def run(self) -> None:
         """Read until cancelled."""
+        retry_s = MIN_RETRY_S
         while True:
             try:
                 with anyio.fail_after(READ_TIMEOUT_S):
                     await self._read_next()
+                retry_s = MIN_RETRY_S
             except LogGapError as gap:
                 events.warning("claims.gap", start_offset=gap.start_offset)
                 self.position = -1
             except (LogUnavailableError, TimeoutError):
-                await anyio.sleep(RETRY_S)
+                await anyio.sleep(retry_s)
+                retry_s = min(2 * retry_s, MAX_RETRY_S)
 
     async def _read_next(self) -> None:
         if self.position < 0:
--- a/packages/berylcart/tests/coordination/test_claims_faults.py
+++ b/packages/berylcart/tests/coordination/test_claims_faults.py
@@ -546,11 +546,7 @@
                 await anyio.sleep(rng.choice([0, 0.001, 0.01, 0.5, 3]))
                 await disturb(made, rng)
                 made.check()
-            made.log.is_down = False
-            made.log.delay_ms = 0
-            for daemon in made.daemons:
-                daemon.stop_at = ""
-                daemon.thaw()
+            heal(made)
             await anyio.sleep(3 * PAUSE_S)
             sends = [
                 daemon.send(f"k{n}")
@@ -561,3 +557,52 @@
             assert all(made.result(each) is not None for each in sends)
 
     run(scenario)
+
+
+def expire_early(made, rng):
+    """Drop some records sooner than the log should."""
+    entries = made.log.stream("claims").entries
+    for _ in range(rng.randrange(len(entries) + 1)):
+        entries.popleft()
+
+
+def heal(made):
+    """End every failure."""
+    made.log.is_down = False
+    made.log.delay_ms = 0
+    made.log.lost_answers = 0
+    made.refusals = 0
+    made.lost_replies = 0
+    for daemon in made.daemons:
+        daemon.stop_at = ""
+        daemon.thaw()
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_faults_across_expiry_with_dated_keys(seed):
+    async def scenario():
+        rng = random.Random(seed)
+        log = MemoryLog(retention_ms=2 * KEEP_MS)
+        settings = rng.choice([SETTINGS, PATIENT])
+        async with lab(rng.randint(3, 5), log, settings) as made:
+            keys = []
+            for _ in range(40):
+                keys.append(rng.choice(made.daemons).keeper.issue_key())
+                for _ in range(rng.randrange(6)):
+                    key = rng.choice(keys[-6:])
+                    rng.choice(made.daemons).send(key)
+                pause_s = rng.choice([0.001, 0.5, 3, KEEP_MS / 4000])
+                await anyio.sleep(pause_s)
+                await disturb(made, rng)
+                made.log.is_down &= rng.randrange(2) == 0
+                if rng.randrange(12) == 0:
+                    expire_early(made, rng)
+                made.check()
+            heal(made)
+            await anyio.sleep(KEEP_MS / 2000)
+            key = made.daemons[0].keeper.issue_key()
+            sends = [daemon.send(key) for daemon in made.daemons]
+            await anyio.sleep(3 * PAUSE_S)
+            assert all(made.result(each).answer for each in sends)
+
+    run(scenario)
