--- a/packages/berylcart-tools/tests/standins/test_vm_list.py
+++ b/packages/berylcart-tools/tests/standins/test_vm_list.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 import trio
+from berylcart.protocol.vm_messages import write_vm
 from berylcart.state.vm import Vm, VmRole, VmState
 from berylcart.transport.http_client import HttpClient, HttpRequest
 from berylcart.transport.vm_list_client import HttpVmList, VmListError
@@ -78,11 +79,48 @@
     with_list(scenario)
 
 
-def test_vm_under_another_path_is_refused():
+def test_malformed_vm_is_refused():
     async def scenario(vm_list):
-        vm = VM._replace(vm_id="vm-2")
         with pytest.raises(VmListError):
-            await vm_list.put(vm._replace(address="nowhere:1"))
-        await vm_list.put(vm)
+            await vm_list.put(VM._replace(address="nowhere:1"))
+
+    with_list(scenario)
+
+
+def test_vm_under_another_path_is_refused():
+    async def scenario(vm_list):
+        request = HttpRequest(
+            "PUT", vm_list.address, "/v1/vms/vm-2", write_vm(VM)
+        )
+        assert (await vm_list.client.request(request)).status == 400
+        assert (await vm_list.fetch()).vms == ()
+
+    with_list(scenario)
+
+
+def test_unchanged_list_is_not_sent_again_but_its_time_goes_on():
+    async def scenario(vm_list):
+        await vm_list.put(VM)
+        first = await vm_list.fetch()
+        await anyio.sleep(0.01)
+        second = await vm_list.fetch()
+        assert second.vms is first.vms
+        assert second.as_of_ms > first.as_of_ms
+        changed = VM._replace(state=VmState.LEAVING)
+        await vm_list.put(changed)
+        assert (await vm_list.fetch()).vms == (changed,)
+
+    with_list(scenario)
+
+
+def test_restarted_list_is_read_anew():
+    async def scenario(vm_list):
+        await vm_list.put(VM)
+        await vm_list.fetch()
+        async with running(serve_vm_list, VmListSettings(lag_ms=0)) as other:
+            vm_list.address = other
+            changed = VM._replace(incarnation=2)
+            await vm_list.put(changed)
+            assert (await vm_list.fetch()).vms == (changed,)
 
     with_list(scenario)
