--- a/packages/berylcart-tools/src/berylcart_tools/commands/experiment.py
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/experiment.py
@@ -76,10 +76,13 @@
 
 def run_membership(daemons: int, seed: int) -> Any:
     """Run the experiment on membership."""
-    from importlib import import_module
+    from functools import partial
 
-    module = import_module("berylcart_tools.experiments.membership")
-    return module.run_membership(daemons=daemons, seed=seed)
+    import anyio
+
+    from berylcart_tools.experiments import membership
+
+    return anyio.run(partial(membership.run_membership, daemons, seed))
 
 
 def find_named(table: dict[str, Any], name: str, kind: str) -> Any:
--- /dev/null
+++ b/packages/berylcart-tools/tests/commands/test_experiment.py
@@ -0,0 +1,15 @@
+"""Check that the experiment command runs what it is asked to."""
+
+import json
+
+from berylcart_tools.commands.experiment import RunCommand
+from berylcart_tools.experiments import membership
+
+
+def test_membership_experiment_prints_one_line(monkeypatch, capsys):
+    async def run_membership(daemons, seed):
+        return {"daemons": daemons, "seed": seed}
+
+    monkeypatch.setattr(membership, "run_membership", run_membership)
+    assert RunCommand(name="membership", daemons=3, seed=4)() == 0
+    assert json.loads(capsys.readouterr().out) == {"daemons": 3, "seed": 4}
