--- a/packages/berylcart/src/berylcart/transport/connections.py
+++ b/packages/berylcart/src/berylcart/transport/connections.py
@@ -55,7 +55,7 @@
             connection = kept.pop()
             if not connection.has_expired():
                 return connection
-            await connection.aclose()
+            await close_all([connection])
         self.idle.pop(address, None)
         return None
 
@@ -84,13 +84,18 @@
             self.idle[address] = [one for one in kept if one not in old]
             if not self.idle[address]:
                 del self.idle[address]
-        for connection in expired:
-            await connection.aclose()
+        await close_all(expired)
 
     async def aclose(self) -> None:
         """Close every idle connection."""
         closing = [one for kept in self.idle.values() for one in kept]
         self.idle.clear()
+        await close_all(closing)
+
+
+async def close_all(closing: list[httpcore.AsyncHTTPConnection]) -> None:
+    """Close connections, also where the caller is being cancelled."""
+    with anyio.CancelScope(shield=True):
         for connection in closing:
             await connection.aclose()
 
--- a/packages/berylcart/src/berylcart/transport/upstream_client.py
+++ b/packages/berylcart/src/berylcart/transport/upstream_client.py
@@ -1,7 +1,5 @@
 """Run attempts on upstreams over HTTP."""
 
-from collections.abc import Mapping
-
 from berylcart import events
 from berylcart.coordination.ports import ChunkSink
 from berylcart.protocol.json_values import MessageError
@@ -10,9 +8,7 @@
     DONE_EVENT,
     INSTANCE_HEADER,
     TOKEN_EVENT,
-    RefusalReason,
     read_load,
-    read_refusal,
     read_reply,
     read_token,
     write_run,
@@ -25,67 +21,21 @@
     HttpError,
     HttpRequest,
     HttpStream,
-    HttpTimeoutError,
-    retry_after_ms,
+)
+from berylcart.transport.upstream_errors import (
+    failed,
+    from_http_error,
+    from_status,
 )
 
 RUN_PATH = "/v1/run"
 LOAD_PATH = "/v1/load"
 LOAD_TIMEOUT_MS = 500
-MAX_REFUSAL_BYTES = 1 << 16
 
 STATUS_OK = 200
-STATUS_REJECTED = (400, 422)
-STATUS_OTHER_INSTANCE = 412
-STATUS_REFUSED = (429, 503)
 STREAM_TYPE = "text/event-stream"
 
 
-def failed(detail: str, ran: Ran = Ran.UNKNOWN) -> UpstreamError:
-    """Describe an attempt that failed."""
-    return UpstreamError(Code.UPSTREAM_FAILED, detail, ran=ran)
-
-
-def from_http_error(error: HttpError) -> UpstreamError:
-    """Describe an attempt without a whole answer."""
-    code = Code.UPSTREAM_FAILED
-    if isinstance(error, HttpTimeoutError):
-        code = Code.DEADLINE_EXCEEDED
-    return UpstreamError(code, error.detail, ran=error.ran)
-
-
-def from_refusal(headers: Mapping[str, str], body: bytes) -> UpstreamError:
-    """Describe a refusal; without header or reason it may have run."""
-    header_ms = retry_after_ms(headers)
-    if header_ms is None:
-        return failed("a refusal without Retry-After")
-    try:
-        refusal = read_refusal(body)
-    except MessageError as error:
-        return failed(error.detail)
-    is_draining = refusal["reason"] == RefusalReason.DRAINING
-    return UpstreamError(
-        Code.NO_UPSTREAM if is_draining else Code.OVERLOADED,
-        f"the upstream refused: {refusal['reason'].value}",
-        ran=Ran.NO,
-        is_draining=is_draining,
-        retry_after_ms=refusal.get("retry_after_ms", header_ms),
-    )
-
-
-async def from_status(stream: HttpStream) -> UpstreamError:
-    """Describe an answer other than a reply, by its status."""
-    if stream.status in STATUS_REJECTED:
-        detail = f"the upstream answered {stream.status}"
-        return UpstreamError(Code.UPSTREAM_REJECTED, detail, ran=Ran.NO)
-    if stream.status == STATUS_OTHER_INSTANCE:
-        return failed("another instance listens at this address", Ran.NO)
-    if stream.status in STATUS_REFUSED:
-        body = await stream.read_body(MAX_REFUSAL_BYTES)
-        return from_refusal(stream.headers, body)
-    return failed(f"the upstream answered {stream.status}")
-
-
 def run_request(call: StageCall) -> HttpRequest:
     """Write the request of an attempt; raises UpstreamError."""
     try:
--- /dev/null
+++ b/packages/berylcart/src/berylcart/transport/upstream_errors.py
@@ -0,0 +1,63 @@
+"""Judge how an attempt failed and whether it may have run."""
+
+from collections.abc import Mapping
+
+from berylcart.protocol.json_values import MessageError
+from berylcart.protocol.upstream_messages import RefusalReason, read_refusal
+from berylcart.state.errors import Code, Ran, UpstreamError
+from berylcart.transport.http_client import (
+    HttpError,
+    HttpStream,
+    HttpTimeoutError,
+    retry_after_ms,
+)
+
+MAX_REFUSAL_BYTES = 1 << 16
+STATUS_REJECTED = (400, 422)
+STATUS_OTHER_INSTANCE = 412
+STATUS_REFUSED = (429, 503)
+
+
+def failed(detail: str, ran: Ran = Ran.UNKNOWN) -> UpstreamError:
+    """Describe an attempt that failed."""
+    return UpstreamError(Code.UPSTREAM_FAILED, detail, ran=ran)
+
+
+def from_http_error(error: HttpError) -> UpstreamError:
+    """Describe an attempt without a whole answer."""
+    code = Code.UPSTREAM_FAILED
+    if isinstance(error, HttpTimeoutError):
+        code = Code.DEADLINE_EXCEEDED
+    return UpstreamError(code, error.detail, ran=error.ran)
+
+
+def from_refusal(headers: Mapping[str, str], body: bytes) -> UpstreamError:
+    """Describe a refusal; without header or reason it may have run."""
+    header_ms = retry_after_ms(headers)
+    if header_ms is None:
+        return failed("a refusal without Retry-After")
+    try:
+        refusal = read_refusal(body)
+    except MessageError as error:
+        return failed(error.detail)
+    is_draining = refusal["reason"] == RefusalReason.DRAINING
+    return UpstreamError(
+        Code.NO_UPSTREAM if is_draining else Code.OVERLOADED,
+        f"the upstream refused: {refusal['reason'].value}",
+        ran=Ran.NO,
+        is_draining=is_draining,
+        retry_after_ms=refusal.get("retry_after_ms", header_ms),
+    )
+
+
+async def from_status(stream: HttpStream) -> UpstreamError:
+    """Describe an answer other than a reply, by its status."""
+    if stream.status in STATUS_REJECTED:
+        detail = f"the upstream answered {stream.status}"
+        return UpstreamError(Code.UPSTREAM_REJECTED, detail, ran=Ran.NO)
+    if stream.status == STATUS_OTHER_INSTANCE:
+        return failed("another instance listens at this address", Ran.NO)
+    if stream.status in STATUS_REFUSED:
+        body = await stream.read_body(MAX_REFUSAL_BYTES)
+        return from_refusal(stream.headers, body)
+    return failed(f"the upstream answered {stream.status}")
