Name the last failure when no replica is left to retry at

Cause: a stage that failed at every replica was reported as 2005 no upstream, which sends operators to the pool's list instead of its failures. Ruled out: counting tried replicas as leaving. Figures: test_serving.py passes with the codes of both cases.

--- a/packages/berylcart/src/berylcart/coordination/attempts.py
+++ b/packages/berylcart/src/berylcart/coordination/attempts.py
@@ -9,7 +9,7 @@
 from berylcart.coordination.ports import ChunkSink, Upstreams
 from berylcart.coordination.stage_policy import StagePolicy, elapsed_ms
 from berylcart.state.config import Service, ServiceKind
-from berylcart.state.errors import Code, Ran, UpstreamError
+from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
 from berylcart.state.request import Progress, StageReport
 from berylcart.state.stage import StageCall, StageChunk, StageReply
 from berylcart.state.vm import Vm
@@ -89,6 +89,7 @@
         self.cursor = StreamCursor(sink)
         self.tried: set[str] = set()
         self.attempts = 0
+        self.failure: UpstreamError | None = None
         self.started_at_s = anyio.current_time()
 
     @property
@@ -152,18 +153,29 @@
         run = StageRun(task, progress, sink)
         self.policy.note_fresh(task.service.name)
         while True:
-            vm = self.policy.choose(
-                task.service, task.workspace, task.payload, run.tried
-            )
+            vm = self.choose(run)
             try:
                 answered = await self.attempt(run, vm)
             except UpstreamError as error:
                 self.check_retry(run, error)
+                run.failure = error
                 continue
             result = run.result(answered)
             self.policy.note_stage(task.service.name, result.report.latency_ms)
             return result
 
+    def choose(self, run: StageRun) -> Vm:
+        """Choose the next upstream; raises the last failure without one."""
+        task = run.task
+        try:
+            return self.policy.choose(
+                task.service, task.workspace, task.payload, run.tried
+            )
+        except BerylcartError as error:
+            if run.failure is None or error.code is not Code.NO_UPSTREAM:
+                raise
+            raise run.failure from error
+
     async def attempt(self, run: StageRun, vm: Vm) -> Answered:
         """Send one attempt, and a hedge when it takes long."""
         task = run.task
--- a/packages/berylcart/tests/coordination/test_serving.py
+++ b/packages/berylcart/tests/coordination/test_serving.py
@@ -50,8 +50,13 @@
         rig = Rig()
         rig.upstreams.failures = {"enc-1": [failed(Ran.UNKNOWN)]}
         error = await rig.refusal("enc", workspace="one")
-        assert error.code is Code.NO_UPSTREAM
+        assert error.code is Code.UPSTREAM_FAILED
+        assert error.ran is Ran.UNKNOWN
         assert {call.vm.place for call in rig.upstreams.calls} == {"p1"}
+        rig.directory.mark_leaving("enc-1", 1)
+        error = await rig.refusal("enc", workspace="one")
+        assert error.code is Code.NO_UPSTREAM
+        assert error.ran is Ran.NO
 
     run(scenario)
 
