Let reports steer only where work queues, and affinity only shared prefixes

Nothing was ejected. The load of others, smoothed over reports that come seconds apart, made all entries prefer the same replica; the in-process trial polls more often and did not show it. Change: the load of others counts only above a replica's capacity, five random candidates in place of three, and a prompt prefix that was not seen before follows the load, not its hash.

--- a/packages/berylcart-tools/src/berylcart_tools/commands/experiment.py
+++ b/packages/berylcart-tools/src/berylcart_tools/commands/experiment.py
@@ -9,6 +9,7 @@
 import cappa
 
 MEMBERSHIP = "membership"
+DAEMON_COST = "daemon-cost"
 BEST_BASELINE = "least_in_flight"
 DEFAULT_POLICIES = (BEST_BASELINE, "berylcart")
 
@@ -18,7 +19,9 @@
 class RunCommand:
     """Run one experiment."""
 
-    name: Annotated[str, cappa.Arg(help="Scenario, or membership.")]
+    name: Annotated[
+        str, cappa.Arg(help="Scenario, membership or daemon-cost.")
+    ]
     seed: Annotated[int, cappa.Arg(long=True)] = 1
     deployment: Annotated[
         str, cappa.Arg(long=True, help="authority or cooperative")
@@ -38,6 +41,8 @@
         """Run the experiment and print one line of JSON."""
         if self.name == MEMBERSHIP:
             result = run_membership(self.daemons, self.seed)
+        elif self.name == DAEMON_COST:
+            result = run_daemon_cost(self.seed)
         else:
             result = self.run_scenario()
         sys.stdout.write(json.dumps(result) + "\n")
@@ -82,6 +87,13 @@
     return module.run_membership(daemons=daemons, seed=seed)
 
 
+def run_daemon_cost(seed: int) -> Any:
+    """Run the experiment on the daemon's own cost."""
+    from berylcart_tools.experiments import daemon_cost
+
+    return daemon_cost.run_daemon_cost(seed)
+
+
 def find_named(table: dict[str, Any], name: str, kind: str) -> Any:
     """Find a value by its name; raises BerylcartError BAD_REQUEST."""
     from berylcart.state.errors import BerylcartError, Code
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/fleet.py
@@ -367,8 +367,9 @@
     for upstream in layout.upstreams:
         group.start(upstream.vm_id, TOOLS, upstream_arguments(upstream))
     for place in layout.deployment.places:
-        routes = json.dumps(relay_routes(layout, place))
-        group.start(f"relay-{place}", RELAY, [routes])
+        routes = relay_routes(layout, place)
+        if routes:
+            group.start(f"relay-{place}", RELAY, [json.dumps(routes)])
 
 
 def start_entries(
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/outcomes.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/outcomes.py
@@ -9,6 +9,8 @@
 MAX_LATENCY_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
 US_PER_MS = 1000
+FIRST_REFUSAL = 2000
+FIRST_FAILURE = 3000
 QUANTILES = (50.0, 95.0, 99.0)
 
 
@@ -120,10 +122,19 @@
     return groups
 
 
+def is_refusal(code: int) -> bool:
+    """Tell a refusal from a request that ran and failed or was late.
+
+    >>> is_refusal(2000), is_refusal(3000)
+    (True, False)
+    """
+    return FIRST_REFUSAL <= code < FIRST_FAILURE
+
+
 def summarise(outcomes: Sequence[Outcome], duration_s: float) -> Summary:
     """Sum up the outcomes of one run."""
     answered = [o for o in outcomes if o.code == 0]
-    refused = [o for o in outcomes if o.code > 0]
+    refused = [o for o in outcomes if is_refusal(o.code)]
     attained = sum(o.is_attained for o in outcomes)
     stages = stage_samples(answered)
     codes = Counter(str(o.code) for o in outcomes)
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/report.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/report.py
@@ -33,6 +33,15 @@
     ]
 
 
+def show_share(value: float | None) -> str:
+    """Write a share, or that it is not known.
+
+    >>> show_share(0.25), show_share(None)
+    ('0.250', 'unknown')
+    """
+    return "unknown" if value is None else f"{value:.3f}"
+
+
 def row_of(experiment: Experiment, run: PolicyRun) -> tuple[str, ...]:
     """Write one policy's result as the cells of a row."""
     summary = run["summary"]
@@ -47,7 +56,7 @@
         f"{summary['latency']['p50_ms']:.0f}",
         f"{summary['latency']['p99_ms']:.0f}",
         f"{summary['refusal_latency']['p99_ms']:.1f}",
-        f"{run['cost']['wasted']:.3f}",
+        show_share(run["cost"]["wasted"]),
         str(summary["broken"]),
     )
 
@@ -129,7 +138,7 @@
     plots = (
         ("attainment", lambda run: run["summary"]["attainment"]),
         ("p99-ms", lambda run: run["summary"]["latency"]["p99_ms"]),
-        ("wasted", lambda run: run["cost"]["wasted"]),
+        ("wasted", lambda run: run["cost"]["wasted"] or 0.0),
     )
     paths = []
     for name, value_of in plots:
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/runner.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/runner.py
@@ -26,7 +26,12 @@
     Summary,
     summarise,
 )
-from berylcart_tools.experiments.scenarios import WARM_UP_S, Scenario
+from berylcart_tools.experiments.scenarios import (
+    WARM_UP_S,
+    KillPlace,
+    KillUpstream,
+    Scenario,
+)
 
 SMALLEST = "$smallest"
 CANDIDATE = "berylcart"
@@ -40,12 +45,13 @@
 class Cost(TypedDict):
     """Give what a run cost the upstreams and the daemons.
 
-    wasted is the share of attempts that ran for no answer.
+    wasted is the share of attempts that ran for no answer, None where an
+    upstream was killed and can't say what it ran.
     """
 
     attempts: dict[str, int]
     useful: dict[str, int]
-    wasted: float
+    wasted: float | None
     engine_seconds_per_answer: float
     daemon_cpu_s: float
     daemon_cpu_ms_per_call: float
@@ -187,10 +193,22 @@
     return outcome._replace(stages=samples)
 
 
+def kills_upstreams(scenario: Scenario) -> bool:
+    """Say whether a scenario kills a witness of what ran.
+
+    >>> kills_upstreams(Scenario("one", actions=(KillPlace(1.0, 0),)))
+    True
+    """
+    kills = (KillUpstream, KillPlace)
+    return any(isinstance(action, kills) for action in scenario.actions)
+
+
 def count_cost(
     outcomes: Sequence[Outcome],
     attempts: dict[str, int],
     daemon_cpu_s: float,
+    *,
+    is_witnessed: bool = True,
 ) -> Cost:
     """Compare what ran with what was of use."""
     useful = dict.fromkeys(attempts, 0)
@@ -208,7 +226,7 @@
     return Cost(
         attempts=attempts,
         useful=useful,
-        wasted=round(wasted, 4),
+        wasted=round(wasted, 4) if is_witnessed else None,
         engine_seconds_per_answer=round(engine_s / max(1, answered), 5),
         daemon_cpu_s=round(daemon_cpu_s, 2),
         daemon_cpu_ms_per_call=round(
@@ -231,7 +249,12 @@
     return PolicyRun(
         policy=policy,
         summary=summarise(measured, plan.scenario.duration_s),
-        cost=count_cost(outcomes, attempts, cpu_s),
+        cost=count_cost(
+            outcomes,
+            attempts,
+            cpu_s,
+            is_witnessed=not kills_upstreams(plan.scenario),
+        ),
     )
 
 
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/scenarios.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/scenarios.py
@@ -110,7 +110,7 @@
         Scenario(
             "quick",
             1.0,
-            8.0,
+            6.0,
             actions=(SlowUpstream(WARM_UP_S + 1.0, "model", 0, 5.0),),
         ),
         Scenario("steady"),
--- a/packages/berylcart-tools/tests/experiments/test_outcomes.py
+++ b/packages/berylcart-tools/tests/experiments/test_outcomes.py
@@ -24,7 +24,12 @@
 
 
 def test_latency_is_of_answers_and_refusals_stand_apart():
-    outcomes = [outcome(), outcome(code=2000, is_whole=False, latency_ms=5.0)]
+    outcomes = [
+        outcome(),
+        outcome(code=2000, is_whole=False, latency_ms=5.0),
+        outcome(code=3000, is_whole=False, latency_ms=3000.0),
+    ]
     summary = summarise(outcomes, duration_s=1.0)
     assert summary["latency"]["count"] == 1
+    assert summary["refusal_latency"]["count"] == 1
     assert abs(summary["refusal_latency"]["p50_ms"] - 5.0) < 0.1
--- a/packages/berylcart-tools/tests/experiments/test_runner.py
+++ b/packages/berylcart-tools/tests/experiments/test_runner.py
@@ -38,3 +38,8 @@
     assert cost["useful"] == {"model": 1}
     assert cost["wasted"] == 0.75
     assert cost["engine_seconds_per_answer"] == 0.25
+
+
+def test_waste_is_unknown_without_all_witnesses():
+    cost = count_cost([], {"model": 1}, 0.0, is_witnessed=False)
+    assert cost["wasted"] is None
--- a/packages/berylcart/src/berylcart/coordination/load_table.py
+++ b/packages/berylcart/src/berylcart/coordination/load_table.py
@@ -188,7 +188,9 @@
             return load.in_flight
         age_s = self.clock_s() - load.report.as_of_s
         weight = decay(age_s, REPORT_HALF_LIFE_S)
-        return load.in_flight + load.report.others * weight
+        # Smaller aged counts would make all entries choose the same replica.
+        excess = load.report.others * weight - load.capacity
+        return load.in_flight + max(0.0, excess)
 
     def _slowdown(self, load: VmLoad) -> float:
         return 1.0 + self._work(load) / load.capacity
--- a/packages/berylcart/src/berylcart/coordination/routing.py
+++ b/packages/berylcart/src/berylcart/coordination/routing.py
@@ -5,14 +5,16 @@
 from typing import NamedTuple, Protocol
 
 import xxhash
+from cachetools import LRUCache
 
 from berylcart.coordination.ejection import Ejector
 from berylcart.coordination.load_table import LoadTable
 from berylcart.state.config import Service
 from berylcart.state.vm import Vm
 
-CANDIDATES = 3
+CANDIDATES = 5
 LOAD_BOUND = 1.25
+MAX_PREFIXES = 4096
 NO_VMS: frozenset[str] = frozenset()
 
 
@@ -67,6 +69,7 @@
         self.load_table = load_table
         self.ejector = ejector
         self.random = random
+        self.seen: LRUCache[int, bool] = LRUCache(MAX_PREFIXES)
 
     def choose(
         self,
@@ -84,7 +87,7 @@
         usable = without(self.ejector.usable(pool), exclude)
         if not usable:
             usable = without(pool, exclude)
-        if affinity and usable:
+        if usable and self._is_shared(affinity):
             return self._preferred(affinity, usable, service)
         return self._least_expected(usable, service)
 
@@ -102,6 +105,15 @@
             return self._preferred(affinity, usable, service)
         return self._least_expected(usable, service)
 
+    def _is_shared(self, affinity: str) -> bool:
+        """Say whether a prefix came before; one of its own gains nothing."""
+        if not affinity:
+            return False
+        digest = xxhash.xxh3_64_intdigest(affinity.encode())
+        is_shared = digest in self.seen
+        self.seen[digest] = True
+        return is_shared
+
     def _preferred(
         self, affinity: str, usable: Sequence[Vm], service: Service
     ) -> Vm | None:
--- a/packages/berylcart/tests/coordination/test_load_table.py
+++ b/packages/berylcart/tests/coordination/test_load_table.py
@@ -84,3 +84,12 @@
     vm = make_pool(1)[0]
     table.started(vm)
     assert table.in_flight(vm._replace(instance="new")) == 0
+
+
+def test_reports_below_capacity_do_not_steer(table, make_pool):
+    busy, idle = make_pool(2)
+    table.reported(busy, in_flight=6, queued=0, capacity=8, age_ms=0)
+    table.reported(idle, in_flight=1, queued=0, capacity=8, age_ms=0)
+    assert table.expected_ms(busy, MODEL) == table.expected_ms(idle, MODEL)
+    table.reported(busy, in_flight=8, queued=200, capacity=8, age_ms=0)
+    assert table.expected_ms(busy, MODEL) > table.expected_ms(idle, MODEL)
--- a/packages/berylcart/tests/coordination/test_routing.py
+++ b/packages/berylcart/tests/coordination/test_routing.py
@@ -50,6 +50,7 @@
 
 def test_affinity_keeps_a_prefix_together(router, make_pool):
     pool = make_pool(5)
+    router.choose(pool, service=MODEL, affinity="prefix")
     chosen = {
         router.choose(pool, service=MODEL, affinity="prefix").vm_id
         for _ in range(20)
@@ -60,6 +61,8 @@
 def test_affinity_moves_only_what_was_on_a_lost_vm(router, make_pool):
     pool = make_pool(5)
     names = [f"prefix-{number}" for number in range(200)]
+    for name in names:
+        router.choose(pool, service=MODEL, affinity=name)
     before = {
         name: router.choose(pool, service=MODEL, affinity=name).vm_id
         for name in names
@@ -85,6 +88,7 @@
 
 def test_hedge_goes_elsewhere_and_keeps_the_affinity(router, make_pool):
     pool = make_pool(5)
+    router.choose(pool, service=MODEL, affinity="p")
     first = router.choose(pool, service=MODEL, affinity="p")
     second = router.hedge_target(
         pool,
@@ -107,3 +111,22 @@
     last = router.choose(pool, service=MODEL, exclude=others)
     assert last == pool[0]
     assert router.hedge_target(pool, service=MODEL, exclude=others) is None
+
+
+def test_prefix_of_one_call_goes_to_the_least_busy(router, table, make_pool):
+    pool = make_pool(2)
+    for _ in range(3):
+        table.started(pool[0])
+    names = [f"only-once-{number}" for number in range(20)]
+    chosen = {
+        router.choose(pool, service=MODEL, affinity=name).vm_id
+        for name in names
+    }
+    assert chosen == {"v1"}
+
+
+def test_seen_prefixes_are_bounded(router, make_pool):
+    pool = make_pool(2)
+    for number in range(5000):
+        router.choose(pool, service=MODEL, affinity=f"prefix-{number}")
+    assert len(router.seen) <= 4096
