Pass over a record that no answer can carry

A record beyond the client's 16 MiB was an outage without end to every daemon. With a limit of one record the client now gives it as unreadable; no accepted text is that large. Judging it by size in the keeper was ruled out: there it looks like any other outage.

--- a/packages/berylcart-tools/tests/standins/test_log.py
+++ b/packages/berylcart-tools/tests/standins/test_log.py
@@ -6,13 +6,18 @@
 import anyio
 import pytest
 import trio
+from berylcart.coordination.config_keeper import ConfigKeeper
 from berylcart.state.errors import (
     LogAmbiguousError,
     LogGapError,
     LogUnavailableError,
 )
-from berylcart.state.records import Release
-from berylcart.transport.http_client import HttpClient, HttpRequest
+from berylcart.state.records import CONFIG_STREAM, Publication, Release
+from berylcart.transport.http_client import (
+    MAX_BODY_BYTES,
+    HttpClient,
+    HttpRequest,
+)
 from berylcart.transport.log_client import HttpLog
 from berylcart_tools.standins.log import (
     LogSettings,
@@ -205,3 +210,26 @@
         assert answer.status == 400
 
     with_log(scenario)
+
+
+def test_record_that_no_answer_can_carry_is_passed_over():
+    async def scenario(log):
+        text = 'format = 1\n[place.a]\nregion = "r"\n'
+        records = [
+            Publication("h" * MAX_BODY_BYTES, None, 1, ""),
+            Publication("next", None, 1, text),
+        ]
+        await log.append(CONFIG_STREAM, records)
+        page = await log.read(CONFIG_STREAM, 0, wait_ms=0, limit=1)
+        assert [entry.record for entry in page.entries] == [None]
+        assert page.end_offset == 2
+        keeper = ConfigKeeper(log, has_checkpoint_duty=False)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keeper.run)
+            with anyio.fail_after(20):
+                verdict = await keeper.wait_for_verdict("next")
+            tasks.cancel_scope.cancel()
+        assert verdict.version == 1
+        assert len(keeper.verdicts) == 1
+
+    with_log(scenario)
--- a/packages/berylcart/src/berylcart/transport/http_client.py
+++ b/packages/berylcart/src/berylcart/transport/http_client.py
@@ -46,6 +46,10 @@
     """Report an HTTP call that took longer than its timeout."""
 
 
+class HttpTooLargeError(HttpError):
+    """Report an answer whose body exceeds its limit."""
+
+
 class HttpRequest(NamedTuple):
     """Describe one request; address is IP:PORT, body is JSON."""
 
@@ -73,12 +77,13 @@
     chunks: AsyncIterator[bytes]
 
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
-        """Read the rest of the body; raises HttpError over the limit."""
+        """Read the rest of the body; raises HttpTooLargeError."""
         body = bytearray()
         async for chunk in self.chunks:
             body += chunk
             if len(body) > max_bytes:
-                raise HttpError("the answer is too large", is_sent=True)
+                detail = "the answer is too large"
+                raise HttpTooLargeError(detail, is_sent=True)
         return bytes(body)
 
 
--- a/packages/berylcart/src/berylcart/transport/log_client.py
+++ b/packages/berylcart/src/berylcart/transport/log_client.py
@@ -15,12 +15,13 @@
     LogGapError,
     LogUnavailableError,
 )
-from berylcart.state.records import LogPage, Record
+from berylcart.state.records import LogEntry, LogPage, Record
 from berylcart.transport.http_client import (
     HttpAnswer,
     HttpClient,
     HttpError,
     HttpRequest,
+    HttpTooLargeError,
     retry_after_ms,
 )
 
@@ -111,9 +112,24 @@
         try:
             answer = await self.client.request(request)
             return read_answer(answer, offset)
+        except HttpTooLargeError as error:
+            if limit > 1 or offset < 0:
+                raise LogUnavailableError(error.detail) from error
+            return await self.pass_over(stream, offset, error.detail)
         except (HttpError, MessageError) as error:
             raise LogUnavailableError(error.detail) from error
 
+    async def pass_over(
+        self, stream: str, offset: int, detail: str
+    ) -> LogPage:
+        """Give a record that no answer can carry as an unreadable one.
+
+        Else every reader would wait for it without end. No record that is
+        accepted is that large.
+        """
+        bounds = await self.read(stream, -1, wait_ms=0, limit=1)
+        return bounds._replace(entries=(LogEntry(offset, 0, None, detail),))
+
 
 def read_answer(answer: HttpAnswer, offset: int) -> LogPage:
     """Read the answer to a read; raises LogGapError and MessageError."""
