Finish the peer calls in progress before the server closes

grpclib's close cancels every running call, so a planned stop could cut off a peer that was collecting an answer; the doc comment claimed the opposite. A peer that was cut off at the end of the 5 s notices by its own timeout: grpclib sends no reset.

--- a/packages/berylcart-tools/tests/experiments/test_membership.py
+++ b/packages/berylcart-tools/tests/experiments/test_membership.py
@@ -2,10 +2,8 @@
 
 import anyio
 import pytest
-from berylcart_tools.experiments.membership import (
-    count_changes,
-    run_membership,
-)
+from berylcart_tools.experiments.membership import run_membership
+from berylcart_tools.experiments.membership_result import count_changes
 
 
 @pytest.mark.processes
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import anyio
 from google.protobuf.message import DecodeError
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
@@ -16,6 +17,8 @@
 from berylcart.transport.listening import address_of, bind
 from berylcart.transport.peer_client import MAX_MESSAGE_BYTES
 
+CLOSE_GRACE_S = 5.0
+
 
 def limit_message(stream: Any) -> None:
     """Refuse a message over MAX_MESSAGE_BYTES before it is buffered.
@@ -45,30 +48,58 @@
         raise GRPCError(Status.INVALID_ARGUMENT, "malformed") from error
 
 
-async def answer(
-    stream: Any,
-    decode: Callable[[Any], Any],
-    handle: Callable[[Any], Awaitable[Any]],
-    encode: Callable[[Any], Any],
-) -> None:
-    """Read one request, handle it and send its reply."""
-    request = await receive(stream, decode)
-    try:
-        reply = await handle(request)
-    except BerylcartError as error:
-        raise GRPCError(Status.UNAVAILABLE, str(error)) from error
-    await stream.send_message(encode(reply))
-
-
 class PeerService(PeerBase):
     """Translate gRPC calls to the handlers' typed ones."""
 
     def __init__(self, handlers: PeerHandlers) -> None:
         self._handlers = handlers
+        self._calls = 0
+        self._is_closing = False
+        self._idle = anyio.Event()
+
+    async def drain(self, grace_s: float) -> None:
+        """Refuse new calls and wait for those in progress, up to a time."""
+        self._is_closing = True
+        if self._calls > 0:
+            with anyio.move_on_after(grace_s):
+                await self._idle.wait()
+
+    async def _answer(
+        self,
+        stream: Any,
+        decode: Callable[[Any], Any],
+        handle: Callable[[Any], Awaitable[Any]],
+        encode: Callable[[Any], Any],
+    ) -> None:
+        if self._is_closing:
+            raise GRPCError(Status.UNAVAILABLE, "closing")
+        self._calls += 1
+        try:
+            await self._reply(stream, decode, handle, encode)
+        finally:
+            self._calls -= 1
+            if self._is_closing and self._calls == 0:
+                self._idle.set()
+
+    async def _reply(
+        self,
+        stream: Any,
+        decode: Callable[[Any], Any],
+        handle: Callable[[Any], Awaitable[Any]],
+        encode: Callable[[Any], Any],
+    ) -> None:
+        """Read one request, handle it and send its whole reply."""
+        request = await receive(stream, decode)
+        try:
+            reply = await handle(request)
+        except BerylcartError as error:
+            raise GRPCError(Status.UNAVAILABLE, str(error)) from error
+        await stream.send_message(encode(reply))
+        await stream.send_trailing_metadata()
 
     async def Ping(self, stream: Any) -> None:  # noqa: N802
         """Answer a probe."""
-        await answer(
+        await self._answer(
             stream,
             codec.decode_ping,
             self._handlers.on_ping,
@@ -77,7 +108,7 @@
 
     async def PingRequest(self, stream: Any) -> None:  # noqa: N802
         """Probe a third daemon for a peer."""
-        await answer(
+        await self._answer(
             stream,
             codec.decode_ping_request,
             self._handlers.on_ping_request,
@@ -86,7 +117,7 @@
 
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         """Swap the whole membership state."""
-        await answer(
+        await self._answer(
             stream,
             codec.decode_gossip,
             self._handlers.on_exchange,
@@ -95,7 +126,7 @@
 
     async def PullConfig(self, stream: Any) -> None:  # noqa: N802
         """Give the configuration to a peer that is behind."""
-        await answer(
+        await self._answer(
             stream,
             codec.decode_config_query,
             self._handlers.on_pull_config,
@@ -104,7 +135,7 @@
 
     async def CollectAnswer(self, stream: Any) -> None:  # noqa: N802
         """Give the stored answer of a claimed request."""
-        await answer(
+        await self._answer(
             stream,
             codec.decode_answer_query,
             self._handlers.on_collect_answer,
@@ -116,7 +147,8 @@
     """Listen for peers on an IP:PORT address; port 0 picks a free one."""
 
     def __init__(self, handlers: PeerHandlers, address: str) -> None:
-        self._server = Server([PeerService(handlers)])
+        self._service = PeerService(handlers)
+        self._server = Server([self._service])
         self._socket = bind(address)
 
     @property
@@ -128,7 +160,8 @@
         """Accept connections."""
         await self._server.start(sock=self._socket)
 
-    async def close(self) -> None:
-        """Stop listening and wait for the calls in progress."""
+    async def close(self, grace_s: float = CLOSE_GRACE_S) -> None:
+        """Refuse new calls, finish those in progress and stop listening."""
+        await self._service.drain(grace_s)
         self._server.close()
         await self._server.wait_closed()
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -59,10 +59,12 @@
         self.seen = []
         self.stall = asyncio.Event()
         self.stall.set()
+        self.called = asyncio.Event()
 
     async def on_ping(self, ping):
         """Echo the gossip once not stalled."""
         self.seen.append(ping)
+        self.called.set()
         await self.stall.wait()
         return ping.gossip
 
@@ -164,6 +166,39 @@
     serve(scenario)
 
 
+def test_close_finishes_the_calls_in_progress():
+    async def scenario(peers, server, handlers):
+        handlers.stall = asyncio.Event()
+        ping = Ping("d", GOSSIP)
+        begun = asyncio.create_task(
+            peers.ping(server.address, ping, timeout_ms=BOUND_MS)
+        )
+        await handlers.called.wait()
+        closing = asyncio.create_task(server.close())
+        await asyncio.sleep(0)
+        with pytest.raises(BerylcartError):
+            await peers.ping(server.address, ping, timeout_ms=BOUND_MS)
+        handlers.stall.set()
+        assert await begun == GOSSIP
+        await closing
+
+    serve(scenario)
+
+
+def test_close_does_not_wait_for_ever():
+    async def scenario(peers, server, handlers):
+        handlers.stall = asyncio.Event()
+        begun = asyncio.create_task(
+            peers.ping(server.address, Ping("d", GOSSIP), timeout_ms=500)
+        )
+        await handlers.called.wait()
+        await server.close(grace_s=0.01)
+        with pytest.raises(BerylcartError):
+            await begun
+
+    serve(scenario)
+
+
 def test_closed_port_is_unavailable():
     async def scenario(peers, server, handlers):
         address = server.address
