--- a/packages/berylcart-tools/src/berylcart_tools/experiments/membership_node.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/membership_node.py
@@ -47,7 +47,7 @@
 MAX_LINE_BYTES = 2**20
 PLACES = 4
 PULL_TIMEOUT_MS = 2000
-CONFIG_TEXT = "x" * 16384
+CONFIG_TEXT = Random(1).randbytes(8192).hex()
 
 
 class Node(MembershipHooks):
