--- a/packages/berylcart/src/berylcart/coordination/concurrency.py
+++ b/packages/berylcart/src/berylcart/coordination/concurrency.py
@@ -11,6 +11,7 @@
 SLOWDOWN_TOLERANCE = 3.0
 BASELINE_WINDOW_S = 60.0
 HOLD_S = 0.2
+LEAST_EXCESS_MS = 100.0
 MS_PER_S = 1000
 
 
@@ -81,7 +82,11 @@
         self.baseline.note(latency_ms, self.clock_s())
         weight = SMOOTHING if self.mean_ms else 1.0
         self.mean_ms += weight * (latency_ms - self.mean_ms)
-        bound_ms = self.settings.slowdown_tolerance * self.baseline.least_ms
+        least_ms = self.baseline.least_ms
+        bound_ms = max(
+            self.settings.slowdown_tolerance * least_ms,
+            least_ms + LEAST_EXCESS_MS,
+        )
         if self.mean_ms > bound_ms:
             self._cut(max(LEAST_FACTOR, bound_ms / self.mean_ms))
         elif 2 * in_flight >= self.exact:
--- a/packages/berylcart/tests/coordination/test_concurrency.py
+++ b/packages/berylcart/tests/coordination/test_concurrency.py
@@ -41,3 +41,11 @@
     for _ in range(500):
         limit.note(100, in_flight=20)
     assert limit.value == 12
+
+
+def test_jitter_of_short_calls_is_no_strain(clock):
+    limit = AdaptiveLimit(LimitSettings(initial=16), clock)
+    for number in range(500):
+        clock.now_s += 0.05
+        limit.note(5.0 if number % 5 == 0 else 40.0, in_flight=1)
+    assert limit.value == 16
