Group coordination's modules into six packages

Ruled out: a package for each layer of each part, which would part what is read together. Nothing but paths and imports changed.

--- a/packages/berylcart-daemon/src/berylcart_daemon/api.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/api.py
@@ -5,7 +5,7 @@
 
 import anyio
 from berylcart import events
-from berylcart.coordination.serving import Server
+from berylcart.coordination.serving.server import Server
 from berylcart.protocol.answers import answer_bytes
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.request import ServeReply, ServeRequest
--- a/packages/berylcart-daemon/src/berylcart_daemon/config_exchange.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/config_exchange.py
@@ -2,10 +2,10 @@
 
 import anyio
 from berylcart import events
-from berylcart.coordination.config_keeper import ConfigKeeper
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.peer_port import Peers
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.config.keeper import ConfigKeeper
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.membership.peer_port import Peers
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError
 from berylcart.state.peer_messages import (
     ConfigFreshness,
--- a/packages/berylcart-daemon/src/berylcart_daemon/duty_watch.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/duty_watch.py
@@ -5,17 +5,17 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from berylcart.coordination.claim_homes import weight
-from berylcart.coordination.config_keeper import ConfigKeeper
-from berylcart.coordination.duties import DutyKeeper, PoolView
-from berylcart.coordination.duty_ports import (
+from berylcart.coordination.claims.homes import weight
+from berylcart.coordination.config.keeper import ConfigKeeper
+from berylcart.coordination.duties.keeper import DutyKeeper, PoolView
+from berylcart.coordination.duties.ports import (
     Desired,
     EngineOrders,
     WeightStore,
 )
-from berylcart.coordination.membership import Membership
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.coordination.ports import Log
-from berylcart.coordination.vm_directory import VmDirectory
 from berylcart.state.config import Service, ServiceKind
 
 CANDIDATES = 3
--- a/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/entry_door.py
@@ -3,11 +3,11 @@
 from collections import Counter
 from collections.abc import Sequence
 
-from berylcart.coordination.admission_table import AdmissionTable
-from berylcart.coordination.config_keeper import ConfigKeeper
-from berylcart.coordination.key_issuer import KeyIssuer
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.claims.key_issuer import KeyIssuer
+from berylcart.coordination.config.keeper import ConfigKeeper
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.policy.admission_table import AdmissionTable
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.config import Configuration, Workspace
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.request import ServeRequest
--- a/packages/berylcart-daemon/src/berylcart_daemon/hooks.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/hooks.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Sequence
 
-from berylcart.coordination.membership_hooks import MembershipHooks
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.membership.hooks import MembershipHooks
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.peer_messages import ConfigFreshness, Demand
 
--- a/packages/berylcart-daemon/src/berylcart_daemon/metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/metrics.py
@@ -1,6 +1,6 @@
 """Count requests, stages and costs for Prometheus."""
 
-from berylcart.coordination.stage_policy import Waste
+from berylcart.coordination.policy.stage_policy import Waste
 from berylcart.state.errors import BerylcartError
 from berylcart.state.request import StageReport
 from prometheus_client import (
--- a/packages/berylcart-daemon/src/berylcart_daemon/parts.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/parts.py
@@ -4,24 +4,24 @@
 import time
 from collections.abc import Sequence
 
-from berylcart.coordination.admission import AdmissionSettings
-from berylcart.coordination.admission_table import AdmissionTable
-from berylcart.coordination.attempts import StageRunner
-from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
-from berylcart.coordination.claim_results import ClaimSettings
-from berylcart.coordination.claims import ClaimKeeper
-from berylcart.coordination.config_keeper import ConfigKeeper
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.key_issuer import KeyIssuer
-from berylcart.coordination.latency import LatencyTable
-from berylcart.coordination.load_poller import LoadPoller
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.membership_settings import MembershipSettings
-from berylcart.coordination.policies import load_policy
-from berylcart.coordination.serving import Server
-from berylcart.coordination.stage_policy import PolicyParts, StagePolicy
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.claims.key_issuer import KeyIssuer
+from berylcart.coordination.claims.results import ClaimSettings
+from berylcart.coordination.config.keeper import ConfigKeeper
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.membership.settings import MembershipSettings
+from berylcart.coordination.policy.admission import AdmissionSettings
+from berylcart.coordination.policy.admission_table import AdmissionTable
+from berylcart.coordination.policy.budgets import RetryBudget, ServiceBudgets
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.latency import LatencyTable
+from berylcart.coordination.policy.load_poller import LoadPoller
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.policies import load_policy
+from berylcart.coordination.policy.stage_policy import PolicyParts, StagePolicy
+from berylcart.coordination.policy.vm_directory import VmDirectory
+from berylcart.coordination.serving.attempts import StageRunner
+from berylcart.coordination.serving.server import Server
 from berylcart.state.claim_ledger import ClaimRules
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import Demand
--- a/packages/berylcart-daemon/src/berylcart_daemon/peer_desk.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/peer_desk.py
@@ -1,14 +1,14 @@
 """Answer other daemons and collect answers from them."""
 
-from berylcart.coordination.claim_answers import (
+from berylcart.coordination.claims.answers import (
     Collected,
     CollectState,
     StoredAnswer,
 )
-from berylcart.coordination.claims import ClaimKeeper
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.peer_port import Peers
-from berylcart.coordination.stage_policy import Configurations
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.membership.peer_port import Peers
+from berylcart.coordination.policy.stage_policy import Configurations
 from berylcart.state import peer_messages
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.member_table import Member
--- a/packages/berylcart-daemon/src/berylcart_daemon/seed_finder.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/seed_finder.py
@@ -5,8 +5,8 @@
 
 import anyio
 from berylcart import events
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError
 from berylcart.transport.http_client import HttpClient, HttpRequest
 from pydantic_core import from_json
--- a/packages/berylcart-daemon/src/berylcart_daemon/settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/settings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Annotated, NamedTuple
 
-from berylcart.coordination.routing import DEFAULT_POLICY
+from berylcart.coordination.policy.routing import DEFAULT_POLICY
 from berylcart.state.errors import BerylcartError, Code
 from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
 
--- a/packages/berylcart-daemon/tests/test_config_exchange.py
+++ b/packages/berylcart-daemon/tests/test_config_exchange.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.config_keeper import ConfigKeeper
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.config.keeper import ConfigKeeper
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import ConfigFreshness, ConfigQuery
--- a/packages/berylcart-daemon/tests/test_peer_desk.py
+++ b/packages/berylcart-daemon/tests/test_peer_desk.py
@@ -2,7 +2,7 @@
 
 import anyio
 import pytest
-from berylcart.coordination.claim_answers import CollectState
+from berylcart.coordination.claims.answers import CollectState
 from berylcart.state.config import Configuration, Place, Workspace
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.member_table import Member
--- a/packages/berylcart-daemon/tests/test_seed_finder.py
+++ b/packages/berylcart-daemon/tests/test_seed_finder.py
@@ -4,7 +4,7 @@
 import random
 
 import anyio
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.vm import Vm, VmPage, VmRole, VmState
 from berylcart.transport.http_client import HttpAnswer
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/baselines.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/baselines.py
@@ -8,9 +8,9 @@
 from itertools import count
 from random import Random
 
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.routing import (
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.routing import (
     NO_VMS,
     Policy,
     Router,
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/bench_pool.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/bench_pool.py
@@ -9,12 +9,15 @@
 from typing import NamedTuple
 
 import anyio
-from berylcart.coordination.admission import Admission, AdmissionSettings
-from berylcart.coordination.budgets import HEDGE_RATIO, RetryBudget
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.latency import LatencyTable
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.routing import Policy
+from berylcart.coordination.policy.admission import (
+    Admission,
+    AdmissionSettings,
+)
+from berylcart.coordination.policy.budgets import HEDGE_RATIO, RetryBudget
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.latency import LatencyTable
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.routing import Policy
 from berylcart.state.config import Service, ServiceKind, Workspace
 from berylcart.state.errors import BerylcartError
 from berylcart.state.vm import Vm, VmRole, VmState
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/claims_cost.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/claims_cost.py
@@ -9,10 +9,10 @@
 from typing import TypedDict
 
 import anyio
-from berylcart.coordination.claim_answers import Collected, StoredAnswer
-from berylcart.coordination.claim_batch import BatchSettings
-from berylcart.coordination.claim_results import ClaimSettings, Granted
-from berylcart.coordination.claims import ClaimKeeper
+from berylcart.coordination.claims.answers import Collected, StoredAnswer
+from berylcart.coordination.claims.batch import BatchSettings
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.claims.results import ClaimSettings, Granted
 from berylcart.state.claim_keys import digest, fingerprint
 from berylcart.state.claim_ledger import ClaimLedger, ClaimRules
 from berylcart.state.errors import BerylcartError, Code, Ran
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/membership.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/membership.py
@@ -13,7 +13,7 @@
 from random import Random
 
 import anyio
-from berylcart.coordination.membership_settings import (
+from berylcart.coordination.membership.settings import (
     DEFAULT_SETTINGS,
     MembershipSettings,
 )
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/membership_node.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/membership_node.py
@@ -18,9 +18,9 @@
 import anyio
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.membership_hooks import MembershipHooks
-from berylcart.coordination.membership_settings import MembershipSettings
+from berylcart.coordination.membership.hooks import MembershipHooks
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.membership.settings import MembershipSettings
 from berylcart.state.errors import BerylcartError
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import (
--- a/packages/berylcart-tools/src/berylcart_tools/faults/callers.py
+++ b/packages/berylcart-tools/src/berylcart_tools/faults/callers.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 import anyio
-from berylcart.coordination.stage_payload import prompt_of
+from berylcart.coordination.serving.stage_payload import prompt_of
 from berylcart.state.errors import BerylcartError
 from berylcart.transport.http_client import HttpClient, HttpError
 
--- a/packages/berylcart-tools/src/berylcart_tools/publishing.py
+++ b/packages/berylcart-tools/src/berylcart_tools/publishing.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
-from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.coordination.config.keeper import ConfigKeeper
 from berylcart.coordination.ports import Log
 from berylcart.state.errors import (
     BerylcartError,
--- a/packages/berylcart-tools/tests/commands/test_publish.py
+++ b/packages/berylcart-tools/tests/commands/test_publish.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.coordination.config.keeper import ConfigKeeper
 from berylcart.state.config_text import ConfigTextError
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.records import CONFIG_STREAM, Publication
--- a/packages/berylcart-tools/tests/experiments/test_bench_pool.py
+++ b/packages/berylcart-tools/tests/experiments/test_bench_pool.py
@@ -1,7 +1,7 @@
 """Check that the in-process trial serves and accounts."""
 
 import trio
-from berylcart.coordination.routing import DEFAULT_POLICY
+from berylcart.coordination.policy.routing import DEFAULT_POLICY
 from berylcart_tools.experiments.arrivals import CallKind, Mix, make_arrivals
 from berylcart_tools.experiments.baselines import round_robin
 from berylcart_tools.experiments.bench_pool import BenchPlan, run_bench
--- a/packages/berylcart-tools/tests/standins/test_duties.py
+++ b/packages/berylcart-tools/tests/standins/test_duties.py
@@ -2,12 +2,12 @@
 
 import anyio
 import pytest
-from berylcart.coordination.duties import (
+from berylcart.coordination.duties.keeper import (
     DutyKeeper,
     DutySettings,
     PoolView,
 )
-from berylcart.coordination.duty_ports import Desired, Order
+from berylcart.coordination.duties.ports import Desired, Order
 from berylcart.state.vm import Vm, VmRole, VmState
 from berylcart.transport.http_client import HttpClient
 from berylcart.transport.memory_log import MemoryLog
--- a/packages/berylcart-tools/tests/standins/test_log.py
+++ b/packages/berylcart-tools/tests/standins/test_log.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.coordination.config.keeper import ConfigKeeper
 from berylcart.state.errors import (
     LogAmbiguousError,
     LogGapError,
--- a/packages/berylcart/src/berylcart/coordination/claims.py
+++ b/packages/berylcart/src/berylcart/coordination/claims/keeper.py
@@ -5,13 +5,14 @@
 
 import anyio
 
-from berylcart.coordination.claim_answers import (
+from berylcart.coordination.claims.answers import (
     Collected,
     CollectState,
     StoredAnswer,
 )
-from berylcart.coordination.claim_reader import ClaimReader
-from berylcart.coordination.claim_results import (
+from berylcart.coordination.claims.own import OwnClaims
+from berylcart.coordination.claims.reader import ClaimReader
+from berylcart.coordination.claims.results import (
     ClaimSettings,
     Found,
     Granted,
@@ -20,8 +21,7 @@
     still_running,
     unavailable,
 )
-from berylcart.coordination.claim_turns import wait_turn
-from berylcart.coordination.own_claims import OwnClaims
+from berylcart.coordination.claims.turns import wait_turn
 from berylcart.coordination.ports import Log
 from berylcart.state.claim_keys import (
     fingerprint,
--- a/packages/berylcart/src/berylcart/coordination/own_claims.py
+++ b/packages/berylcart/src/berylcart/coordination/claims/own.py
@@ -7,14 +7,14 @@
 from cachetools import TTLCache
 
 from berylcart import events
-from berylcart.coordination.claim_answers import (
+from berylcart.coordination.claims.answers import (
     AnswerStore,
     Collected,
     CollectState,
     StoredAnswer,
 )
-from berylcart.coordination.claim_batch import Appended, ClaimBatch
-from berylcart.coordination.claim_results import ClaimSettings, unavailable
+from berylcart.coordination.claims.batch import Appended, ClaimBatch
+from berylcart.coordination.claims.results import ClaimSettings, unavailable
 from berylcart.coordination.ports import Log
 from berylcart.state.claim_keys import fingerprint
 from berylcart.state.claim_ledger import Judgement, Verdict
--- a/packages/berylcart/src/berylcart/coordination/claim_results.py
+++ b/packages/berylcart/src/berylcart/coordination/claims/results.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from berylcart.coordination.claim_answers import StoredAnswer
-from berylcart.coordination.claim_batch import BatchSettings
+from berylcart.coordination.claims.answers import StoredAnswer
+from berylcart.coordination.claims.batch import BatchSettings
 from berylcart.state.claim_ledger import ClaimRules, Verdict
 from berylcart.state.errors import BerylcartError, Code, Ran
 
--- a/packages/berylcart/src/berylcart/coordination/run_once.py
+++ b/packages/berylcart/src/berylcart/coordination/claims/run_once.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 
-from berylcart.coordination.claim_answers import StoredAnswer
-from berylcart.coordination.claim_results import Found, Granted
-from berylcart.coordination.claims import ClaimKeeper
+from berylcart.coordination.claims.answers import StoredAnswer
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.claims.results import Found, Granted
 from berylcart.state.errors import BerylcartError, Code, Ran
 
 Run = Callable[[], Awaitable[StoredAnswer]]
--- a/packages/berylcart/src/berylcart/coordination/claim_turns.py
+++ b/packages/berylcart/src/berylcart/coordination/claims/turns.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from berylcart.coordination.claim_answers import Collected, CollectState
-from berylcart.coordination.claim_results import still_running
+from berylcart.coordination.claims.answers import Collected, CollectState
+from berylcart.coordination.claims.results import still_running
 from berylcart.state.claim_ledger import ClaimLedger
 from berylcart.state.claim_order import OrderedClaim
 from berylcart.state.errors import Ran
--- a/packages/berylcart/src/berylcart/coordination/checkpoint_duty.py
+++ b/packages/berylcart/src/berylcart/coordination/config/checkpoints.py
@@ -7,7 +7,7 @@
 import anyio
 
 from berylcart import events
-from berylcart.coordination.config_recovery import find_checkpoint_time_ms
+from berylcart.coordination.config.recovery import find_checkpoint_time_ms
 from berylcart.coordination.log_clock import read_log_time_ms
 from berylcart.coordination.ports import Log
 from berylcart.state.errors import (
--- a/packages/berylcart/src/berylcart/coordination/config_keeper.py
+++ b/packages/berylcart/src/berylcart/coordination/config/keeper.py
@@ -12,10 +12,10 @@
 )
 
 from berylcart import events
-from berylcart.coordination.checkpoint_duty import CheckpointDuty
-from berylcart.coordination.config_lease import ConfigLease
-from berylcart.coordination.config_recovery import PAGE_RECORDS, find_start
-from berylcart.coordination.paged_log import PagedLog
+from berylcart.coordination.config.checkpoints import CheckpointDuty
+from berylcart.coordination.config.lease import ConfigLease
+from berylcart.coordination.config.paged_log import PagedLog
+from berylcart.coordination.config.recovery import PAGE_RECORDS, find_start
 from berylcart.coordination.ports import Log
 from berylcart.state.config import Configuration
 from berylcart.state.config_fold import (
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/duties/__init__.py
@@ -0,0 +1,23 @@
+"""Order engines under a duty that the log fences."""
+
+from berylcart.coordination.duties.keeper import (
+    DutyKeeper,
+    DutySettings,
+    PoolView,
+)
+from berylcart.coordination.duties.ports import (
+    Desired,
+    EngineOrders,
+    Order,
+    WeightStore,
+)
+
+__all__ = [
+    "Desired",
+    "DutyKeeper",
+    "DutySettings",
+    "EngineOrders",
+    "Order",
+    "PoolView",
+    "WeightStore",
+]
--- a/packages/berylcart/src/berylcart/coordination/duties.py
+++ b/packages/berylcart/src/berylcart/coordination/duties/keeper.py
@@ -8,13 +8,13 @@
 import anyio
 
 from berylcart import events
-from berylcart.coordination.duty_ports import (
+from berylcart.coordination.duties.ports import (
     Desired,
     EngineOrders,
     Order,
     WeightStore,
 )
-from berylcart.coordination.duty_reader import DutyReader
+from berylcart.coordination.duties.reader import DutyReader
 from berylcart.coordination.ports import Log
 from berylcart.state.errors import BerylcartError, LogAmbiguousError
 from berylcart.state.records import DUTY_STREAM, DutyClaim
--- a/packages/berylcart/src/berylcart/coordination/exchanger.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/exchanger.py
@@ -5,12 +5,12 @@
 
 import anyio
 
-from berylcart.coordination.gossip import Gossiper
-from berylcart.coordination.membership_settings import (
+from berylcart.coordination.membership.gossip import Gossiper
+from berylcart.coordination.membership.peer_port import Peers
+from berylcart.coordination.membership.settings import (
     MS_PER_S,
     MembershipSettings,
 )
-from berylcart.coordination.peer_port import Peers
 from berylcart.state.errors import BerylcartError
 from berylcart.state.peer_messages import Gossip
 
--- a/packages/berylcart/src/berylcart/coordination/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -5,12 +5,12 @@
 import anyio
 
 from berylcart import events
-from berylcart.coordination.demand import DemandTable
-from berylcart.coordination.membership_hooks import MembershipHooks
-from berylcart.coordination.membership_settings import MembershipSettings
-from berylcart.coordination.piggyback import RumourQueue
-from berylcart.coordination.probe import PauseGuard
-from berylcart.coordination.roster import Roster
+from berylcart.coordination.membership.demand import DemandTable
+from berylcart.coordination.membership.hooks import MembershipHooks
+from berylcart.coordination.membership.piggyback import RumourQueue
+from berylcart.coordination.membership.probe import PauseGuard
+from berylcart.coordination.membership.roster import Roster
+from berylcart.coordination.membership.settings import MembershipSettings
 from berylcart.state.leaving_marks import LeavingMark, LeavingMarks
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import (
--- a/packages/berylcart/src/berylcart/coordination/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/membership.py
@@ -7,19 +7,23 @@
 from anyio.abc import TaskGroup
 
 from berylcart import events
-from berylcart.coordination.entries import EntryList, choose_entries
-from berylcart.coordination.exchanger import Exchanger
-from berylcart.coordination.gossip import Gossiper
-from berylcart.coordination.membership_hooks import MembershipHooks
-from berylcart.coordination.membership_settings import (
+from berylcart.coordination.membership.entries import EntryList, choose_entries
+from berylcart.coordination.membership.exchanger import Exchanger
+from berylcart.coordination.membership.gossip import Gossiper
+from berylcart.coordination.membership.hooks import MembershipHooks
+from berylcart.coordination.membership.peer_port import Peers
+from berylcart.coordination.membership.probe import (
+    LocalHealth,
+    PauseGuard,
+    ProbeOrder,
+)
+from berylcart.coordination.membership.prober import Prober
+from berylcart.coordination.membership.settings import (
     DEFAULT_SETTINGS,
     MS_PER_S,
     MembershipSettings,
 )
-from berylcart.coordination.peer_port import Peers
-from berylcart.coordination.probe import LocalHealth, PauseGuard, ProbeOrder
-from berylcart.coordination.prober import Prober
-from berylcart.coordination.vitals import HeardCount
+from berylcart.coordination.membership.vitals import HeardCount
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
 from berylcart.state.peer_messages import Gossip, Ping, PingRequest
--- a/packages/berylcart/src/berylcart/coordination/roster.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/roster.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from berylcart.coordination.membership_settings import (
+from berylcart.coordination.membership.piggyback import RumourQueue
+from berylcart.coordination.membership.settings import (
     MS_PER_S,
     MembershipSettings,
     suspicion_timeout_ms,
     transmission_limit,
 )
-from berylcart.coordination.piggyback import RumourQueue
-from berylcart.coordination.vitals import VitalsTable
+from berylcart.coordination.membership.vitals import VitalsTable
 from berylcart.state.member_table import (
     Member,
     MemberState,
--- a/packages/berylcart/src/berylcart/coordination/vitals.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/vitals.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
-from berylcart.coordination.membership_settings import MS_PER_S
+from berylcart.coordination.membership.settings import MS_PER_S
 from berylcart.state.member_table import Member, member_digest
 from berylcart.state.peer_messages import VitalSign
 
--- a/packages/berylcart/src/berylcart/coordination/admission.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/admission.py
@@ -8,8 +8,11 @@
 import anyio
 from cachetools import TTLCache
 
-from berylcart.coordination.concurrency import AdaptiveLimit, LimitSettings
-from berylcart.coordination.fair_queue import FairQueue, Waiting
+from berylcart.coordination.policy.concurrency import (
+    AdaptiveLimit,
+    LimitSettings,
+)
+from berylcart.coordination.policy.fair_queue import FairQueue, Waiting
 from berylcart.state.config import Workspace
 from berylcart.state.errors import BerylcartError, Code
 
--- a/packages/berylcart/src/berylcart/coordination/admission_table.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/admission_table.py
@@ -4,8 +4,11 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
-from berylcart.coordination.admission import Admission, AdmissionSettings
-from berylcart.coordination.stage_policy import StagePolicy
+from berylcart.coordination.policy.admission import (
+    Admission,
+    AdmissionSettings,
+)
+from berylcart.coordination.policy.stage_policy import StagePolicy
 from berylcart.state.config import Service, ServiceKind, Workspace
 from berylcart.state.errors import BerylcartError, Code, UpstreamError
 
--- a/packages/berylcart/src/berylcart/coordination/ejection.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/ejection.py
@@ -6,7 +6,7 @@
 import anyio
 
 from berylcart import events
-from berylcart.coordination.load_table import VmKey, blend, key_of
+from berylcart.coordination.policy.load_table import VmKey, blend, key_of
 from berylcart.state.vm import Vm
 
 EJECT_FACTOR = 3.0
--- a/packages/berylcart/src/berylcart/coordination/load_poller.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/load_poller.py
@@ -5,8 +5,8 @@
 import anyio
 from cachetools import TTLCache
 
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError
 from berylcart.state.vm import LoadReport, Vm, VmState
 
--- a/packages/berylcart/src/berylcart/coordination/policies.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/policies.py
@@ -2,7 +2,7 @@
 
 from importlib import import_module
 
-from berylcart.coordination.routing import DEFAULT_POLICY, Policy
+from berylcart.coordination.policy.routing import DEFAULT_POLICY, Policy
 from berylcart.state.errors import BerylcartError, Code
 
 
--- a/packages/berylcart/src/berylcart/coordination/routing.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/routing.py
@@ -7,8 +7,8 @@
 import xxhash
 from cachetools import LRUCache
 
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.load_table import LoadTable
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.load_table import LoadTable
 from berylcart.state.config import Service
 from berylcart.state.vm import Vm
 
--- a/packages/berylcart/src/berylcart/coordination/stage_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/stage_policy.py
@@ -7,14 +7,14 @@
 
 import anyio
 
-from berylcart.coordination import deadlines
-from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.latency import LatencyTable
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.places import permitted
-from berylcart.coordination.routing import Policy, Routing
-from berylcart.coordination.vm_directory import VmDirectory, ignore
+from berylcart.coordination.policy import deadlines
+from berylcart.coordination.policy.budgets import RetryBudget, ServiceBudgets
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.latency import LatencyTable
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.places import permitted
+from berylcart.coordination.policy.routing import Policy, Routing
+from berylcart.coordination.policy.vm_directory import VmDirectory, ignore
 from berylcart.state.config import Configuration, Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.vm import Vm
--- a/packages/berylcart/src/berylcart/coordination/attempts.py
+++ b/packages/berylcart/src/berylcart/coordination/serving/attempts.py
@@ -5,9 +5,9 @@
 import anyio
 
 from berylcart import events
-from berylcart.coordination.hedging import first_reply
+from berylcart.coordination.policy.stage_policy import StagePolicy, elapsed_ms
 from berylcart.coordination.ports import ChunkSink, Upstreams
-from berylcart.coordination.stage_policy import StagePolicy, elapsed_ms
+from berylcart.coordination.serving.hedging import first_reply
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
 from berylcart.state.request import Progress, StageReport
--- a/packages/berylcart/src/berylcart/coordination/serving.py
+++ b/packages/berylcart/src/berylcart/coordination/serving/server.py
@@ -6,19 +6,22 @@
 
 import anyio
 
-from berylcart.coordination.admission_table import AdmissionTable
-from berylcart.coordination.attempts import (
+from berylcart.coordination.claims.answers import StoredAnswer
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.claims.ordering import OrderingQueue
+from berylcart.coordination.claims.results import Found, Granted
+from berylcart.coordination.claims.run_once import settle_failure
+from berylcart.coordination.policy.admission_table import AdmissionTable
+from berylcart.coordination.ports import ChunkSink
+from berylcart.coordination.serving.attempts import (
     StageResult,
     StageRunner,
     StageTask,
 )
-from berylcart.coordination.claim_answers import StoredAnswer
-from berylcart.coordination.claim_results import Found, Granted
-from berylcart.coordination.claims import ClaimKeeper
-from berylcart.coordination.ordering import OrderingQueue
-from berylcart.coordination.ports import ChunkSink
-from berylcart.coordination.run_once import settle_failure
-from berylcart.coordination.stage_payload import merge_output, stage_payload
+from berylcart.coordination.serving.stage_payload import (
+    merge_output,
+    stage_payload,
+)
 from berylcart.state.config import Configuration, Service, Workspace
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.request import (
--- a/packages/berylcart/src/berylcart/protocol/order_messages.py
+++ b/packages/berylcart/src/berylcart/protocol/order_messages.py
@@ -5,7 +5,7 @@
 from pydantic import TypeAdapter
 from typing_extensions import TypedDict
 
-from berylcart.coordination.duty_ports import Desired, Order
+from berylcart.coordination.duties.ports import Desired, Order
 from berylcart.protocol.json_values import read_message
 from berylcart.protocol.upstream_messages import Seconds
 
--- a/packages/berylcart/src/berylcart/transport/order_client.py
+++ b/packages/berylcart/src/berylcart/transport/order_client.py
@@ -1,6 +1,6 @@
 """Order engines and ask the weight store over HTTP."""
 
-from berylcart.coordination.duty_ports import Order
+from berylcart.coordination.duties.ports import Order
 from berylcart.protocol.order_messages import (
     read_grant,
     read_state,
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -9,7 +9,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
-from berylcart.coordination.peer_port import PeerHandlers
+from berylcart.coordination.membership.peer_port import PeerHandlers
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.peer_grpc import PeerBase
--- a/packages/berylcart/tests/coordination/test_claim_answers.py
+++ b/packages/berylcart/tests/coordination/claims/test_answers.py
@@ -2,7 +2,7 @@
 
 import anyio
 import trio
-from berylcart.coordination.claim_answers import AnswerStore, StoredAnswer
+from berylcart.coordination.claims.answers import AnswerStore, StoredAnswer
 from berylcart.state.errors import Ran
 from trio.testing import MockClock
 
--- a/packages/berylcart/tests/coordination/test_claim_batch.py
+++ b/packages/berylcart/tests/coordination/claims/test_batch.py
@@ -2,7 +2,7 @@
 
 import anyio
 import trio
-from berylcart.coordination.claim_batch import (
+from berylcart.coordination.claims.batch import (
     Appended,
     BatchSettings,
     ClaimBatch,
--- a/packages/berylcart/tests/coordination/test_claims_faults.py
+++ b/packages/berylcart/tests/coordination/claims/test_faults.py
@@ -7,11 +7,11 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.claim_answers import StoredAnswer
-from berylcart.coordination.claim_batch import BatchSettings
-from berylcart.coordination.claim_results import ClaimSettings, Found
-from berylcart.coordination.claims import ClaimKeeper
-from berylcart.coordination.run_once import run_once
+from berylcart.coordination.claims.answers import StoredAnswer
+from berylcart.coordination.claims.batch import BatchSettings
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.claims.results import ClaimSettings, Found
+from berylcart.coordination.claims.run_once import run_once
 from berylcart.state.claim_ledger import ClaimRules
 from berylcart.state.errors import (
     BerylcartError,
--- a/packages/berylcart/tests/coordination/test_claim_homes.py
+++ b/packages/berylcart/tests/coordination/claims/test_homes.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from berylcart.coordination.claim_homes import choose_homes, find_home
+from berylcart.coordination.claims.homes import choose_homes, find_home
 
 DAEMONS = [f"d{n}" for n in range(400)]
 
--- a/packages/berylcart/tests/coordination/test_claims.py
+++ b/packages/berylcart/tests/coordination/claims/test_keeper.py
@@ -5,13 +5,13 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.claim_answers import StoredAnswer
-from berylcart.coordination.claim_results import (
+from berylcart.coordination.claims.answers import StoredAnswer
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.claims.results import (
     ClaimSettings,
     Found,
     Granted,
 )
-from berylcart.coordination.claims import ClaimKeeper
 from berylcart.state.claim_ledger import ClaimRules
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.transport.memory_log import MemoryLog
--- a/packages/berylcart/tests/coordination/test_key_issuer.py
+++ b/packages/berylcart/tests/coordination/claims/test_key_issuer.py
@@ -2,12 +2,12 @@
 
 import anyio
 import pytest
-from berylcart.coordination.key_issuer import KeyIssuer
+from berylcart.coordination.claims.key_issuer import KeyIssuer
 from berylcart.state.claim_keys import issued_ms
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.transport.memory_log import MemoryLog
 
-from .serving_fakes import run
+from ..serving_fakes import run
 
 AHEAD_MS = 5_000_000
 
--- a/packages/berylcart/tests/coordination/test_ordering.py
+++ b/packages/berylcart/tests/coordination/claims/test_ordering.py
@@ -2,7 +2,7 @@
 
 import anyio
 import trio
-from berylcart.coordination.ordering import OrderingQueue
+from berylcart.coordination.claims.ordering import OrderingQueue
 from trio.testing import MockClock
 
 
--- a/packages/berylcart/tests/coordination/test_run_once.py
+++ b/packages/berylcart/tests/coordination/claims/test_run_once.py
@@ -3,9 +3,9 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.claim_answers import StoredAnswer
-from berylcart.coordination.claim_results import Found, Granted
-from berylcart.coordination.run_once import run_once
+from berylcart.coordination.claims.answers import StoredAnswer
+from berylcart.coordination.claims.results import Found, Granted
+from berylcart.coordination.claims.run_once import run_once
 from berylcart.state.errors import BerylcartError, Code, Ran
 from trio.testing import MockClock
 
--- a/packages/berylcart/tests/coordination/test_claim_turns.py
+++ b/packages/berylcart/tests/coordination/claims/test_turns.py
@@ -4,7 +4,7 @@
 import pytest
 from berylcart.state.errors import BerylcartError, Code, Ran
 
-from .test_claims import ANSWER, fleet, run
+from .test_keeper import ANSWER, fleet, run
 
 WORK_S = 0.5
 DEADLINE_MS = 3000
--- a/packages/berylcart/tests/coordination/test_config_failures.py
+++ b/packages/berylcart/tests/coordination/config/test_failures.py
@@ -10,8 +10,8 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.config_keeper import ConfigKeeper
-from berylcart.coordination.config_recovery import find_start
+from berylcart.coordination.config.keeper import ConfigKeeper
+from berylcart.coordination.config.recovery import find_start
 from berylcart.state.config_text import MAX_TEXT_BYTES
 from berylcart.state.errors import (
     BerylcartError,
--- a/packages/berylcart/tests/coordination/test_config_keeper.py
+++ b/packages/berylcart/tests/coordination/config/test_keeper.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.coordination.config.keeper import ConfigKeeper
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.records import CONFIG_STREAM, Publication
 from berylcart.transport.memory_log import MemoryLog
--- a/packages/berylcart/tests/coordination/test_paged_log.py
+++ b/packages/berylcart/tests/coordination/config/test_paged_log.py
@@ -1,7 +1,7 @@
 """Check that pages too large for one answer are read in smaller ones."""
 
 import trio
-from berylcart.coordination.config_keeper import ConfigKeeper
+from berylcart.coordination.config.keeper import ConfigKeeper
 from berylcart.state.errors import LogUnavailableError
 from berylcart.state.records import CONFIG_STREAM, Publication
 from berylcart.transport.memory_log import MemoryLog
--- a/packages/berylcart/tests/coordination/test_duties.py
+++ b/packages/berylcart/tests/coordination/duties/test_keeper.py
@@ -6,12 +6,12 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.duties import (
+from berylcart.coordination.duties.keeper import (
     DutyKeeper,
     PoolView,
     max_in_change,
 )
-from berylcart.coordination.duty_ports import Desired, Order
+from berylcart.coordination.duties.ports import Desired, Order
 from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
 from berylcart.state.vm import Vm, VmRole, VmState
 from berylcart.transport.memory_log import MemoryLog
--- a/packages/berylcart/tests/coordination/conftest.py
+++ b/packages/berylcart/tests/coordination/membership/conftest.py
@@ -1,58 +1,17 @@
-"""Build pools and networks for the tests of coordination."""
+"""Run daemons' membership over an in-memory network on a paused clock."""
 
 from random import Random
 
 import anyio
 import pytest
 import trio
-from berylcart.coordination.membership import Membership
-from berylcart.coordination.membership_hooks import MembershipHooks
+from berylcart.coordination.membership.hooks import MembershipHooks
+from berylcart.coordination.membership.membership import Membership
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.member_table import Member, MemberState
 from berylcart.state.peer_messages import ConfigFreshness
-from berylcart.state.vm import Vm, VmRole, VmState
 from trio.testing import MockClock
 
-
-@pytest.fixture
-def make_pool():
-    """Give a function that makes live upstreams of one service."""
-
-    def make(count, service="model", place="lahore-1"):
-        return tuple(
-            Vm(
-                f"v{number}",
-                1,
-                f"127.0.0.1:{number + 1}",
-                place,
-                VmRole.UPSTREAM,
-                service,
-                VmState.LIVE,
-                f"i{number}",
-            )
-            for number in range(count)
-        )
-
-    return make
-
-
-class Clock:
-    """Stand still until moved."""
-
-    def __init__(self):
-        self.now_s = 0.0
-
-    def __call__(self):
-        """Give the time in seconds."""
-        return self.now_s
-
-
-@pytest.fixture
-def clock():
-    """Give a clock that stands still until moved."""
-    return Clock()
-
-
 MS_PER_S = 1000
 POLL_S = 0.1
 PLACES = ("lahore-1", "lahore-2", "lahore-3")
@@ -276,7 +235,7 @@
 @pytest.fixture
 def run_fleet(monkeypatch):
     """Give a function that runs a scenario over a seeded fleet."""
-    from berylcart.coordination.membership_settings import DEFAULT_SETTINGS
+    from berylcart.coordination.membership.settings import DEFAULT_SETTINGS
 
     def run(scenario, seed=1, settings=DEFAULT_SETTINGS):
         monkeypatch.setattr(
--- a/packages/berylcart/tests/coordination/test_membership.py
+++ b/packages/berylcart/tests/coordination/membership/test_membership.py
@@ -2,7 +2,7 @@
 
 import anyio
 import pytest
-from berylcart.coordination.membership_settings import (
+from berylcart.coordination.membership.settings import (
     DEFAULT_SETTINGS,
     suspicion_timeout_ms,
 )
--- a/packages/berylcart/tests/coordination/test_probe.py
+++ b/packages/berylcart/tests/coordination/membership/test_probe.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from berylcart.coordination.probe import ProbeOrder
+from berylcart.coordination.membership.probe import ProbeOrder
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/packages/berylcart/tests/coordination/test_roster.py
+++ b/packages/berylcart/tests/coordination/membership/test_roster.py
@@ -4,12 +4,15 @@
 
 import anyio
 import trio
-from berylcart.coordination.gossip import LARGE_QUEUE_FACTOR, Gossiper
-from berylcart.coordination.membership_hooks import MembershipHooks
-from berylcart.coordination.membership_settings import DEFAULT_SETTINGS
-from berylcart.coordination.probe import PauseGuard
-from berylcart.coordination.roster import Roster
-from berylcart.coordination.vitals import VitalsTable
+from berylcart.coordination.membership.gossip import (
+    LARGE_QUEUE_FACTOR,
+    Gossiper,
+)
+from berylcart.coordination.membership.hooks import MembershipHooks
+from berylcart.coordination.membership.probe import PauseGuard
+from berylcart.coordination.membership.roster import Roster
+from berylcart.coordination.membership.settings import DEFAULT_SETTINGS
+from berylcart.coordination.membership.vitals import VitalsTable
 from berylcart.state.member_table import Member, MemberState, member_digest
 from berylcart.state.peer_messages import MemberNews, VitalSign
 from trio.testing import MockClock
--- a/packages/berylcart/tests/coordination/test_admission.py
+++ b/packages/berylcart/tests/coordination/policy/test_admission.py
@@ -3,8 +3,11 @@
 import anyio
 import pytest
 import trio
-from berylcart.coordination.admission import Admission, AdmissionSettings
-from berylcart.coordination.concurrency import LimitSettings
+from berylcart.coordination.policy.admission import (
+    Admission,
+    AdmissionSettings,
+)
+from berylcart.coordination.policy.concurrency import LimitSettings
 from berylcart.state.config import Workspace
 from berylcart.state.errors import BerylcartError, Code, Ran
 from trio.testing import MockClock
--- a/packages/berylcart/tests/coordination/test_budgets.py
+++ b/packages/berylcart/tests/coordination/policy/test_budgets.py
@@ -1,6 +1,6 @@
 """Check that extra attempts stay within their share."""
 
-from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
+from berylcart.coordination.policy.budgets import RetryBudget, ServiceBudgets
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/packages/berylcart/tests/coordination/test_concurrency.py
+++ b/packages/berylcart/tests/coordination/policy/test_concurrency.py
@@ -1,6 +1,9 @@
 """Check that the limit follows what the upstreams can take."""
 
-from berylcart.coordination.concurrency import AdaptiveLimit, LimitSettings
+from berylcart.coordination.policy.concurrency import (
+    AdaptiveLimit,
+    LimitSettings,
+)
 
 
 def feed(limit, clock, capacity, answers):
--- a/packages/berylcart/tests/coordination/test_deadlines.py
+++ b/packages/berylcart/tests/coordination/policy/test_deadlines.py
@@ -1,6 +1,10 @@
 """Check how a deadline is split."""
 
-from berylcart.coordination.deadlines import can_finish, longest_ms, split
+from berylcart.coordination.policy.deadlines import (
+    can_finish,
+    longest_ms,
+    split,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/packages/berylcart/tests/coordination/test_ejection.py
+++ b/packages/berylcart/tests/coordination/policy/test_ejection.py
@@ -1,7 +1,7 @@
 """Check ejection, its bound, probes and hysteresis."""
 
 import pytest
-from berylcart.coordination.ejection import Ejector
+from berylcart.coordination.policy.ejection import Ejector
 
 
 @pytest.fixture
--- a/packages/berylcart/tests/coordination/test_fair_queue.py
+++ b/packages/berylcart/tests/coordination/policy/test_fair_queue.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from berylcart.coordination.fair_queue import FairQueue
+from berylcart.coordination.policy.fair_queue import FairQueue
 
 
 def test_shares_divide_the_service():
--- a/packages/berylcart/tests/coordination/test_latency.py
+++ b/packages/berylcart/tests/coordination/policy/test_latency.py
@@ -1,6 +1,6 @@
 """Check the sliding latency quantiles."""
 
-from berylcart.coordination.latency import MAX_SERVICES, LatencyTable
+from berylcart.coordination.policy.latency import MAX_SERVICES, LatencyTable
 
 
 def test_old_samples_age_out(clock):
--- a/packages/berylcart/tests/coordination/test_load_poller.py
+++ b/packages/berylcart/tests/coordination/policy/test_load_poller.py
@@ -3,13 +3,13 @@
 from collections import Counter
 
 import anyio
-from berylcart.coordination.load_poller import LoadPoller
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.policy.load_poller import LoadPoller
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.vm import LoadReport, VmPage, VmState
 
-from .serving_fakes import POOL, FakeVmList, run
+from ..serving_fakes import POOL, FakeVmList, run
 
 LIVE = LoadReport(4, 2, 8, VmState.LIVE)
 POLLS_PER_S = 4
--- a/packages/berylcart/tests/coordination/test_load_table.py
+++ b/packages/berylcart/tests/coordination/policy/test_load_table.py
@@ -1,7 +1,7 @@
 """Check the load estimates."""
 
 import pytest
-from berylcart.coordination.load_table import LoadTable
+from berylcart.coordination.policy.load_table import LoadTable
 from berylcart.state.config import Service, ServiceKind
 
 MODEL = Service("model", ServiceKind.ENGINE, frozenset({"lahore-1"}))
--- a/packages/berylcart/tests/coordination/test_places.py
+++ b/packages/berylcart/tests/coordination/policy/test_places.py
@@ -1,7 +1,7 @@
 """Check that only permitted, live upstreams are selected."""
 
 import pytest
-from berylcart.coordination.places import permitted
+from berylcart.coordination.policy.places import permitted
 from berylcart.state.config import (
     Configuration,
     Place,
--- a/packages/berylcart/tests/coordination/test_policies.py
+++ b/packages/berylcart/tests/coordination/policy/test_policies.py
@@ -1,7 +1,7 @@
 """Check how the settings' policy is found."""
 
 import pytest
-from berylcart.coordination.policies import load_policy
+from berylcart.coordination.policy.policies import load_policy
 from berylcart.state.errors import BerylcartError, Code
 
 
--- a/packages/berylcart/tests/coordination/test_routing.py
+++ b/packages/berylcart/tests/coordination/policy/test_routing.py
@@ -4,9 +4,9 @@
 from random import Random
 
 import pytest
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.routing import Router
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.routing import Router
 from berylcart.state.config import Service, ServiceKind
 
 MODEL = Service("model", ServiceKind.ENGINE, frozenset({"lahore-1"}))
--- a/packages/berylcart/tests/coordination/test_serving.py
+++ b/packages/berylcart/tests/coordination/serving/test_server.py
@@ -2,11 +2,11 @@
 
 import anyio
 import pytest
-from berylcart.coordination.stage_policy import Waste
+from berylcart.coordination.policy.stage_policy import Waste
 from berylcart.state.errors import Code, Ran, UpstreamError
 from berylcart.state.vm import VmPage, VmState
 
-from .serving_fakes import CONFIGURATION, POOL, Rig, failed, run
+from ..serving_fakes import CONFIGURATION, POOL, Rig, failed, run
 
 
 def test_pipeline_runs_its_stages_in_order():
--- a/packages/berylcart/tests/coordination/serving_fakes.py
+++ b/packages/berylcart/tests/coordination/serving_fakes.py
@@ -5,18 +5,18 @@
 
 import anyio
 import trio
-from berylcart.coordination.admission import AdmissionSettings
-from berylcart.coordination.admission_table import AdmissionTable
-from berylcart.coordination.attempts import StageRunner
-from berylcart.coordination.budgets import RetryBudget, ServiceBudgets
-from berylcart.coordination.claims import ClaimKeeper
-from berylcart.coordination.ejection import Ejector
-from berylcart.coordination.latency import LatencyTable
-from berylcart.coordination.load_table import LoadTable
-from berylcart.coordination.routing import DEFAULT_POLICY
-from berylcart.coordination.serving import Server
-from berylcart.coordination.stage_policy import PolicyParts, StagePolicy
-from berylcart.coordination.vm_directory import VmDirectory
+from berylcart.coordination.claims.keeper import ClaimKeeper
+from berylcart.coordination.policy.admission import AdmissionSettings
+from berylcart.coordination.policy.admission_table import AdmissionTable
+from berylcart.coordination.policy.budgets import RetryBudget, ServiceBudgets
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.latency import LatencyTable
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.coordination.policy.routing import DEFAULT_POLICY
+from berylcart.coordination.policy.stage_policy import PolicyParts, StagePolicy
+from berylcart.coordination.policy.vm_directory import VmDirectory
+from berylcart.coordination.serving.attempts import StageRunner
+from berylcart.coordination.serving.server import Server
 from berylcart.state.config import (
     Configuration,
     Pipeline,
