--- a/packages/berylcart-tools/src/berylcart_tools/experiments/actions.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/actions.py
@@ -4,13 +4,8 @@
 from functools import singledispatch
 
 from berylcart_tools.experiments.deployments import ENTRY_COUNT
-from berylcart_tools.experiments.fleet import (
-    DAEMON,
-    Fleet,
-    Upstream,
-    entry_name,
-    find_upstreams,
-)
+from berylcart_tools.experiments.fleet import DAEMON, Fleet, find_upstreams
+from berylcart_tools.experiments.layout import Upstream, entry_name
 from berylcart_tools.experiments.scenarios import (
     Action,
     KillPlace,
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/daemon_cost.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/daemon_cost.py
@@ -14,10 +14,10 @@
 from berylcart_tools.experiments.deployments import AUTHORITY, Deployment
 from berylcart_tools.experiments.fleet import (
     Fleet,
-    entry_name,
     find_upstreams,
     running_fleet,
 )
+from berylcart_tools.experiments.layout import entry_name
 from berylcart_tools.experiments.outcomes import Quantiles, quantiles
 
 MS_PER_S = 1000
--- a/packages/berylcart-tools/src/berylcart_tools/faults/collect.py
+++ b/packages/berylcart-tools/src/berylcart_tools/faults/collect.py
@@ -10,7 +10,7 @@
 from berylcart.state.records import CONFIG_STREAM
 
 from berylcart_tools.experiments.deployments import Deployment
-from berylcart_tools.experiments.fleet import Upstream
+from berylcart_tools.experiments.layout import Upstream
 from berylcart_tools.faults.recorder import Recorder, now_ms, read_events
 from berylcart_tools.history.events import Accepted, InForce, Joined, Run
 
--- a/packages/berylcart-tools/src/berylcart_tools/faults/plans.py
+++ b/packages/berylcart-tools/src/berylcart_tools/faults/plans.py
@@ -10,7 +10,7 @@
     ENTRY_COUNT,
     ServiceSpec,
 )
-from berylcart_tools.experiments.fleet import entry_name
+from berylcart_tools.experiments.layout import entry_name
 
 BEGIN_S = 1.5
 MIDDLE_S = 3.0
--- a/packages/berylcart-tools/src/berylcart_tools/faults/run.py
+++ b/packages/berylcart-tools/src/berylcart_tools/faults/run.py
@@ -9,11 +9,8 @@
 from berylcart.transport.log_client import HttpLog
 
 from berylcart_tools.experiments.deployments import AUTHORITY, ENTRY_COUNT
-from berylcart_tools.experiments.fleet import (
-    Fleet,
-    entry_name,
-    running_fleet,
-)
+from berylcart_tools.experiments.fleet import Fleet, running_fleet
+from berylcart_tools.experiments.layout import entry_name
 from berylcart_tools.faults.callers import Client, Workload
 from berylcart_tools.faults.collect import (
     add_accepted,
--- a/packages/berylcart-tools/tests/faults/test_parts.py
+++ b/packages/berylcart-tools/tests/faults/test_parts.py
@@ -5,7 +5,7 @@
 import pytest
 from berylcart.state.config_text import parse
 from berylcart_tools.experiments.deployments import AUTHORITY, config_text
-from berylcart_tools.experiments.fleet import Upstream
+from berylcart_tools.experiments.layout import Upstream
 from berylcart_tools.faults.collect import add_runs, shared_ms
 from berylcart_tools.faults.perform import RACED_WORKSPACE, narrowed
 from berylcart_tools.faults.plans import PLANS, pair, random_pairs
