--- a/packages/berylcart/tests/protocol/test_peer_codec.py
+++ b/packages/berylcart/tests/protocol/test_peer_codec.py
@@ -1,11 +1,17 @@
 """Check what configuration offers keep on their way."""
 
+import contextlib
+
 import pytest
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.json_values import MessageError
+from berylcart.state.errors import BerylcartError
 from berylcart.state.peer_messages import ConfigOffer
 from berylcart.state.records import Checkpoint, Verdict
+from google.protobuf.message import DecodeError
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
 
 CHECKPOINT = Checkpoint(
     7, 3, 1, "[place.p]\n" * 1000, (Verdict("p1", 0, 3, ""),)
@@ -28,3 +34,24 @@
     message = pb.ConfigMessage(is_newer=True, text_zlib=b"damaged")
     with pytest.raises(MessageError):
         codec.decode_config_offer(message)
+
+
+DECODERS = [
+    (pb.PingMessage, codec.decode_ping),
+    (pb.PingRequestMessage, codec.decode_ping_request),
+    (pb.GossipMessage, codec.decode_gossip),
+    (pb.PullConfigMessage, codec.decode_config_query),
+    (pb.ConfigMessage, codec.decode_config_offer),
+    (pb.CollectAnswerMessage, codec.decode_answer_query),
+    (pb.AnswerMessage, codec.decode_answer),
+]
+REFUSALS = (DecodeError, ValueError, BerylcartError)
+
+
+@pytest.mark.parametrize(("message_type", "decode"), DECODERS)
+@seed(1)
+@settings(deadline=None)
+@given(data=st.binary(max_size=200))
+def test_any_bytes_are_a_message_or_refused(message_type, decode, data):
+    with contextlib.suppress(*REFUSALS):
+        assert decode(message_type.FromString(data)) is not None
