Drop a result code that nothing gives

Cause: KEY_REQUIRED (1005) was listed for callers and never answered: a request without a key is sent at most once instead of refused. Ruled out: keeping it reserved; nothing was released with it.

--- a/packages/berylcart/src/berylcart/state/errors.py
+++ b/packages/berylcart/src/berylcart/state/errors.py
@@ -20,7 +20,6 @@
     UNKNOWN_WORKSPACE = 1002
     UNKNOWN_TARGET = 1003
     PLACE_NOT_PERMITTED = 1004
-    KEY_REQUIRED = 1005
     KEY_CONFLICT = 1006
     KEY_EXPIRED = 1007
     DEADLINE_INVALID = 1008
@@ -67,9 +66,6 @@
     Code.PLACE_NOT_PERMITTED: CodeInfo(
         421, 3, "this entry's place is not permitted for the workspace"
     ),
-    Code.KEY_REQUIRED: CodeInfo(
-        400, 2, "a non-idempotent request lacks its Idempotency-Key"
-    ),
     Code.KEY_CONFLICT: CodeInfo(
         409, 3, "the Idempotency-Key was used with another body"
     ),
