--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
-SOURCES := packages
-export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src
+SOURCES := packages platform
+export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src:$(CURDIR)/platform/src
 
 .PHONY: demo test faults prove setup format check lint types layers unit proto
 
@@ -34,7 +34,7 @@
 	$(BIN)/ruff check $(SOURCES) spec
 
 types: setup
-	$(BIN)/mypy packages/berylcart/src packages/berylcart-daemon/src packages/berylcart-tools/src
+	$(BIN)/mypy packages/berylcart/src packages/berylcart-daemon/src packages/berylcart-tools/src platform/src
 
 layers: setup
 	$(BIN)/lint-imports
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -0,0 +1,360 @@
+"""Run one gateway daemon from its start to its end."""
+
+import random
+import signal
+import time
+from collections.abc import Sequence
+
+import anyio
+from anyio.abc import TaskGroup
+from berylcart import events
+from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.forwarder import Forwarder
+from berylcart.coordination.gateway.gateway import Gateway, Served
+from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
+from berylcart.coordination.gateway.ports import CallerExchange
+from berylcart.coordination.gateway.retry_window import RetryWindow
+from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.gateway.stage_home import StageHome
+from berylcart.coordination.gateway.stage_results import StageResults
+from berylcart.coordination.membership.membership import Membership
+from berylcart.coordination.membership.settings import MembershipSettings
+from berylcart.coordination.policy.vm_directory import VmDirectory
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.member_table import Member
+from berylcart.state.relayed import Refusal
+from berylcart.state.routes import BatchLimits, CallerLimits
+from berylcart.transport.caller_connection import ConnectionRules
+from berylcart.transport.caller_server import CallerServer
+from berylcart.transport.peer_client import GrpcPeers
+from berylcart.transport.peer_server import PeerServer
+from berylcart.transport.relay_client import RelayClient
+
+from berylcart_daemon.gateway_desk import GatewayDesk
+from berylcart_daemon.gateway_metrics import GatewayMetrics
+from berylcart_daemon.gateway_ports import GatewayPorts, PageState
+from berylcart_daemon.gateway_settings import GatewaySettings
+from berylcart_daemon.route_exchange import RouteExchange
+
+MS_PER_S = 1000
+# Some callers keep a list of entries for this many times its period.
+KEEPS_OF_ENTRIES = 3
+DRAIN_MARGIN_S = 0.3
+# What is left of the grace period for closing once requests are cut.
+EXIT_MARGIN_S = 0.6
+DRAIN_RETRY_AFTER_MS = 100
+HOUSEKEEPING_PERIOD_S = 0.1
+SWEEP_ROUNDS = 10
+BOOK_PERIOD_S = 2.0
+FAREWELL_TIMEOUT_S = 0.3
+MAX_ENTRIES = 64
+MAX_PAGE_CONNECTIONS = 256
+
+
+class GatewayDaemon:
+    """Build a gateway's parts, run them and stop them in order."""
+
+    def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
+        self.settings = settings
+        self.ports = ports
+        self.random = random.Random()
+        self.is_draining = False
+        self.is_closed = False
+        self.found_seeds: tuple[str, ...] = ()
+        self.background: TaskGroup | None = None
+        self.metrics = GatewayMetrics()
+        self.keeper = RouteKeeper(ports.feed.parse)
+        self.directory = VmDirectory(
+            ports.replicas, settings.replicas_interval_ms / MS_PER_S
+        )
+        self.peers = GrpcPeers()
+        self.build_membership()
+        self.build_gateway()
+        self.build_servers()
+
+    def build_membership(self) -> None:
+        """Build what knows the other daemons."""
+        self.exchange = RouteExchange(self.keeper, self.directory, self.peers)
+        me = Member(
+            self.settings.daemon_id,
+            time.time_ns(),
+            self.settings.peer_address,
+            self.settings.caller_address,
+            self.settings.place,
+            is_leaving=True,
+        )
+        self.membership = Membership(
+            me,
+            self.peers,
+            self.seeds,
+            MembershipSettings(entry_keep_ms=self.settings.entries_keep_ms),
+            self.exchange,
+        )
+        self.most_members = 1
+        self.directory.on_leaving = self.membership.mark_leaving
+
+    def build_gateway(self) -> None:
+        """Build what serves requests."""
+        retries = self.settings.retries
+        self.budget = RetryWindow(
+            retries.ratio,
+            retries.window_s,
+            retries.slack,
+            lambda: self.most_members,
+        )
+        self.policy = GatewayPolicy(
+            self.keeper, self.directory.pool, self.budget, self.random
+        )
+        self.directory.on_change = self.policy.retain
+        self.relay = RelayClient(self.ports.wire.read_answer)
+        self.batchers: dict[str, Batcher] = {}
+        self.home = StageHome(
+            self.settings.daemon_id,
+            self.peers,
+            self.membership.live_members,
+            self.batcher_of,
+        )
+        self.gateway = Gateway(
+            self.keeper,
+            self.ports.wire,
+            self.policy,
+            Forwarder(self.relay, self.policy, self.ports.wire),
+            StageResults(self.home, self.budget, self.drop_results),
+        )
+        self.gateway.on_served = self.note_served
+
+    def build_servers(self) -> None:
+        """Build what listens."""
+        rules = ConnectionRules(
+            self.handle,
+            self.limits,
+            self.ports.wire.refuse,
+            lambda: self.is_draining,
+        )
+        self.callers = CallerServer(
+            self.settings.caller_address, rules, self.settings.max_connections
+        )
+        page_rules = rules._replace(
+            handle=self.answer_page, is_closing=lambda: False
+        )
+        metrics_rules = page_rules._replace(handle=self.answer_metrics)
+        self.pages = [
+            CallerServer(address, page_rules, MAX_PAGE_CONNECTIONS)
+            for address in self.settings.page_addresses
+        ]
+        self.pages.append(
+            CallerServer(
+                self.settings.metrics_address,
+                metrics_rules,
+                MAX_PAGE_CONNECTIONS,
+            )
+        )
+        self.peer_server = PeerServer(
+            GatewayDesk(self.membership, self.keeper),
+            self.settings.peer_address,
+            self.home,
+        )
+
+    def limits(self) -> CallerLimits:
+        """Give the limits in force on callers."""
+        table = self.keeper.table
+        return CallerLimits() if table is None else table.limits
+
+    def seeds(self) -> Sequence[str]:
+        """List peer addresses to join through."""
+        known = [*self.settings.seeds, *self.found_seeds]
+        return [each for each in known if each != self.settings.peer_address]
+
+    def batch_limits(self, service: str) -> BatchLimits | None:
+        """Find the limits of a service that works on pieces."""
+        table = self.keeper.table
+        info = table.services.get(service) if table else None
+        return None if info is None else info.batches
+
+    def batcher_of(self, service: str) -> Batcher:
+        """Find a service's batcher, and start it at its first use."""
+        batcher = self.batchers.get(service)
+        if batcher is None:
+            batcher = Batcher(
+                service,
+                self.ports.pieces,
+                self.budget,
+                self.directory.pool,
+                self.batch_limits,
+            )
+            self.batchers[service] = batcher
+            if self.background is not None:
+                self.background.start_soon(batcher.run)
+        return batcher
+
+    def drop_results(self, service: str, handles: Sequence[str]) -> None:
+        """Drop results of a stage without waiting for it."""
+        if self.background is not None:
+            self.background.start_soon(self.home.free, service, handles)
+
+    def note_served(self, served: Served) -> None:
+        """Log and count a finished request."""
+        events.info(
+            "request.done",
+            request_id=served.request_id,
+            route=served.route,
+            workspace=served.workspace,
+            status=served.status,
+            code=served.code,
+            ran=served.ran,
+            latency_ms=round(served.latency_ms, 1),
+        )
+        self.metrics.note_served(served)
+
+    async def handle(self, exchange: CallerExchange) -> None:
+        """Serve a caller's request, or refuse it while stopping."""
+        if not self.is_closed:
+            await self.gateway.handle(exchange)
+            return
+        error = BerylcartError(
+            Code.DRAINING,
+            "this entry is stopping",
+            retry_after_ms=DRAIN_RETRY_AFTER_MS,
+        )
+        events.info("request.refused", code=int(error.code))
+        await exchange.answer(self.ports.wire.refuse(error))
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        is_known = self.keeper.table is not None and self.directory.is_known
+        return is_known and not self.is_draining
+
+    def entries(self, place: str) -> Sequence[str]:
+        """List the addresses that callers of a place should use."""
+        others = [each for each in self.settings.places if each != place]
+        chosen = self.membership.entries_for([place, *others], MAX_ENTRIES)
+        return [entry.http_address for entry in chosen.entries]
+
+    async def answer_page(self, exchange: CallerExchange) -> None:
+        """Answer a question about readiness or entries."""
+        state = PageState(self.is_ready(), self.settings.entries_keep_ms)
+        answer = self.ports.pages.answer(exchange.head, state, self.entries)
+        await exchange.answer(answer)
+
+    async def answer_metrics(self, exchange: CallerExchange) -> None:
+        """Show the metrics."""
+        self.metrics.in_flight.set(self.gateway.in_flight)
+        self.metrics.config_version.set(self.keeper.version)
+        self.metrics.members.set(len(self.membership.live_members()))
+        self.metrics.lost_lines.set(events.lost_lines())
+        for service, batcher in self.batchers.items():
+            waiting = len(batcher.waiting)
+            self.metrics.backlog_pieces.labels(service).set(waiting)
+        headers = ((b"content-type", b"text/plain; version=0.0.4"),)
+        await exchange.answer(Refusal(200, headers, self.metrics.text()))
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until stop is set, then drain and return."""
+        await self.peer_server.start()
+        async with anyio.create_task_group() as tasks:
+            self.background = tasks
+            self.start_tasks(tasks)
+            events.info(
+                "daemon.started",
+                daemon_id=self.settings.daemon_id,
+                place=self.settings.place,
+                caller_address=self.settings.caller_address,
+                incarnation=self.membership.me.incarnation,
+            )
+            await stop.wait()
+            await self.drain()
+            await self.say_goodbye()
+            tasks.cancel_scope.cancel()
+        self.relay.close()
+        events.info("daemon.stopped", daemon_id=self.settings.daemon_id)
+
+    def start_tasks(self, tasks: TaskGroup) -> None:
+        """Start everything that runs until the end."""
+        for server in (self.callers, *self.pages):
+            tasks.start_soon(server.run)
+        for batcher in self.batchers.values():
+            tasks.start_soon(batcher.run)
+        tasks.start_soon(self.ports.feed.run, self.keeper)
+        tasks.start_soon(self.directory.run)
+        tasks.start_soon(self.membership.run)
+        tasks.start_soon(self.exchange.run)
+        tasks.start_soon(self.keep_house)
+        tasks.start_soon(self.keep_book)
+
+    async def keep_house(self) -> None:
+        """Announce readiness and close connections that grew old."""
+        was_ready = False
+        while True:
+            for _ in range(SWEEP_ROUNDS):
+                is_ready = self.is_ready()
+                if is_ready is not was_ready:
+                    events.info(
+                        "daemon.readiness",
+                        is_ready=is_ready,
+                        config_version=self.keeper.version,
+                    )
+                was_ready = is_ready
+                self.membership.announce(takes_callers=is_ready)
+                live = len(self.membership.live_members())
+                self.most_members = max(self.most_members, live)
+                await anyio.sleep(HOUSEKEEPING_PERIOD_S)
+            self.relay.sweep()
+
+    async def keep_book(self) -> None:
+        """Register this daemon, and look for others while alone."""
+        is_registered = False
+        while True:
+            try:
+                if not is_registered:
+                    await self.ports.book.register(
+                        self.settings.daemon_id, self.settings.peer_address
+                    )
+                    is_registered = True
+                if len(self.membership.live_members()) <= 1:
+                    found = await self.ports.book.addresses()
+                    self.found_seeds = tuple(found)
+            except BerylcartError as error:
+                events.warning("book.unavailable", detail=error.detail)
+            await anyio.sleep(BOOK_PERIOD_S)
+
+    async def drain(self) -> None:
+        """Leave the entry lists, then refuse, then finish what runs."""
+        started_s = anyio.current_time()
+        events.info("daemon.draining", in_flight=self.gateway.in_flight)
+        self.is_draining = True
+        self.membership.announce(takes_callers=False)
+        keep_s = self.settings.entries_keep_ms / MS_PER_S
+        # Callers go on using this entry until their lists are renewed.
+        await anyio.sleep(KEEPS_OF_ENTRIES * keep_s + DRAIN_MARGIN_S)
+        self.is_closed = True
+        self.callers.close_idle()
+        end_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
+        with anyio.move_on_after(end_s - anyio.current_time()):
+            await self.gateway.wait_idle()
+        events.info("daemon.drained", in_flight=self.gateway.in_flight)
+
+    async def say_goodbye(self) -> None:
+        """Tell the other daemons, within a time."""
+        with anyio.move_on_after(FAREWELL_TIMEOUT_S):
+            await self.membership.leave()
+            await self.peer_server.close(FAREWELL_TIMEOUT_S)
+        self.peers.close()
+
+
+async def run_gateway(settings: GatewaySettings, ports: GatewayPorts) -> None:
+    """Run a gateway daemon until a signal asks it to stop."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch_signals, stop)
+        await GatewayDaemon(settings, ports).run(stop)
+        tasks.cancel_scope.cancel()
+
+
+async def watch_signals(stop: anyio.Event) -> None:
+    """Set stop at the first request to stop; log the other signals."""
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*wanted) as signals:
+        async for signum in signals:
+            events.info("daemon.signal", signal=signal.Signals(signum).name)
+            if signum is not signal.SIGHUP:
+                stop.set()
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -0,0 +1,76 @@
+"""Count what a gateway did for Prometheus."""
+
+from berylcart.coordination.gateway.gateway import Served
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from berylcart_daemon.metrics import LATENCY_BUCKETS_S
+
+MS_PER_S = 1000
+
+
+class GatewayMetrics:
+    """Hold a gateway's metrics."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "berylcart_gateway_requests",
+            "Requests by what ended them (code 0: an upstream's answer).",
+            ["workspace", "route", "status", "code", "ran"],
+            registry=self.registry,
+        )
+        self.request_seconds = Histogram(
+            "berylcart_gateway_request_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "berylcart_gateway_requests_in_flight",
+            "Requests being served.",
+            registry=self.registry,
+        )
+        self.config_version = Gauge(
+            "berylcart_gateway_config_version",
+            "Version of the routes in force here.",
+            registry=self.registry,
+        )
+        self.backlog_pieces = Gauge(
+            "berylcart_gateway_backlog_pieces",
+            "Pieces of stages that wait here for a call.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.members = Gauge(
+            "berylcart_gateway_members",
+            "Daemons that are known to run.",
+            registry=self.registry,
+        )
+        self.lost_lines = Gauge(
+            "berylcart_gateway_lost_log_lines",
+            "Log lines dropped because their reader was too slow.",
+            registry=self.registry,
+        )
+
+    def note_served(self, served: Served) -> None:
+        """Count a finished request."""
+        self.requests.labels(
+            served.workspace,
+            served.route,
+            str(served.status),
+            str(served.code),
+            served.ran.value,
+        ).inc()
+        seconds = served.latency_ms / MS_PER_S
+        self.request_seconds.labels(served.route).observe(seconds)
+
+    def text(self) -> bytes:
+        """Write all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -0,0 +1,71 @@
+"""Define what a platform supplies to a gateway daemon."""
+
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from berylcart.coordination.gateway.batcher import PieceCaller
+from berylcart.coordination.gateway.ports import Wire
+from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.ports import VmList
+from berylcart.state.relayed import CallerHead, Refusal
+from berylcart.state.routes import RouteTable
+
+
+class PageState(NamedTuple):
+    """Hold what pages show; entries lists addresses for a place."""
+
+    is_ready: bool
+    keep_ms: int
+
+
+class Entries(Protocol):
+    """List the addresses that callers of a place should use, best first."""
+
+    def __call__(self, place: str) -> Sequence[str]:
+        """List them."""
+        ...
+
+
+class Pages(Protocol):
+    """Answer questions about readiness and entries."""
+
+    def answer(
+        self, head: CallerHead, state: PageState, entries: Entries
+    ) -> Refusal:
+        """Answer one question."""
+        ...
+
+
+class RouteFeed(Protocol):
+    """Follow the operator's routes."""
+
+    async def run(self, keeper: RouteKeeper) -> None:
+        """Offer each version to the keeper until cancelled."""
+        ...
+
+    def parse(self, text: str) -> RouteTable:
+        """Read a text; raises BerylcartError CONFIG_INVALID."""
+        ...
+
+
+class MemberBook(Protocol):
+    """Keep daemons' peer addresses where all can read them."""
+
+    async def register(self, daemon_id: str, peer_address: str) -> None:
+        """Write this daemon's address; raises BerylcartError."""
+        ...
+
+    async def addresses(self) -> Sequence[str]:
+        """List the addresses that were written; raises BerylcartError."""
+        ...
+
+
+class GatewayPorts(NamedTuple):
+    """Hold everything that a platform supplies."""
+
+    wire: Wire
+    pages: Pages
+    feed: RouteFeed
+    replicas: VmList
+    pieces: PieceCaller
+    book: MemberBook
--- /dev/null
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -0,0 +1,35 @@
+"""Define the settings of a daemon that serves as a gateway."""
+
+from typing import NamedTuple
+
+
+class RetrySettings(NamedTuple):
+    """Bound extra sends to a service, over all daemons together."""
+
+    ratio: float
+    window_s: float
+    slack: float
+
+
+class GatewaySettings(NamedTuple):
+    """Hold what a gateway daemon needs to know at its start.
+
+    places lists all places, the daemon's own included. page_addresses serve
+    readiness and entry lists.
+    """
+
+    daemon_id: str
+    place: str
+    places: tuple[str, ...]
+    caller_address: str
+    page_addresses: tuple[str, ...]
+    peer_address: str
+    metrics_address: str
+    seeds: tuple[str, ...]
+    retries: RetrySettings
+    grace_s: float
+    max_connections: int
+    # Callers ask again this often; some keep an answer three times as long.
+    entries_keep_ms: int = 1000
+    # Well inside the time in which a leaving replica must get no more work.
+    replicas_interval_ms: int = 600
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve requests by routes, passing them on byte by byte."""
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -0,0 +1,453 @@
+"""Work on the pieces of one service in shared calls."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from berylcart import events
+from berylcart.coordination.gateway.piece_queue import (
+    Maker,
+    Order,
+    Waiting,
+    backlog_s,
+    call_s,
+    is_worthwhile,
+    take_batch,
+)
+from berylcart.coordination.gateway.retry_window import RetryWindow
+from berylcart.state.errors import BerylcartError, Code, UpstreamError
+from berylcart.state.relayed import Piece, PieceFailure, PieceResult
+from berylcart.state.routes import BatchLimits
+from berylcart.state.vm import Vm
+
+MS_PER_S = 1000
+# A call that takes this many times the expected time hangs.
+PATIENCE = 4.0
+PATIENCE_S = 0.5
+MAX_FAILURES = 3
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 2.0
+SMOOTHING = 0.4
+# A replica that was slow is tried again: what is known of it grows old.
+SLOWNESS_HALF_LIFE_S = 4.0
+# Results differ in size from what their stage says.
+SIZE_MARGIN = 1.1
+# How long the memory of a full replica holds.
+FULL_HOLDS_S = 1.0
+# A last look for work when nothing else woke the dispatcher.
+IDLE_PERIOD_S = 0.1
+
+
+class TimedPiece(NamedTuple):
+    """Hold a piece and how long its request still waits."""
+
+    piece: Piece
+    left_ms: int
+
+
+class PieceCaller(Protocol):
+    """Call the replicas that work on pieces."""
+
+    async def run_pieces(
+        self, vm: Vm, pieces: Sequence[TimedPiece]
+    ) -> Sequence[PieceResult]:
+        """Make pieces; raises UpstreamError."""
+        ...
+
+    async def free_results(self, vm: Vm, handles: Sequence[str]) -> None:
+        """Let a replica drop results; raises UpstreamError."""
+        ...
+
+
+class MakerState:
+    """Hold what is known of one replica."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.busy_until_s = 0.0
+        self.paused_until_s = 0.0
+        self.pause_s = FIRST_PAUSE_S
+        self.slowness = 1.0
+        self.judged_at_s = 0.0
+        # What each result takes, and until when at most.
+        self.results: dict[str, tuple[int, float]] = {}
+        self.reserved_bytes = 0
+        # What its results took when it had room for no more, and when.
+        self.full_bytes = 0.0
+        self.full_at_s = -FULL_HOLDS_S
+
+    def slowness_at(self, now_s: float) -> float:
+        """Let what was learnt of the replica's speed grow old."""
+        age_s = now_s - self.judged_at_s
+        weight: float = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + max(0.0, self.slowness - 1.0) * weight
+
+    def learn(self, ratio: float, now_s: float) -> None:
+        """Take in how long a call took against what was expected."""
+        old = self.slowness_at(now_s)
+        self.slowness = old + SMOOTHING * (ratio - old)
+        self.judged_at_s = now_s
+        self.pause_s = FIRST_PAUSE_S
+
+    def pause(self, now_s: float) -> None:
+        """Give the replica no call for a while."""
+        self.paused_until_s = now_s + self.pause_s
+        self.pause_s = min(MAX_PAUSE_S, 2 * self.pause_s)
+
+    def room_bytes(self, limit_bytes: float, now_s: float) -> float:
+        """Estimate the room for more results.
+
+        A replica that was full stays full until one of its results goes.
+        """
+        if now_s - self.full_at_s < FULL_HOLDS_S:
+            limit_bytes = min(limit_bytes, self.full_bytes)
+        return limit_bytes - self.used_bytes(now_s)
+
+    def note_full(self, now_s: float) -> None:
+        """Learn that the results held now leave no room."""
+        self.full_bytes = self.used_bytes(now_s)
+        self.full_at_s = now_s
+
+    def used_bytes(self, now_s: float) -> int:
+        """Sum what results take, without those that were dropped."""
+        gone = [key for key, (_, end) in self.results.items() if end < now_s]
+        for key in gone:
+            del self.results[key]
+        held = sum(size for size, _ in self.results.values())
+        return held + self.reserved_bytes
+
+
+class Job:
+    """Collect the results of one order."""
+
+    def __init__(self, order: Order) -> None:
+        self.order = order
+        self.results: list[str] = [""] * order.pieces
+        self.missing = order.pieces
+        self.error: BerylcartError | None = None
+        self.is_done = anyio.Event()
+
+    def settle(self, number: int, handle: str) -> None:
+        """Take one piece's result; a second one changes nothing."""
+        if self.results[number]:
+            return
+        self.results[number] = handle
+        self.missing -= 1
+        if not self.missing:
+            self.is_done.set()
+
+    def fail(self, error: BerylcartError) -> None:
+        """End the order with an error."""
+        self.error = error
+        self.is_done.set()
+
+
+class Batcher:
+    """Share the calls to one service's replicas between requests."""
+
+    def __init__(
+        self,
+        service: str,
+        caller: PieceCaller,
+        budget: RetryWindow,
+        pool: Callable[[str], Sequence[Vm]],
+        limits: Callable[[str], BatchLimits | None],
+    ) -> None:
+        self.service = service
+        self.caller = caller
+        self.budget = budget
+        self.pool = pool
+        self.limits = limits
+        self.waiting: list[Waiting] = []
+        self.jobs: dict[tuple[str, int], Job] = {}
+        self.makers: dict[tuple[str, int], MakerState] = {}
+        self.changed = anyio.Event()
+        self.tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Give calls to free replicas until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            while True:
+                self.dispatch(tasks)
+                self.changed = anyio.Event()
+                with anyio.move_on_after(IDLE_PERIOD_S):
+                    await self.changed.wait()
+
+    async def make(self, order: Order) -> tuple[str, ...]:
+        """Make all pieces of an order and name their results.
+
+        Raises BerylcartError: OVERLOADED when they can't be made in time,
+        UPSTREAM_REJECTED when an input is gone.
+        """
+        self.check_time(order)
+        job = Job(order)
+        key = (order.request_id, order.stage)
+        self.jobs[key] = job
+        now_s = anyio.current_time()
+        self.waiting.extend(
+            Waiting(order, number, now_s) for number in range(order.pieces)
+        )
+        self.changed.set()
+        is_made = False
+        try:
+            await job.is_done.wait()
+            is_made = job.error is None
+        finally:
+            if not is_made:
+                self.drop([each for each in job.results if each])
+            if self.jobs.get(key) is job:
+                del self.jobs[key]
+            self.waiting = [
+                each for each in self.waiting if each.order is not order
+            ]
+        if job.error is not None:
+            raise job.error
+        return tuple(job.results)
+
+    def check_time(self, order: Order) -> None:
+        """Refuse an order that the queue makes hopeless."""
+        wait_s = self.backlog_s(order.rank)
+        if anyio.current_time() + wait_s < order.deadline_s:
+            return
+        raise BerylcartError(
+            Code.OVERLOADED,
+            f"{self.service} is {wait_s:.1f} s behind",
+            retry_after_ms=int(wait_s * MS_PER_S),
+        )
+
+    def backlog_s(self, rank: int) -> float:
+        """Estimate how long work of a rank waits for its call."""
+        limits = self.limits(self.service)
+        if limits is None:
+            return 0.0
+        ahead = sum(1 for each in self.waiting if each.order.rank <= rank)
+        now_s = anyio.current_time()
+        makers = [
+            self.describe(vm, limits, now_s) for vm in self.pool(self.service)
+        ]
+        return backlog_s(ahead, makers, limits)
+
+    def state(self, vm: Vm) -> MakerState:
+        """Find what is known of a replica."""
+        return self.makers.setdefault((vm.vm_id, vm.incarnation), MakerState())
+
+    def describe(self, vm: Vm, limits: BatchLimits, now_s: float) -> Maker:
+        """Describe a replica for a decision."""
+        state = self.state(vm)
+        busy_until_s = state.paused_until_s
+        if state.calls >= limits.slots:
+            busy_until_s = max(busy_until_s, state.busy_until_s)
+        return Maker(
+            vm_id=vm.vm_id,
+            place=vm.place,
+            free_in_s=max(0.0, busy_until_s - now_s),
+            room_bytes=state.room_bytes(limits.room_bytes, now_s),
+            slowness=state.slowness_at(now_s),
+        )
+
+    def dispatch(self, tasks: TaskGroup) -> None:
+        """Start a call at each free replica that has work to do."""
+        limits = self.limits(self.service)
+        if limits is None or not self.waiting:
+            return
+        now_s = anyio.current_time()
+        pool = self.pool(self.service)
+        self.retain(pool)
+        makers = {vm.vm_id: self.describe(vm, limits, now_s) for vm in pool}
+        for vm in sorted(pool, key=lambda each: makers[each.vm_id].slowness):
+            maker = makers[vm.vm_id]
+            state = self.state(vm)
+            if state.calls >= limits.slots or state.paused_until_s > now_s:
+                continue
+            others = [each for each in makers.values() if each is not maker]
+            batch = take_batch(self.waiting, maker, limits, now_s)
+            count = len(self.waiting)
+            if batch and is_worthwhile(maker, others, count, limits):
+                self.start_call(tasks, vm, batch, limits)
+
+    def retain(self, pool: Sequence[Vm]) -> None:
+        """Forget replicas that are gone and have no call."""
+        kept = {(vm.vm_id, vm.incarnation) for vm in pool}
+        for key in self.makers.keys() - kept:
+            if not self.makers[key].calls:
+                del self.makers[key]
+
+    def start_call(
+        self,
+        tasks: TaskGroup,
+        vm: Vm,
+        batch: list[Waiting],
+        limits: BatchLimits,
+    ) -> None:
+        """Take pieces from the queue for a call."""
+        taken = {each.piece for each in batch}
+        self.waiting = [
+            each for each in self.waiting if each.piece not in taken
+        ]
+        state = self.state(vm)
+        state.calls += 1
+        state.reserved_bytes += sum(e.order.result_bytes for e in batch)
+        expected_s = call_s(limits, len(batch))
+        slow_s = expected_s * state.slowness_at(anyio.current_time())
+        state.busy_until_s = anyio.current_time() + slow_s
+        tasks.start_soon(self.call, vm, batch, limits, expected_s)
+
+    async def call(
+        self,
+        vm: Vm,
+        batch: list[Waiting],
+        limits: BatchLimits,
+        expected_s: float,
+    ) -> None:
+        """Make one call and hand out its results."""
+        state = self.state(vm)
+        started_s = anyio.current_time()
+        pieces = [
+            TimedPiece(
+                each.piece,
+                max(1, int((each.order.deadline_s - started_s) * MS_PER_S)),
+            )
+            for each in batch
+        ]
+        try:
+            with anyio.fail_after(expected_s * PATIENCE + PATIENCE_S):
+                results = await self.caller.run_pieces(vm, pieces)
+        except (BerylcartError, TimeoutError) as error:
+            self.note_failed(vm, batch, error)
+        else:
+            now_s = anyio.current_time()
+            state.learn((now_s - started_s) / expected_s, now_s)
+            self.hand_out(vm, batch, results, limits)
+        finally:
+            state.calls -= 1
+            state.reserved_bytes -= sum(e.order.result_bytes for e in batch)
+            self.changed.set()
+
+    def note_failed(
+        self, vm: Vm, batch: Sequence[Waiting], error: Exception
+    ) -> None:
+        """Queue the pieces of a failed call again."""
+        events.warning(
+            "pieces.failed",
+            service=self.service,
+            vm_id=vm.vm_id,
+            pieces=len(batch),
+            request_id=batch[0].order.request_id,
+            detail=str(error) or type(error).__name__,
+        )
+        self.state(vm).pause(anyio.current_time())
+        for piece in batch:
+            self.retry(piece, PieceFailure.ERROR)
+
+    def hand_out(
+        self,
+        vm: Vm,
+        batch: Sequence[Waiting],
+        results: Sequence[PieceResult],
+        limits: BatchLimits,
+    ) -> None:
+        """Give each piece's result to its order."""
+        state = self.state(vm)
+        end_s = anyio.current_time() + limits.keep_s
+        unwanted: list[str] = []
+        for piece, result in zip(batch, results, strict=True):
+            if not result.handle:
+                self.note_refused(vm, piece, result.failure)
+                continue
+            size_bytes = int(SIZE_MARGIN * piece.order.result_bytes)
+            state.results[result.handle] = (size_bytes, end_s)
+            job = self.job_of(piece.order)
+            if job is None:
+                unwanted.append(result.handle)
+            else:
+                job.settle(piece.number, result.handle)
+        if unwanted:
+            events.info(
+                "pieces.unwanted", service=self.service, pieces=len(unwanted)
+            )
+            self.drop(unwanted)
+
+    def drop(self, handles: Sequence[str]) -> None:
+        """Drop results without waiting for it."""
+        if self.tasks is not None and handles:
+            self.tasks.start_soon(self.free, handles)
+
+    def job_of(self, order: Order) -> Job | None:
+        """Find the job that waits for an order's results."""
+        job = self.jobs.get((order.request_id, order.stage))
+        return job if job is not None and job.order is order else None
+
+    def note_refused(
+        self, vm: Vm, piece: Waiting, failure: PieceFailure | None
+    ) -> None:
+        """Act on a piece that a call gave no result for."""
+        events.info(
+            "piece.refused",
+            service=self.service,
+            vm_id=vm.vm_id,
+            request_id=piece.order.request_id,
+            stage=piece.order.stage,
+            failure=failure,
+        )
+        job = self.job_of(piece.order)
+        if job is None:
+            return
+        if failure is PieceFailure.LATE:
+            job.fail(
+                BerylcartError(Code.DEADLINE_TOO_CLOSE, "a piece was late")
+            )
+        elif failure is PieceFailure.GONE:
+            job.fail(
+                BerylcartError(Code.UPSTREAM_REJECTED, "an input is gone")
+            )
+        elif failure is PieceFailure.ROOM:
+            self.state(vm).note_full(anyio.current_time())
+            self.wait_again(piece)
+        else:
+            self.retry(piece, failure)
+
+    def wait_again(self, piece: Waiting) -> None:
+        """Queue a piece that a replica had no room for."""
+        self.budget.try_take(self.service)
+        self.waiting.append(piece)
+        self.changed.set()
+
+    def retry(self, piece: Waiting, failure: PieceFailure | None) -> None:
+        """Queue a piece again within the budget, else fail its order."""
+        job = self.job_of(piece.order)
+        if job is None:
+            return
+        failures = piece.failures + 1
+        is_allowed = failures < MAX_FAILURES
+        if is_allowed and self.budget.try_take(self.service):
+            self.waiting.append(piece._replace(failures=failures))
+            self.changed.set()
+            return
+        job.fail(
+            BerylcartError(
+                Code.NO_UPSTREAM,
+                f"{self.service} made no result: {failure}",
+                retry_after_ms=int(MAX_PAUSE_S * MS_PER_S),
+            )
+        )
+
+    async def free(self, handles: Sequence[str]) -> None:
+        """Drop results at the replicas that hold them."""
+        for vm in self.pool(self.service):
+            state = self.state(vm)
+            held = [each for each in handles if each in state.results]
+            for handle in held:
+                del state.results[handle]
+            if not held:
+                continue
+            self.changed.set()
+            try:
+                await self.caller.free_results(vm, held)
+            except UpstreamError as error:
+                # The replica drops them by itself after a while.
+                events.info(
+                    "results.not_freed", vm_id=vm.vm_id, detail=error.detail
+                )
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -0,0 +1,275 @@
+"""Serve one request of a gateway: find its route, run its stages, forward."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from berylcart import events
+from berylcart.coordination.gateway.forwarder import (
+    Forwarder,
+    ForwardRun,
+    Work,
+)
+from berylcart.coordination.gateway.gateway_policy import (
+    GatewayPolicy,
+    RouteTables,
+)
+from berylcart.coordination.gateway.ports import CallerExchange, Wire
+from berylcart.coordination.gateway.stage_results import (
+    StagePlan,
+    StageResults,
+)
+from berylcart.state.errors import (
+    BerylcartError,
+    Code,
+    InputsGoneError,
+    Ran,
+)
+from berylcart.state.relayed import RelayRequest
+from berylcart.state.request import Progress, strongest
+from berylcart.state.routes import Owner, Route, RouteTable
+from berylcart.state.vm import Vm
+
+MS_PER_S = 1000
+# A request whose stages' results vanished has them made this often.
+MAX_STAGE_RUNS = 2
+RETRY_AFTER_MS = 500
+NO_ROUTE = "none"
+
+
+class Served(NamedTuple):
+    """Describe a finished request for the log and the metrics.
+
+    code is 0 for an upstream's own answer; status is what the caller got, 0
+    for a connection that was cut.
+    """
+
+    request_id: str
+    route: str
+    workspace: str
+    status: int
+    code: int
+    ran: Ran
+    latency_ms: float
+
+
+class Target(NamedTuple):
+    """Hold what a request asks for, looked up once."""
+
+    table: RouteTable
+    route: Route
+    owner: Owner | None
+
+    @property
+    def rank(self) -> int:
+        """Give the rank of the workspace, or else of the route."""
+        if self.owner is not None and self.owner.priority is not None:
+            return self.owner.priority
+        return self.route.priority
+
+
+def find_target(table: RouteTable, request: RelayRequest) -> Target:
+    """Look up a request's route and workspace; raises BerylcartError."""
+    route = table.find(request.host, request.path)
+    if route is None:
+        raise BerylcartError(
+            Code.UNKNOWN_ROUTE, f"no route takes {request.host}{request.path}"
+        )
+    if not table.has_workspaces or route.is_public:
+        return Target(table, route, None)
+    owner = table.owners.get(request.api_key or "")
+    if owner is None:
+        raise BerylcartError(Code.KEY_UNKNOWN, "no workspace holds the key")
+    return Target(table, route, owner)
+
+
+class Gateway:
+    """Serve requests at one entry."""
+
+    def __init__(
+        self,
+        tables: RouteTables,
+        wire: Wire,
+        policy: GatewayPolicy,
+        forwarder: Forwarder,
+        stages: StageResults,
+    ) -> None:
+        self.tables = tables
+        self.wire = wire
+        self.policy = policy
+        self.forwarder = forwarder
+        self.stages = stages
+        self.in_flight = 0
+        self.ended = anyio.Event()
+        self.on_served: Callable[[Served], None] = lambda served: None
+
+    async def handle(self, exchange: CallerExchange) -> None:
+        """Answer a caller, or leave the answer cut where it broke off."""
+        progress = Progress()
+        names = Names()
+        status = 0
+        code: Code | None = Code.INTERNAL
+        self.in_flight += 1
+        try:
+            status = await self.serve(exchange, progress, names)
+            code = None
+        except BerylcartError as error:
+            error.ran = strongest(error.ran, progress.ran)
+            code = error.code
+            status = await self.refuse(exchange, error)
+            events.info(
+                "request.failed",
+                request_id=names.request_id,
+                route=names.route,
+                config_version=names.config_version,
+                code=int(error.code),
+                ran=error.ran,
+                detail=error.detail,
+            )
+        except anyio.get_cancelled_exc_class():
+            code = Code.CALLER_GONE
+            raise
+        finally:
+            self.in_flight -= 1
+            self.ended.set()
+            elapsed_s = anyio.current_time() - exchange.received_at_s
+            self.on_served(
+                Served(
+                    names.request_id,
+                    names.route,
+                    names.workspace,
+                    status,
+                    0 if code is None else int(code),
+                    progress.ran,
+                    elapsed_s * MS_PER_S,
+                )
+            )
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self.in_flight:
+            self.ended = anyio.Event()
+            await self.ended.wait()
+
+    async def refuse(
+        self, exchange: CallerExchange, error: BerylcartError
+    ) -> int:
+        """Write the gateway's own answer unless one has begun."""
+        if exchange.is_started:
+            return 0
+        if error.ran is Ran.NO and error.retry_after_ms is None:
+            error.retry_after_ms = RETRY_AFTER_MS
+        refusal = self.wire.refuse(error)
+        await exchange.answer(refusal)
+        return refusal.status
+
+    async def serve(
+        self, exchange: CallerExchange, progress: Progress, names: "Names"
+    ) -> int:
+        """Answer a request before its deadline; raises BerylcartError."""
+        request = self.wire.read_request(exchange.head, exchange.body)
+        names.request_id = request.request_id
+        table = self.tables.require()
+        names.config_version = table.version
+        target = find_target(table, request)
+        names.note(target)
+        limit_ms = min(request.deadline_ms, target.route.timeout_ms)
+        deadline_s = exchange.received_at_s + limit_ms / MS_PER_S
+        with anyio.CancelScope(deadline=deadline_s) as scope:
+            return await self.run(
+                exchange, request, target, deadline_s, progress
+            )
+        assert scope.cancelled_caught
+        raise BerylcartError(
+            Code.DEADLINE_EXCEEDED,
+            f"no whole answer within {limit_ms} ms",
+            ran=progress.ran,
+        )
+
+    async def run(
+        self,
+        exchange: CallerExchange,
+        request: RelayRequest,
+        target: Target,
+        deadline_s: float,
+        progress: Progress,
+    ) -> int:
+        """Run a request's stages and forward it."""
+        route = target.route
+        service = self.policy.service_of(route)
+        self.policy.budget.note_request(service)
+        work = Work(
+            request,
+            route,
+            service,
+            target.owner.workspace if target.owner else None,
+            deadline_s,
+        )
+        run = ForwardRun(work, exchange, progress)
+        if not route.stages:
+            return await self.forwarder.forward(run)
+        for number in range(1, MAX_STAGE_RUNS + 1):
+            try:
+                return await self.run_staged(run, target.rank)
+            except InputsGoneError:
+                events.warning(
+                    "request.inputs_gone",
+                    request_id=request.request_id,
+                    route=route.name,
+                    stage_run=number,
+                )
+                if number == MAX_STAGE_RUNS:
+                    raise
+        raise AssertionError
+
+    async def run_staged(self, run: ForwardRun, rank: int) -> int:
+        """Make the results that a request reads, then forward it."""
+        work = run.work
+        vm = self.policy.choose(
+            work.service, work.request.prompt.affinity, run.tried
+        )
+        plan = self.plan(run, rank, vm)
+        try:
+            inputs = await self.stages.make_all(plan)
+            run.work = work._replace(inputs=inputs, preferred=vm)
+            # The replica has read its inputs once its answer begins.
+            run.on_begun = lambda: self.stages.drop_all(plan)
+            return await self.forwarder.forward(run)
+        finally:
+            self.stages.drop_all(plan)
+
+    def plan(self, run: ForwardRun, rank: int, vm: Vm) -> StagePlan:
+        """Describe a request's stages; raises BAD_REQUEST."""
+        work = run.work
+        route = work.route
+        if len(work.request.piece_counts) != len(route.stages):
+            raise BerylcartError(
+                Code.BAD_REQUEST,
+                f"{len(work.request.piece_counts)} piece counts for "
+                f"{len(route.stages)} stages",
+            )
+        return StagePlan(
+            work.request,
+            route,
+            rank,
+            due_s=run.exchange.received_at_s + route.target_ms / MS_PER_S,
+            deadline_s=work.deadline_s,
+            place=vm.place,
+        )
+
+
+class Names:
+    """Collect what a request is called, as it becomes known."""
+
+    def __init__(self) -> None:
+        self.request_id = ""
+        self.route = NO_ROUTE
+        self.workspace = ""
+        self.config_version = 0
+
+    def note(self, target: Target) -> None:
+        """Take the route and the workspace."""
+        self.route = target.route.name
+        if target.owner is not None:
+            self.workspace = target.owner.workspace
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -0,0 +1,174 @@
+"""Decide which pieces the next call of a replica works on.
+
+The load is many small orders at once: a call costs far more than a piece, so
+pieces of different requests share calls.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from berylcart.state.relayed import Piece
+from berylcart.state.routes import BatchLimits
+
+MS_PER_S = 1000
+# Larger results are worth a wait for a replica beside their reader.
+LARGE_RESULT_BYTES = 500_000
+# Longer waits cost more of the target than a result that crosses places.
+PLACE_WAIT_S = 0.25
+
+
+class Order(NamedTuple):
+    """Describe the pieces of one stage that a request needs.
+
+    A lower rank goes first. due_s is when the request should be answered,
+    and deadline_s when its caller leaves, on the runtime's clock.
+    """
+
+    request_id: str
+    service: str
+    stage: int
+    pieces: int
+    key: str
+    inputs: tuple[str, ...]
+    rank: int
+    due_s: float
+    deadline_s: float
+    place: str
+    result_bytes: int
+
+
+class Waiting(NamedTuple):
+    """Hold one piece that no call has taken yet."""
+
+    order: Order
+    number: int
+    since_s: float
+    failures: int = 0
+
+    @property
+    def piece(self) -> Piece:
+        """Describe the piece for a replica."""
+        order = self.order
+        return Piece(
+            order.request_id,
+            order.stage,
+            self.number,
+            order.key,
+            order.inputs,
+        )
+
+    @property
+    def urgency(self) -> tuple[int, float, str]:
+        """Order pieces by rank, then by when their request is due."""
+        return (self.order.rank, self.order.due_s, self.order.request_id)
+
+
+class Maker(NamedTuple):
+    """Describe a replica that may make pieces.
+
+    free_in_s is when its next call may start; slowness is its usual time
+    divided by the expected one.
+    """
+
+    vm_id: str
+    place: str
+    free_in_s: float
+    room_bytes: float
+    slowness: float
+
+
+def call_s(limits: BatchLimits, pieces: int) -> float:
+    """Estimate how long a call takes.
+
+    >>> round(call_s(BatchLimits(1, 2, 8, 150, 16, 1e6, 4), 8), 3)
+    0.278
+    """
+    return (limits.call_ms + pieces * limits.piece_ms) / MS_PER_S
+
+
+def may_take(piece: Waiting, maker: Maker, now_s: float) -> bool:
+    """Tell whether a replica is near enough to the result's reader."""
+    order = piece.order
+    is_near = order.place in ("", maker.place)
+    if is_near or order.result_bytes < LARGE_RESULT_BYTES:
+        return True
+    return now_s - piece.since_s >= PLACE_WAIT_S
+
+
+def take_batch(
+    waiting: Iterable[Waiting],
+    maker: Maker,
+    limits: BatchLimits,
+    now_s: float,
+) -> list[Waiting]:
+    """Choose the pieces of a replica's next call, most urgent first.
+
+    >>> limits = BatchLimits(1, 2, 2, 150, 16, 1e6, 4)
+    >>> maker = Maker("v1", "lahore-1", 0.0, 100, 1.0)
+    >>> def waiting(request_id, rank):
+    ...     order = Order(request_id, "s", 0, 1, "k", (), rank, 9, 9, "", 40)
+    ...     return Waiting(order, 0, 0.0)
+    >>> queue = [waiting("a", 2), waiting("b", 0), waiting("c", 1)]
+    >>> [each.order.request_id for each in take_batch(queue, maker, limits, 0)]
+    ['b', 'c']
+    """
+    batch: list[Waiting] = []
+    room_bytes = maker.room_bytes
+    for piece in sorted(waiting, key=lambda each: each.urgency):
+        if len(batch) == limits.pieces:
+            break
+        size_bytes = piece.order.result_bytes
+        if size_bytes > room_bytes or not may_take(piece, maker, now_s):
+            continue
+        room_bytes -= size_bytes
+        batch.append(piece)
+    return batch
+
+
+def is_worthwhile(
+    maker: Maker, others: Sequence[Maker], count: int, limits: BatchLimits
+) -> bool:
+    """Tell whether pieces end no later at a free replica than elsewhere.
+
+    A slow replica is worth using only behind a long enough queue.
+
+    >>> limits = BatchLimits(1, 2, 8, 150, 16, 1e6, 4)
+    >>> slow = Maker("v1", "p", 0.0, 1e6, 5.0)
+    >>> busy = Maker("v2", "p", 0.2, 1e6, 1.0)
+    >>> is_worthwhile(slow, [busy], 8, limits)
+    False
+    >>> is_worthwhile(slow, [busy], 80, limits)
+    True
+    """
+    own_s = call_s(limits, min(count, limits.pieces)) * maker.slowness
+    whole_s = call_s(limits, limits.pieces)
+    rate = sum(
+        1 / (whole_s * other.slowness)
+        for other in others
+        if other.slowness < maker.slowness
+    )
+    if not rate:
+        return True
+    start_s = min(
+        other.free_in_s for other in others if other.slowness < maker.slowness
+    )
+    calls = max(1.0, count / limits.pieces)
+    return own_s <= start_s + calls / rate
+
+
+def backlog_s(
+    waiting: int, makers: Sequence[Maker], limits: BatchLimits
+) -> float:
+    """Estimate how long work that arrives now waits for its call.
+
+    >>> limits = BatchLimits(1, 2, 8, 150, 16, 1e6, 4)
+    >>> maker = Maker("v1", "p", 0.1, 1e6, 1.0)
+    >>> round(backlog_s(16, [maker], limits), 2)
+    0.66
+    """
+    if not makers:
+        return 0.0
+    whole_s = call_s(limits, limits.pieces)
+    rate = sum(1 / (whole_s * maker.slowness) for maker in makers)
+    free_in_s = min(maker.free_in_s for maker in makers)
+    return free_in_s + waiting / limits.pieces / rate
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -0,0 +1,97 @@
+"""Define the ports through which a gateway reaches the outside."""
+
+from contextlib import AbstractAsyncContextManager
+from typing import NamedTuple, Protocol
+
+from berylcart.state.errors import BerylcartError
+from berylcart.state.relayed import (
+    AnswerHead,
+    CallerHead,
+    Headers,
+    Refusal,
+    RelayRequest,
+    UpstreamRequest,
+)
+from berylcart.state.vm import Vm
+
+
+class UpstreamFacts(NamedTuple):
+    """Hold what an upstream is told beside the caller's request.
+
+    left_ms is what the caller still waits; last_event_id is empty where the
+    stream starts at its first event.
+    """
+
+    vm: Vm
+    left_ms: int
+    workspace: str | None = None
+    inputs: tuple[str, ...] = ()
+    last_event_id: str = ""
+    priority: int | None = None
+
+
+class Wire(Protocol):
+    """Translate between the gateway's types and what is spoken outside."""
+
+    def read_request(self, head: CallerHead, body: bytes) -> RelayRequest:
+        """Read a caller's request; raises BerylcartError BAD_REQUEST."""
+        ...
+
+    def upstream_request(
+        self, request: RelayRequest, facts: UpstreamFacts
+    ) -> UpstreamRequest:
+        """Write a request for one upstream."""
+        ...
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerHead:
+        """Read the head of an upstream's answer."""
+        ...
+
+    def refuse(self, error: BerylcartError) -> Refusal:
+        """Write the gateway's own answer."""
+        ...
+
+
+class UpstreamAnswer(Protocol):
+    """Give an answer as it arrives; raises UpstreamError."""
+
+    head: AnswerHead
+
+    async def read(self) -> bytes | None:
+        """Read the next bytes of the body, None after the last ones."""
+        ...
+
+
+class Relay(Protocol):
+    """Reach upstreams."""
+
+    def exchange(
+        self, request: UpstreamRequest
+    ) -> AbstractAsyncContextManager[UpstreamAnswer]:
+        """Send a request; raises UpstreamError."""
+        ...
+
+
+class CallerExchange(Protocol):
+    """Hold a caller's request and write its answer; raises OSError."""
+
+    head: CallerHead
+    body: bytes
+    received_at_s: float
+    is_started: bool
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Write the head of the answer."""
+        ...
+
+    async def send(self, data: bytes) -> None:
+        """Write the next bytes of the answer."""
+        ...
+
+    async def finish(self) -> None:
+        """End a whole answer."""
+        ...
+
+    async def answer(self, refusal: Refusal) -> None:
+        """Write a whole answer of the gateway itself."""
+        ...
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/route_keeper.py
@@ -0,0 +1,102 @@
+"""Keep the newest routes; a lower version never replaces a higher one."""
+
+from collections.abc import Callable
+
+import anyio
+
+from berylcart import events
+from berylcart.state.config import FORMAT_VERSION
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.peer_messages import ConfigFreshness, ConfigOffer
+from berylcart.state.records import Checkpoint
+from berylcart.state.routes import RouteTable
+
+MS_PER_S = 1000
+RETRY_AFTER_MS = 500
+MAX_AGE_MS = 3_600_000
+
+
+class RouteKeeper:
+    """Hold the routes in force and the text that they were read from.
+
+    parse turns a text into routes and raises BerylcartError CONFIG_INVALID.
+    """
+
+    def __init__(self, parse: Callable[[str], RouteTable]) -> None:
+        self.parse = parse
+        self.table: RouteTable | None = None
+        self.text = ""
+        self.offset = -1
+        self.confirmed_s = 0.0
+        self.on_change: Callable[[RouteTable], None] = lambda table: None
+
+    def require(self) -> RouteTable:
+        """Give the routes in force; raises NOT_READY before any."""
+        if self.table is None:
+            raise BerylcartError(
+                Code.NOT_READY,
+                "no routes known yet",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        return self.table
+
+    @property
+    def version(self) -> int:
+        """Give the version in force, 0 before any."""
+        return 0 if self.table is None else self.table.version
+
+    def offer(self, text: str, offset: int, source: str) -> None:
+        """Take a text if its version is newer than the one in force."""
+        try:
+            table = self.parse(text)
+        except BerylcartError as error:
+            events.error(
+                "routes.invalid",
+                source=source,
+                offset=offset,
+                detail=error.detail,
+            )
+            return
+        if table.version <= self.version:
+            return
+        events.info(
+            "routes.applied",
+            config_version=table.version,
+            old_version=self.version,
+            source=source,
+            offset=offset,
+            routes=len(table.routes),
+        )
+        self.table = table
+        self.text = text
+        self.offset = max(self.offset, offset)
+        self.on_change(table)
+
+    def confirm(self, offset: int) -> None:
+        """Note that the store holds nothing newer up to an offset."""
+        self.offset = max(self.offset, offset)
+        self.confirmed_s = anyio.current_time()
+
+    def age_ms(self) -> int:
+        """Give the time since the store confirmed the version."""
+        if not self.confirmed_s:
+            return MAX_AGE_MS
+        age_s = anyio.current_time() - self.confirmed_s
+        return min(MAX_AGE_MS, int(age_s * MS_PER_S))
+
+    def freshness(self) -> ConfigFreshness:
+        """Tell peers the version in force and how lately it was confirmed."""
+        return ConfigFreshness(self.version, self.offset, self.age_ms())
+
+    def offer_for(self, known_version: int) -> ConfigOffer:
+        """Answer a peer that asks for a newer version."""
+        if self.table is None or self.version <= known_version:
+            return ConfigOffer(None, self.age_ms())
+        checkpoint = Checkpoint(
+            as_of_offset=self.offset,
+            version=self.version,
+            format_version=FORMAT_VERSION,
+            text=self.text,
+            verdicts=(),
+        )
+        return ConfigOffer(checkpoint, self.age_ms())
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -0,0 +1,151 @@
+"""Make the results of a request's stages, each as soon as it may start."""
+
+from collections.abc import Callable, Sequence
+
+import anyio
+from anyio.abc import TaskGroup
+
+from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.retry_window import RetryWindow
+from berylcart.coordination.gateway.stage_home import StageHome
+from berylcart.state.errors import BerylcartError, Code, InputsGoneError
+from berylcart.state.relayed import RelayRequest
+from berylcart.state.routes import Route
+
+MS_PER_S = 1000
+
+
+class StagePlan:
+    """Hold what is known of one request's stages."""
+
+    def __init__(
+        self,
+        request: RelayRequest,
+        route: Route,
+        rank: int,
+        due_s: float,
+        deadline_s: float,
+        place: str,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.rank = rank
+        self.due_s = due_s
+        self.deadline_s = deadline_s
+        self.place = place
+        self.results: dict[int, tuple[str, ...]] = {}
+        self.made = [anyio.Event() for _ in route.stages]
+        self.unread = [
+            sum(index in stage.after for stage in route.stages)
+            for index in range(len(route.stages))
+        ]
+        self.error: BerylcartError | None = None
+
+    def count(self, index: int) -> int:
+        """Give the number of a stage's pieces.
+
+        Raises IndexError on a request that doesn't say.
+        """
+        return self.request.piece_counts[index]
+
+    def order(self, index: int) -> Order:
+        """Describe the pieces of a stage whose inputs are made."""
+        stage = self.route.stages[index]
+        inputs = tuple(
+            handle for each in stage.after for handle in self.results[each]
+        )
+        return Order(
+            request_id=self.request.request_id,
+            service=stage.service,
+            stage=index,
+            pieces=self.count(index),
+            key="" if stage.after else self.request.piece_key,
+            inputs=inputs,
+            rank=self.rank,
+            due_s=self.due_s,
+            deadline_s=self.deadline_s,
+            place=self.place,
+            result_bytes=stage.result_bytes,
+        )
+
+    def inputs(self) -> tuple[str, ...]:
+        """List the results that the request itself reads."""
+        return tuple(
+            handle
+            for index in self.route.last_stages
+            for handle in self.results[index]
+        )
+
+    def note_made(self, index: int) -> list[int]:
+        """List the stages whose results a made stage was the last to read."""
+        self.made[index].set()
+        read: list[int] = []
+        for each in self.route.stages[index].after:
+            self.unread[each] -= 1
+            if not self.unread[each]:
+                read.append(each)
+        return read
+
+
+class StageResults:
+    """Have stages made and their results dropped after use."""
+
+    def __init__(
+        self,
+        home: StageHome,
+        budget: RetryWindow,
+        drop: Callable[[str, Sequence[str]], None],
+    ) -> None:
+        self.home = home
+        self.budget = budget
+        self.drop = drop
+
+    async def make_all(self, plan: StagePlan) -> tuple[str, ...]:
+        """Make every stage and give what the request reads.
+
+        Raises BerylcartError of the first stage that fails, InputsGoneError
+        where results vanished that another stage was to read.
+        """
+        async with anyio.create_task_group() as tasks:
+            for index in range(len(plan.route.stages)):
+                tasks.start_soon(self.make, plan, index, tasks)
+        if plan.error is None:
+            return plan.inputs()
+        if plan.error.code is Code.UPSTREAM_REJECTED:
+            raise InputsGoneError from plan.error
+        raise plan.error
+
+    async def make(
+        self, plan: StagePlan, index: int, tasks: TaskGroup
+    ) -> None:
+        """Make one stage once those before it are made."""
+        for each in plan.route.stages[index].after:
+            await plan.made[each].wait()
+        try:
+            plan.results[index] = await self.make_pieces(plan, index)
+        except BerylcartError as error:
+            plan.error = plan.error or error
+            tasks.cancel_scope.cancel()
+            return
+        for each in plan.note_made(index):
+            self.drop_stage(plan, each)
+
+    async def make_pieces(
+        self, plan: StagePlan, index: int
+    ) -> tuple[str, ...]:
+        """Make the pieces of one stage; raises BerylcartError."""
+        if not plan.count(index):
+            return ()
+        self.budget.note_request(plan.route.stages[index].service)
+        return await self.home.make(plan.order(index))
+
+    def drop_stage(self, plan: StagePlan, index: int) -> None:
+        """Drop the results of a stage."""
+        handles = plan.results.pop(index, ())
+        if handles:
+            self.drop(plan.route.stages[index].service, handles)
+
+    def drop_all(self, plan: StagePlan) -> None:
+        """Drop the results that are still there."""
+        for index in list(plan.results):
+            self.drop_stage(plan, index)
--- a/packages/berylcart/src/berylcart/protocol/peer_grpc.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_grpc.py
@@ -34,6 +34,14 @@
     async def CollectAnswer(self, stream: 'grpclib.server.Stream[berylcart.protocol.peer_pb2.CollectAnswerMessage, berylcart.protocol.peer_pb2.AnswerMessage]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def MakePieces(self, stream: 'grpclib.server.Stream[berylcart.protocol.peer_pb2.PieceOrderMessage, berylcart.protocol.peer_pb2.PiecesMessage]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def FreePieces(self, stream: 'grpclib.server.Stream[berylcart.protocol.peer_pb2.FreePiecesMessage, berylcart.protocol.peer_pb2.FreePiecesReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/berylcart.peer.v1.Peer/Ping': grpclib.const.Handler(
@@ -66,6 +74,18 @@
                 berylcart.protocol.peer_pb2.CollectAnswerMessage,
                 berylcart.protocol.peer_pb2.AnswerMessage,
             ),
+            '/berylcart.peer.v1.Peer/MakePieces': grpclib.const.Handler(
+                self.MakePieces,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                berylcart.protocol.peer_pb2.PieceOrderMessage,
+                berylcart.protocol.peer_pb2.PiecesMessage,
+            ),
+            '/berylcart.peer.v1.Peer/FreePieces': grpclib.const.Handler(
+                self.FreePieces,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                berylcart.protocol.peer_pb2.FreePiecesMessage,
+                berylcart.protocol.peer_pb2.FreePiecesReply,
+            ),
         }
 
 
@@ -102,3 +122,15 @@
             berylcart.protocol.peer_pb2.CollectAnswerMessage,
             berylcart.protocol.peer_pb2.AnswerMessage,
         )
+        self.MakePieces = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/berylcart.peer.v1.Peer/MakePieces',
+            berylcart.protocol.peer_pb2.PieceOrderMessage,
+            berylcart.protocol.peer_pb2.PiecesMessage,
+        )
+        self.FreePieces = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/berylcart.peer.v1.Peer/FreePieces',
+            berylcart.protocol.peer_pb2.FreePiecesMessage,
+            berylcart.protocol.peer_pb2.FreePiecesReply,
+        )
--- /dev/null
+++ b/packages/berylcart/src/berylcart/protocol/piece_codec.py
@@ -0,0 +1,77 @@
+"""Translate orders of pieces between daemons to and from protobuf."""
+
+import anyio
+
+from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.protocol import peer_pb2 as pb
+from berylcart.state.errors import BerylcartError, Code
+
+MS_PER_S = 1000
+MAX_TIME_MS = 2**31 - 1
+MAX_RESULT_BYTES = 2**32 - 1
+
+
+def left_ms(time_s: float) -> int:
+    """Turn a time of the runtime's clock into what is left until then."""
+    left = int((time_s - anyio.current_time()) * MS_PER_S)
+    return max(-MAX_TIME_MS, min(MAX_TIME_MS, left))
+
+
+def encode_order(order: Order) -> pb.PieceOrderMessage:
+    """Encode an order."""
+    return pb.PieceOrderMessage(
+        request_id=order.request_id,
+        service=order.service,
+        stage=order.stage,
+        count=order.pieces,
+        key=order.key,
+        inputs=order.inputs,
+        rank=max(0, order.rank),
+        due_ms=left_ms(order.due_s),
+        deadline_ms=left_ms(order.deadline_s),
+        place=order.place,
+        result_bytes=min(order.result_bytes, MAX_RESULT_BYTES),
+    )
+
+
+def decode_order(message: pb.PieceOrderMessage) -> Order:
+    """Decode an order; raises ValueError on one without pieces."""
+    if not message.count or not message.request_id:
+        raise ValueError("an order names a request and some pieces")
+    now_s = anyio.current_time()
+    return Order(
+        request_id=message.request_id,
+        service=message.service,
+        stage=message.stage,
+        pieces=message.count,
+        key=message.key,
+        inputs=tuple(message.inputs),
+        rank=message.rank,
+        due_s=now_s + message.due_ms / MS_PER_S,
+        deadline_s=now_s + message.deadline_ms / MS_PER_S,
+        place=message.place,
+        result_bytes=message.result_bytes,
+    )
+
+
+def encode_error(error: BerylcartError) -> pb.PiecesMessage:
+    """Encode why the pieces of an order were not made."""
+    return pb.PiecesMessage(
+        error_code=int(error.code),
+        error_detail=error.detail,
+        retry_after_ms=max(0, error.retry_after_ms or 0),
+    )
+
+
+def decode_pieces(message: pb.PiecesMessage) -> tuple[str, ...]:
+    """Decode the results; raises the BerylcartError that came instead.
+
+    Raises ValueError on an unknown code.
+    """
+    if not message.error_code:
+        return tuple(message.handles)
+    raise BerylcartError(
+        Code(message.error_code),
+        message.error_detail,
+        retry_after_ms=message.retry_after_ms or None,
+    )
--- a/packages/berylcart/src/berylcart/state/errors.py
+++ b/packages/berylcart/src/berylcart/state/errors.py
@@ -24,6 +24,9 @@
     KEY_EXPIRED = 1007
     DEADLINE_INVALID = 1008
     REQUEST_TIMEOUT = 1009
+    HEAD_TOO_LARGE = 1010
+    KEY_UNKNOWN = 1011
+    UNKNOWN_ROUTE = 1012
     OVERLOADED = 2000
     DEADLINE_TOO_CLOSE = 2001
     NOT_READY = 2002
@@ -36,6 +39,7 @@
     UPSTREAM_FAILED = 3001
     OUTCOME_UNKNOWN = 3002
     UPSTREAM_REJECTED = 3003
+    CALLER_GONE = 3004
     SETTINGS_INVALID = 4000
     ADDRESS_IN_USE = 4001
     CONFIG_INVALID = 4002
@@ -74,6 +78,9 @@
     ),
     Code.DEADLINE_INVALID: CodeInfo(400, 2, "the deadline is out of range"),
     Code.REQUEST_TIMEOUT: CodeInfo(408, 3, "the request arrived too slowly"),
+    Code.HEAD_TOO_LARGE: CodeInfo(431, 2, "the head exceeds its limit"),
+    Code.KEY_UNKNOWN: CodeInfo(401, 3, "no workspace holds the API key"),
+    Code.UNKNOWN_ROUTE: CodeInfo(404, 2, "no route takes the host and path"),
     Code.OVERLOADED: CodeInfo(503, 3, "no capacity within the deadline"),
     Code.DEADLINE_TOO_CLOSE: CodeInfo(
         503, 3, "the deadline is shorter than the stages need"
@@ -98,6 +105,7 @@
     Code.UPSTREAM_REJECTED: CodeInfo(
         422, 4, "the upstream rejected the request"
     ),
+    Code.CALLER_GONE: CodeInfo(499, 4, "the caller left before its answer"),
     Code.SETTINGS_INVALID: CodeInfo(500, 10, "the settings are invalid"),
     Code.ADDRESS_IN_USE: CodeInfo(500, 11, "an address is already in use"),
     Code.CONFIG_INVALID: CodeInfo(422, 12, "the configuration is invalid"),
@@ -189,3 +197,19 @@
     ) -> None:
         super().__init__(code, detail, ran=ran, retry_after_ms=retry_after_ms)
         self.is_draining = is_draining
+
+
+class UnreachableError(UpstreamError):
+    """Report an attempt that never reached its upstream."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Code.UPSTREAM_FAILED, detail, ran=Ran.NO)
+
+
+class InputsGoneError(UpstreamError):
+    """Report that results which a request reads exist no longer."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            Code.UPSTREAM_REJECTED, "results of stages are gone", ran=Ran.NO
+        )
--- /dev/null
+++ b/packages/berylcart/src/berylcart/state/routes.py
@@ -0,0 +1,173 @@
+"""Describe the routes that a gateway serves."""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RouteKind(StrEnum):
+    """Say what a failed request of a route allows."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+class Backend(NamedTuple):
+    """Give a service its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class RouteStage(NamedTuple):
+    """Describe work that precedes a request's own run.
+
+    after holds the indices of the stages whose results this one reads.
+    """
+
+    service: str
+    after: tuple[int, ...]
+    result_bytes: int
+
+
+class Route(NamedTuple):
+    """Describe which requests a route takes and how they may be served.
+
+    A lower priority is served first. gap_ms is the longest pause of a stream
+    that is still on time.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    backends: tuple[Backend, ...]
+    timeout_ms: int
+    target_ms: int
+    priority: int = 0
+    max_attempts: int = 1
+    stages: tuple[RouteStage, ...] = ()
+    is_public: bool = False
+    is_resumable: bool = False
+    gap_ms: int = 0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request may run more than once.
+
+        A resumable stream may: a second run goes on after the last event.
+        """
+        if self.kind is RouteKind.IDEMPOTENT:
+            return True
+        return self.kind is RouteKind.STREAM and self.is_resumable
+
+    @property
+    def last_stages(self) -> tuple[int, ...]:
+        """List the stages whose results the request itself reads.
+
+        >>> stages = (RouteStage("a", (), 1), RouteStage("b", (0,), 1))
+        >>> Route("r", "h", "/", RouteKind.STREAM, (), 1, 1,
+        ...       stages=stages).last_stages
+        (1,)
+        """
+        read = {index for stage in self.stages for index in stage.after}
+        return tuple(i for i in range(len(self.stages)) if i not in read)
+
+
+class BatchLimits(NamedTuple):
+    """Bound the calls of one replica that works on batches of pieces.
+
+    call_ms and piece_ms are the operator's estimate of a call's time.
+    """
+
+    slots: int
+    queue: int
+    pieces: int
+    call_ms: float
+    piece_ms: float
+    room_bytes: float
+    keep_s: float
+
+
+class EngineLimits(NamedTuple):
+    """Bound what one model engine runs at once."""
+
+    slots: int
+    kv_tokens: int
+
+
+class GatewayService(NamedTuple):
+    """Describe a service; batches or engine is set where it is of the kind."""
+
+    name: str
+    max_connections: int
+    batches: BatchLimits | None = None
+    engine: EngineLimits | None = None
+
+
+class CallerLimits(NamedTuple):
+    """Bound what one caller may send and how long it may take."""
+
+    head_bytes: int = 16 * 2**10
+    body_bytes: int = 4 * 2**20
+    head_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
+
+
+class Owner(NamedTuple):
+    """Name the workspace that holds a key; a lower priority goes first."""
+
+    workspace: str
+    priority: int | None = None
+
+
+class RouteTable:
+    """Hold one version of routes, services, keys and limits.
+
+    has_workspaces tells whether requests of routes that are not public need
+    a key.
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...] = (),
+        services: Mapping[str, GatewayService] | None = None,
+        owners: Mapping[str, Owner] | None = None,
+        limits: CallerLimits | None = None,
+        has_workspaces: bool = False,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = dict(services or {})
+        self.owners = dict(owners or {})
+        self.limits = limits or CallerLimits()
+        self.has_workspaces = has_workspaces
+        self.by_host = index_by_host(routes)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Find the route of a host with the longest prefix of a path.
+
+        >>> short = Route("a", "h", "/x/", RouteKind.STREAM, (), 1, 1)
+        >>> long = short._replace(name="b", path_prefix="/x/y/")
+        >>> table = RouteTable(1, (short, long))
+        >>> table.find("h", "/x/y/z").name, table.find("h", "/x/yz").name
+        ('b', 'a')
+        >>> table.find("other", "/x/y") is None
+        True
+        """
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def index_by_host(routes: tuple[Route, ...]) -> dict[str, list[Route]]:
+    """Group routes by host, the longest prefix first."""
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    for group in by_host.values():
+        group.sort(key=lambda route: len(route.path_prefix), reverse=True)
+    return by_host
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -1,6 +1,6 @@
 """Call other daemons over gRPC."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, TypeVar
 
 import anyio
@@ -8,7 +8,10 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.protocol import peer_codec as codec
+from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol import piece_codec
 from berylcart.protocol.peer_grpc import PeerStub
 from berylcart.state.config_text import MAX_TEXT_BYTES
 from berylcart.state.errors import BerylcartError, Code
@@ -189,3 +192,38 @@
             codec.decode_answer,
             timeout_ms,
         )
+
+    async def make_pieces(
+        self, address: str, order: Order, *, timeout_ms: int
+    ) -> tuple[str, ...]:
+        """Have the pieces of an order made; raises its error."""
+        reply = await self._call(
+            address,
+            "MakePieces",
+            piece_codec.encode_order(order),
+            lambda message: message,
+            timeout_ms,
+        )
+        try:
+            return piece_codec.decode_pieces(reply)
+        except ValueError as error:
+            raise BerylcartError(
+                Code.PEER_UNAVAILABLE, f"{address} sent an unknown code"
+            ) from error
+
+    async def free_pieces(
+        self,
+        address: str,
+        service: str,
+        handles: Sequence[str],
+        *,
+        timeout_ms: int,
+    ) -> None:
+        """Have results of stages dropped."""
+        await self._call(
+            address,
+            "FreePieces",
+            pb.FreePiecesMessage(service=service, handles=handles),
+            lambda message: None,
+            timeout_ms,
+        )
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -9,9 +9,12 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
+from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.stage_home import StageHandlers
 from berylcart.coordination.membership.peer_port import PeerHandlers
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol import piece_codec
 from berylcart.protocol.peer_grpc import PeerBase
 from berylcart.state.errors import BerylcartError
 from berylcart.transport.listening import address_of, bind
@@ -51,8 +54,11 @@
 class PeerService(PeerBase):
     """Translate gRPC calls to the handlers' typed ones."""
 
-    def __init__(self, handlers: PeerHandlers) -> None:
+    def __init__(
+        self, handlers: PeerHandlers, stages: StageHandlers | None = None
+    ) -> None:
         self._handlers = handlers
+        self._stages = stages
         self._calls = 0
         self._is_closing = False
         self._idle = anyio.Event()
@@ -142,12 +148,53 @@
             codec.encode_answer,
         )
 
+    @property
+    def stages(self) -> StageHandlers:
+        """Give what makes pieces; raises GRPCError where nothing does."""
+        if self._stages is None:
+            raise GRPCError(Status.UNIMPLEMENTED, "no stages here")
+        return self._stages
+
+    async def MakePieces(self, stream: Any) -> None:  # noqa: N802
+        """Make the pieces of an order."""
+
+        async def handle(order: Order) -> pb.PiecesMessage:
+            try:
+                handles = await self.stages.on_make_pieces(order)
+            except BerylcartError as error:
+                return piece_codec.encode_error(error)
+            return pb.PiecesMessage(handles=handles)
+
+        await self._answer(
+            stream, piece_codec.decode_order, handle, lambda reply: reply
+        )
+
+    async def FreePieces(self, stream: Any) -> None:  # noqa: N802
+        """Drop results of stages."""
+
+        async def handle(message: pb.FreePiecesMessage) -> None:
+            await self.stages.on_free_pieces(
+                message.service, tuple(message.handles)
+            )
+
+        await self._answer(
+            stream,
+            lambda message: message,
+            handle,
+            lambda _: pb.FreePiecesReply(),
+        )
+
 
 class PeerServer:
     """Listen for peers on an IP:PORT address; port 0 picks a free one."""
 
-    def __init__(self, handlers: PeerHandlers, address: str) -> None:
-        self._service = PeerService(handlers)
+    def __init__(
+        self,
+        handlers: PeerHandlers,
+        address: str,
+        stages: StageHandlers | None = None,
+    ) -> None:
+        self._service = PeerService(handlers, stages)
         self._server = Server([self._service])
         self._socket = bind(address)
 
