Batch pieces by what a replica has room for, and let late orders drain

Changes: results are dropped when the answer begins, at the replica that the handle names; a full replica is full until one of its results goes; a home is left for the next one only when it fails or is suspected; orders end before callers leave; late orders yield at their first stage only.

--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,5 @@
+"""Import the standard library's platform before tests of platform/."""
+
+import platform
+
+assert platform.python_implementation()
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -24,6 +24,7 @@
 from berylcart.state.member_table import Member
 from berylcart.state.relayed import Refusal
 from berylcart.state.routes import BatchLimits, CallerLimits
+from berylcart.state.vm import Vm
 from berylcart.transport.caller_connection import ConnectionRules
 from berylcart.transport.caller_server import CallerServer
 from berylcart.transport.peer_client import GrpcPeers
@@ -105,7 +106,8 @@
         self.policy = GatewayPolicy(
             self.keeper, self.directory.pool, self.budget, self.random
         )
-        self.directory.on_change = self.policy.retain
+        self.places: dict[str, str] = {}
+        self.directory.on_change = self.note_replicas
         self.relay = RelayClient(self.ports.wire.read_answer)
         self.batchers: dict[str, Batcher] = {}
         self.home = StageHome(
@@ -119,7 +121,9 @@
             self.ports.wire,
             self.policy,
             Forwarder(self.relay, self.policy, self.ports.wire),
-            StageResults(self.home, self.budget, self.drop_results),
+            StageResults(
+                self.home, self.budget, self.drop_results, self.place_of
+            ),
         )
         self.gateway.on_served = self.note_served
 
@@ -192,6 +196,16 @@
         if self.background is not None:
             self.background.start_soon(self.home.free, service, handles)
 
+    def place_of(self, handle: str) -> str:
+        """Find the place of the replica that holds a result."""
+        address = self.ports.pieces.holder(handle)
+        return self.places.get(address, "")
+
+    def note_replicas(self, vms: tuple[Vm, ...]) -> None:
+        """Learn which replicas there are."""
+        self.places = {vm.address: vm.place for vm in vms}
+        self.policy.retain(vms)
+
     def note_served(self, served: Served) -> None:
         """Log and count a finished request."""
         events.info(
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -23,6 +23,8 @@
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
+# An answer of the gateway's own must reach the caller before it leaves.
+GIVE_UP_S = 0.1
 # A call that takes this many times the expected time hangs.
 PATIENCE = 4.0
 PATIENCE_S = 0.5
@@ -56,6 +58,10 @@
         """Make pieces; raises UpstreamError."""
         ...
 
+    def holder(self, handle: str) -> str:
+        """Give the address of the replica that holds a result."""
+        ...
+
     async def free_results(self, vm: Vm, handles: Sequence[str]) -> None:
         """Let a replica drop results; raises UpstreamError."""
         ...
@@ -77,6 +83,8 @@
         # What its results took when it had room for no more, and when.
         self.full_bytes = 0.0
         self.full_at_s = -FULL_HOLDS_S
+        # Set by a call in progress that found no room.
+        self.is_full = False
 
     def slowness_at(self, now_s: float) -> float:
         """Let what was learnt of the replica's speed grow old."""
@@ -109,6 +117,7 @@
         """Learn that the results held now leave no room."""
         self.full_bytes = self.used_bytes(now_s)
         self.full_at_s = now_s
+        self.is_full = False
 
     def used_bytes(self, now_s: float) -> int:
         """Sum what results take, without those that were dropped."""
@@ -191,12 +200,13 @@
             Waiting(order, number, now_s) for number in range(order.pieces)
         )
         self.changed.set()
-        is_made = False
         try:
-            await job.is_done.wait()
-            is_made = job.error is None
+            with anyio.move_on_after(
+                order.deadline_s - GIVE_UP_S - anyio.current_time()
+            ):
+                await job.is_done.wait()
         finally:
-            if not is_made:
+            if job.missing or job.error is not None:
                 self.drop([each for each in job.results if each])
             if self.jobs.get(key) is job:
                 del self.jobs[key]
@@ -205,19 +215,25 @@
             ]
         if job.error is not None:
             raise job.error
+        if job.missing:
+            raise self.overloaded(order)
         return tuple(job.results)
 
-    def check_time(self, order: Order) -> None:
-        """Refuse an order that the queue makes hopeless."""
+    def overloaded(self, order: Order) -> BerylcartError:
+        """Describe an order that can't be made in time."""
         wait_s = self.backlog_s(order.rank)
-        if anyio.current_time() + wait_s < order.deadline_s:
-            return
-        raise BerylcartError(
+        return BerylcartError(
             Code.OVERLOADED,
             f"{self.service} is {wait_s:.1f} s behind",
             retry_after_ms=int(wait_s * MS_PER_S),
         )
 
+    def check_time(self, order: Order) -> None:
+        """Refuse an order that the queue makes hopeless."""
+        wait_s = self.backlog_s(order.rank)
+        if anyio.current_time() + wait_s >= order.deadline_s:
+            raise self.overloaded(order)
+
     def backlog_s(self, rank: int) -> float:
         """Estimate how long work of a rank waits for its call."""
         limits = self.limits(self.service)
@@ -320,10 +336,24 @@
         else:
             now_s = anyio.current_time()
             state.learn((now_s - started_s) / expected_s, now_s)
+            events.info(
+                "pieces.made",
+                service=self.service,
+                vm_id=vm.vm_id,
+                pieces=len(batch),
+                made=sum(bool(result.handle) for result in results),
+                first_request_id=batch[0].order.request_id,
+                latency_ms=int((now_s - started_s) * MS_PER_S),
+                expected_ms=int(expected_s * MS_PER_S),
+                waiting=len(self.waiting),
+                used_bytes=state.used_bytes(now_s),
+            )
             self.hand_out(vm, batch, results, limits)
         finally:
             state.calls -= 1
             state.reserved_bytes -= sum(e.order.result_bytes for e in batch)
+            if state.is_full:
+                state.note_full(anyio.current_time())
             self.changed.set()
 
     def note_failed(
@@ -404,7 +434,7 @@
                 BerylcartError(Code.UPSTREAM_REJECTED, "an input is gone")
             )
         elif failure is PieceFailure.ROOM:
-            self.state(vm).note_full(anyio.current_time())
+            self.state(vm).is_full = True
             self.wait_again(piece)
         else:
             self.retry(piece, failure)
@@ -435,19 +465,30 @@
         )
 
     async def free(self, handles: Sequence[str]) -> None:
-        """Drop results at the replicas that hold them."""
-        for vm in self.pool(self.service):
-            state = self.state(vm)
-            held = [each for each in handles if each in state.results]
-            for handle in held:
-                del state.results[handle]
-            if not held:
-                continue
-            self.changed.set()
-            try:
-                await self.caller.free_results(vm, held)
-            except UpstreamError as error:
-                # The replica drops them by itself after a while.
-                events.info(
-                    "results.not_freed", vm_id=vm.vm_id, detail=error.detail
-                )
+        """Drop results at the replicas that hold them.
+
+        Another daemon may have had them made.
+        """
+        makers = {vm.address: vm for vm in self.pool(self.service)}
+        held: dict[str, list[str]] = {}
+        for handle in handles:
+            held.setdefault(self.caller.holder(handle), []).append(handle)
+        for address, group in held.items():
+            vm = makers.get(address)
+            if vm is not None:
+                await self.free_at(vm, group)
+
+    async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
+        """Drop results at one replica."""
+        state = self.state(vm)
+        try:
+            await self.caller.free_results(vm, handles)
+        except UpstreamError as error:
+            # The replica drops them by itself after a while.
+            events.info(
+                "results.not_freed", vm_id=vm.vm_id, detail=error.detail
+            )
+            return
+        for handle in handles:
+            state.results.pop(handle, None)
+        self.changed.set()
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -32,6 +32,10 @@
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
+# Callers leave a stream without an event after the longest of these.
+FIRST_EVENT_S = 2.0
+FIRST_EVENT_TARGETS = 4
+FIRST_EVENT_GAPS = 8
 # A request whose stages' results vanished has them made this often.
 MAX_STAGE_RUNS = 2
 RETRY_AFTER_MS = 500
@@ -84,6 +88,19 @@
     return Target(table, route, owner)
 
 
+def first_event_s(route: Route) -> float:
+    """Say how long callers of a route wait for the first event.
+
+    >>> from berylcart.state.routes import RouteKind
+    >>> first_event_s(Route("r", "h", "/", RouteKind.STREAM, (), 15_000,
+    ...                     1700, gap_ms=200))
+    6.8
+    """
+    target_s = FIRST_EVENT_TARGETS * route.target_ms / MS_PER_S
+    gaps_s = FIRST_EVENT_GAPS * route.gap_ms / MS_PER_S
+    return max(FIRST_EVENT_S, target_s, gaps_s)
+
+
 class Gateway:
     """Serve requests at one entry."""
 
@@ -243,6 +260,8 @@
         """Describe a request's stages; raises BAD_REQUEST."""
         work = run.work
         route = work.route
+        received_s = run.exchange.received_at_s
+        leaves_s = received_s + first_event_s(route)
         if len(work.request.piece_counts) != len(route.stages):
             raise BerylcartError(
                 Code.BAD_REQUEST,
@@ -253,8 +272,8 @@
             work.request,
             route,
             rank,
-            due_s=run.exchange.received_at_s + route.target_ms / MS_PER_S,
-            deadline_s=work.deadline_s,
+            due_s=received_s + route.target_ms / MS_PER_S,
+            deadline_s=min(work.deadline_s, leaves_s),
             place=vm.place,
         )
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -11,17 +11,18 @@
 from berylcart.state.routes import BatchLimits
 
 MS_PER_S = 1000
-# Larger results are worth a wait for a replica beside their reader.
-LARGE_RESULT_BYTES = 500_000
+# To move more than this between places is worth a wait for a near replica.
+LARGE_MOVE_BYTES = 100_000
 # Longer waits cost more of the target than a result that crosses places.
-PLACE_WAIT_S = 0.25
+PLACE_WAIT_S = 0.1
 
 
 class Order(NamedTuple):
     """Describe the pieces of one stage that a request needs.
 
-    A lower rank goes first. due_s is when the request should be answered,
-    and deadline_s when its caller leaves, on the runtime's clock.
+    A lower rank goes first. due_s is when the pieces must be made for an
+    answer on time, and deadline_s when the caller leaves, on the runtime's
+    clock. A replica elsewhere than in place moves moved_bytes a piece.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     deadline_s: float
     place: str
     result_bytes: int
+    moved_bytes: int = 0
 
 
 class Waiting(NamedTuple):
@@ -57,10 +59,15 @@
             order.inputs,
         )
 
-    @property
-    def urgency(self) -> tuple[int, float, str]:
-        """Order pieces by rank, then by when their request is due."""
-        return (self.order.rank, self.order.due_s, self.order.request_id)
+    def urgency(self, now_s: float) -> tuple[bool, int, float, str]:
+        """Order pieces: those still in time, by rank, by when they are due.
+
+        A request that is late already earns little more by being early; but
+        one that holds results of earlier stages gives room by going on.
+        """
+        order = self.order
+        is_late = order.due_s < now_s and not order.inputs
+        return (is_late, order.rank, order.due_s, order.request_id)
 
 
 class Maker(NamedTuple):
@@ -87,10 +94,10 @@
 
 
 def may_take(piece: Waiting, maker: Maker, now_s: float) -> bool:
-    """Tell whether a replica is near enough to the result's reader."""
+    """Tell whether a replica is near enough to its inputs and reader."""
     order = piece.order
     is_near = order.place in ("", maker.place)
-    if is_near or order.result_bytes < LARGE_RESULT_BYTES:
+    if is_near or order.moved_bytes < LARGE_MOVE_BYTES:
         return True
     return now_s - piece.since_s >= PLACE_WAIT_S
 
@@ -114,7 +121,7 @@
     """
     batch: list[Waiting] = []
     room_bytes = maker.room_bytes
-    for piece in sorted(waiting, key=lambda each: each.urgency):
+    for piece in sorted(waiting, key=lambda each: each.urgency(now_s)):
         if len(batch) == limits.pieces:
             break
         size_bytes = piece.order.result_bytes
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
@@ -4,17 +4,21 @@
 from typing import Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
 from berylcart import events
 from berylcart.coordination.claims.homes import find_home
 from berylcart.coordination.gateway.batcher import Batcher
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.state.errors import BerylcartError, Code
-from berylcart.state.member_table import Member
+from berylcart.state.member_table import Member, MemberState
 
 MS_PER_S = 1000
+# How often a waiting order asks whether its home still runs.
+CHECK_PERIOD_S = 0.2
 # A home that fails is passed by for as long as a suspicion takes.
 SHUN_S = 3.0
+FREE_TIMEOUT_MS = 1000
 
 
 class StagePeers(Protocol):
@@ -56,6 +60,57 @@
         ...
 
 
+class HomeCall:
+    """Call a home for as long as it seems to run."""
+
+    def __init__(self, peers: StagePeers, home: Member, order: Order) -> None:
+        self.peers = peers
+        self.home = home
+        self.order = order
+        self.results: tuple[str, ...] = ()
+        self.failure = BerylcartError(
+            Code.PEER_UNAVAILABLE, f"{home.daemon_id} is suspected"
+        )
+
+    async def make(
+        self, members: Callable[[], Sequence[Member]]
+    ) -> tuple[str, ...]:
+        """Have the order made; raises BerylcartError."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.call, tasks)
+            while True:
+                await anyio.sleep(CHECK_PERIOD_S)
+                if not is_running(self.home, members()):
+                    break
+            tasks.cancel_scope.cancel()
+        if not self.results:
+            raise self.failure
+        return self.results
+
+    async def call(self, tasks: TaskGroup) -> None:
+        """Call the home and end the wait."""
+        left_s = self.order.deadline_s - anyio.current_time()
+        try:
+            self.results = await self.peers.make_pieces(
+                self.home.peer_address,
+                self.order,
+                timeout_ms=max(1, int(left_s * MS_PER_S)),
+            )
+        except BerylcartError as error:
+            self.failure = error
+        tasks.cancel_scope.cancel()
+
+
+def is_running(home: Member, members: Sequence[Member]) -> bool:
+    """Tell whether a home still counts as running, without suspicion."""
+    return any(
+        member.daemon_id == home.daemon_id
+        and member.incarnation == home.incarnation
+        and member.state is MemberState.ALIVE
+        for member in members
+    )
+
+
 class StageHome:
     """Choose by rendezvous hashing whose batcher takes an order.
 
@@ -83,6 +138,7 @@
             member.daemon_id: member
             for member in self.members()
             if not member.is_leaving
+            and member.state is MemberState.ALIVE
             and self.shunned.get(member.daemon_id, now_s) <= now_s
         }
         name = find_home(service, sorted(usable))
@@ -92,28 +148,34 @@
 
     async def make(self, order: Order) -> tuple[str, ...]:
         """Have the pieces of an order made; raises BerylcartError."""
-        home = self.home_of(order.service)
-        if home is None:
-            return await self.batcher_of(order.service).make(order)
-        left_s = order.deadline_s - anyio.current_time()
-        try:
-            return await self.peers.make_pieces(
-                home.peer_address,
-                order,
-                timeout_ms=max(1, int(left_s * MS_PER_S)),
-            )
-        except BerylcartError as error:
-            if error.code is not Code.PEER_UNAVAILABLE:
-                raise
-            events.warning(
-                "home.failed",
-                request_id=order.request_id,
-                service=order.service,
-                home=home.daemon_id,
-                detail=error.detail,
+        while True:
+            home = self.home_of(order.service)
+            if home is None:
+                return await self.batcher_of(order.service).make(order)
+            try:
+                call = HomeCall(self.peers, home, order)
+                return await call.make(self.members)
+            except BerylcartError as error:
+                if error.code is not Code.PEER_UNAVAILABLE:
+                    raise
+                self.note_failed(home, order, error)
+
+    def note_failed(
+        self, home: Member, order: Order, error: BerylcartError
+    ) -> None:
+        """Pass by a home that failed; raises OVERLOADED without time left."""
+        events.warning(
+            "home.failed",
+            request_id=order.request_id,
+            service=order.service,
+            home=home.daemon_id,
+            detail=error.detail,
+        )
+        if anyio.current_time() >= order.deadline_s:
+            raise BerylcartError(
+                Code.OVERLOADED, f"{order.service} gave no results in time"
             )
         self.shunned[home.daemon_id] = anyio.current_time() + SHUN_S
-        return await self.batcher_of(order.service).make(order)
 
     async def on_make_pieces(self, order: Order) -> tuple[str, ...]:
         """Make the pieces of another daemon's order."""
@@ -133,7 +195,10 @@
             return
         try:
             await self.peers.free_pieces(
-                home.peer_address, service, handles, timeout_ms=MS_PER_S
+                home.peer_address,
+                service,
+                handles,
+                timeout_ms=FREE_TIMEOUT_MS,
             )
         except BerylcartError as error:
             events.info(
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -1,6 +1,7 @@
 """Make the results of a request's stages, each as soon as it may start."""
 
-from collections.abc import Callable, Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 from anyio.abc import TaskGroup
@@ -12,11 +13,14 @@
 from berylcart.state.relayed import RelayRequest
 from berylcart.state.routes import Route
 
-MS_PER_S = 1000
+PlaceOf = Callable[[str], str]
 
 
 class StagePlan:
-    """Hold what is known of one request's stages."""
+    """Hold what is known of one request's stages.
+
+    place is that of the replica which is to read the last results.
+    """
 
     def __init__(
         self,
@@ -42,18 +46,29 @@
         self.error: BerylcartError | None = None
 
     def count(self, index: int) -> int:
-        """Give the number of a stage's pieces.
-
-        Raises IndexError on a request that doesn't say.
-        """
+        """Give the number of a stage's pieces."""
         return self.request.piece_counts[index]
 
-    def order(self, index: int) -> Order:
+    def input_bytes(self, index: int) -> int:
+        """Estimate what each piece of a stage reads."""
+        stages = self.route.stages
+        return sum(
+            self.count(each) * stages[each].result_bytes
+            for each in stages[index].after
+        )
+
+    def order(self, index: int, place_of: PlaceOf) -> Order:
         """Describe the pieces of a stage whose inputs are made."""
         stage = self.route.stages[index]
         inputs = tuple(
             handle for each in stage.after for handle in self.results[each]
         )
+        place, moved_bytes = self.place, stage.result_bytes
+        if index not in self.route.last_stages:
+            place, moved_bytes = "", 0
+        if inputs:
+            place = most_common(place_of(handle) for handle in inputs)
+            moved_bytes = self.input_bytes(index)
         return Order(
             request_id=self.request.request_id,
             service=stage.service,
@@ -64,8 +79,9 @@
             rank=self.rank,
             due_s=self.due_s,
             deadline_s=self.deadline_s,
-            place=self.place,
+            place=place,
             result_bytes=stage.result_bytes,
+            moved_bytes=moved_bytes,
         )
 
     def inputs(self) -> tuple[str, ...]:
@@ -87,6 +103,15 @@
         return read
 
 
+def most_common(places: Iterable[str]) -> str:
+    """Give the most frequent place.
+
+    >>> most_common(["a", "b", "b"])
+    'b'
+    """
+    return Counter(places).most_common(1)[0][0]
+
+
 class StageResults:
     """Have stages made and their results dropped after use."""
 
@@ -95,10 +120,12 @@
         home: StageHome,
         budget: RetryWindow,
         drop: Callable[[str, Sequence[str]], None],
+        place_of: PlaceOf,
     ) -> None:
         self.home = home
         self.budget = budget
         self.drop = drop
+        self.place_of = place_of
 
     async def make_all(self, plan: StagePlan) -> tuple[str, ...]:
         """Make every stage and give what the request reads.
@@ -137,7 +164,7 @@
         if not plan.count(index):
             return ()
         self.budget.note_request(plan.route.stages[index].service)
-        return await self.home.make(plan.order(index))
+        return await self.home.make(plan.order(index, self.place_of))
 
     def drop_stage(self, plan: StagePlan, index: int) -> None:
         """Drop the results of a stage."""
--- a/packages/berylcart/src/berylcart/protocol/piece_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/piece_codec.py
@@ -8,7 +8,7 @@
 
 MS_PER_S = 1000
 MAX_TIME_MS = 2**31 - 1
-MAX_RESULT_BYTES = 2**32 - 1
+MAX_BYTES = 2**32 - 1
 
 
 def left_ms(time_s: float) -> int:
@@ -30,7 +30,8 @@
         due_ms=left_ms(order.due_s),
         deadline_ms=left_ms(order.deadline_s),
         place=order.place,
-        result_bytes=min(order.result_bytes, MAX_RESULT_BYTES),
+        result_bytes=min(order.result_bytes, MAX_BYTES),
+        moved_bytes=min(order.moved_bytes, MAX_BYTES),
     )
 
 
@@ -51,6 +52,7 @@
         deadline_s=now_s + message.deadline_ms / MS_PER_S,
         place=message.place,
         result_bytes=message.result_bytes,
+        moved_bytes=message.moved_bytes,
     )
 
 
