--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -31,9 +31,11 @@
 MAX_FAILURES = 3
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 2.0
-SMOOTHING = 0.4
+# A slow call costs more than a fast one gains, so it counts for more.
+SLOWING = 0.7
+RECOVERING = 0.4
 # A replica that was slow is tried again: what is known of it grows old.
-SLOWNESS_HALF_LIFE_S = 4.0
+SLOWNESS_HALF_LIFE_S = 6.0
 # Results differ in size from what their stage says.
 SIZE_MARGIN = 1.1
 # How long the memory of a full replica holds.
@@ -95,9 +97,9 @@
     def learn(self, ratio: float, now_s: float) -> None:
         """Take in how long a call took against what was expected."""
         old = self.slowness_at(now_s)
-        self.slowness = old + SMOOTHING * (ratio - old)
+        weight = SLOWING if ratio > old else RECOVERING
+        self.slowness = old + weight * (ratio - old)
         self.judged_at_s = now_s
-        self.pause_s = FIRST_PAUSE_S
 
     def pause(self, now_s: float) -> None:
         """Give the replica no call for a while."""
@@ -331,11 +333,15 @@
         try:
             with anyio.fail_after(expected_s * PATIENCE + PATIENCE_S):
                 results = await self.caller.run_pieces(vm, pieces)
-        except (BerylcartError, TimeoutError) as error:
-            self.note_failed(vm, batch, error)
+        except TimeoutError:
+            state.learn(PATIENCE, anyio.current_time())
+            self.note_failed(vm, batch, "no answer in time")
+        except BerylcartError as error:
+            self.note_failed(vm, batch, error.detail)
         else:
             now_s = anyio.current_time()
             state.learn((now_s - started_s) / expected_s, now_s)
+            state.pause_s = FIRST_PAUSE_S
             events.info(
                 "pieces.made",
                 service=self.service,
@@ -357,7 +363,7 @@
             self.changed.set()
 
     def note_failed(
-        self, vm: Vm, batch: Sequence[Waiting], error: Exception
+        self, vm: Vm, batch: Sequence[Waiting], detail: str
     ) -> None:
         """Queue the pieces of a failed call again."""
         events.warning(
@@ -366,7 +372,7 @@
             vm_id=vm.vm_id,
             pieces=len(batch),
             request_id=batch[0].order.request_id,
-            detail=str(error) or type(error).__name__,
+            detail=detail,
         )
         self.state(vm).pause(anyio.current_time())
         for piece in batch:
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -0,0 +1,300 @@
+"""Check how pieces share calls, against replicas of a paused clock."""
+
+from collections import Counter
+
+import anyio
+from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.retry_window import RetryWindow
+from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
+from berylcart.state.relayed import PieceFailure, PieceResult
+from berylcart.state.routes import BatchLimits
+from berylcart.state.vm import Vm, VmRole, VmState
+
+from ..serving_fakes import run
+
+LIMITS = BatchLimits(1, 2, 8, 150.0, 16.0, 1_280_000, 4.0)
+RESULT_BYTES = 60_000
+
+
+def make_vm(name, place="lahore-1"):
+    return Vm(
+        name,
+        1,
+        f"{name}:80",
+        place,
+        VmRole.UPSTREAM,
+        "sms",
+        VmState.LIVE,
+        name,
+    )
+
+
+class FakeReplicas:
+    """Work on pieces as long as the limits say, one call at a time."""
+
+    def __init__(self, room_bytes=LIMITS.room_bytes):
+        self.room_bytes = room_bytes
+        self.held = Counter()
+        self.calls = []
+        self.freed = []
+        self.slow = {}
+        self.broken = set()
+        self.busy = Counter()
+        self.most_at_once = 0
+
+    async def run_pieces(self, vm, pieces):
+        """Make pieces after their time."""
+        self.calls.append((vm.vm_id, len(pieces)))
+        self.busy[vm.vm_id] += 1
+        self.most_at_once = max(self.most_at_once, self.busy[vm.vm_id])
+        try:
+            if vm.vm_id in self.broken:
+                raise UpstreamError(
+                    Code.UPSTREAM_FAILED, "reset", ran=Ran.UNKNOWN
+                )
+            time_ms = LIMITS.call_ms + LIMITS.piece_ms * len(pieces)
+            await anyio.sleep(time_ms / 1000 * self.slow.get(vm.vm_id, 1))
+            return [self.make(vm, each.piece) for each in pieces]
+        finally:
+            self.busy[vm.vm_id] -= 1
+
+    def make(self, vm, piece):
+        """Make one piece if there is room."""
+        if self.held[vm.address] + RESULT_BYTES > self.room_bytes:
+            return PieceResult(failure=PieceFailure.ROOM)
+        self.held[vm.address] += RESULT_BYTES
+        return PieceResult(f"{vm.address}/{piece.request_id}-{piece.number}")
+
+    def holder(self, handle):
+        """Give the address in a handle."""
+        return handle.partition("/")[0]
+
+    async def free_results(self, vm, handles):
+        """Drop results."""
+        self.freed.extend(handles)
+        self.held[vm.address] -= RESULT_BYTES * len(handles)
+
+
+def make_batcher(replicas, vms):
+    budget = RetryWindow(0.2, 10.0, 54, lambda: 1)
+    return Batcher(
+        "sms", replicas, budget, lambda service: vms, lambda service: LIMITS
+    )
+
+
+def make_order(request_id, pieces=8, *, rank=1, due_s=2.0, deadline_s=7.0):
+    now_s = anyio.current_time()
+    return Order(
+        request_id,
+        "sms",
+        1,
+        pieces,
+        "",
+        ("10.0.0.1:80/x",),
+        rank,
+        now_s + due_s,
+        now_s + deadline_s,
+        "",
+        RESULT_BYTES,
+    )
+
+
+async def with_batcher(batcher, body):
+    """Run a body while a batcher runs."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(batcher.run)
+        await body(tasks)
+        tasks.cancel_scope.cancel()
+
+
+def test_requests_share_a_call():
+    async def check():
+        replicas = FakeReplicas()
+        batcher = make_batcher(replicas, [make_vm("v1")])
+        made = {}
+
+        async def make(name):
+            made[name] = await batcher.make(make_order(name, 2))
+
+        async def body(_):
+            async with anyio.create_task_group() as requests:
+                requests.start_soon(make, "first")
+                await anyio.sleep(0.05)
+                for number in range(4):
+                    requests.start_soon(make, f"r{number}")
+
+        await with_batcher(batcher, body)
+        assert replicas.calls == [("v1", 2), ("v1", 8)]
+        del made["first"]
+        handles = {handle for group in made.values() for handle in group}
+        assert len(handles) == 8
+        assert made["r1"] == ("v1:80/r1-0", "v1:80/r1-1")
+
+    run(check)
+
+
+def test_a_replica_gets_one_call_at_a_time():
+    async def check():
+        replicas = FakeReplicas()
+        batcher = make_batcher(replicas, [make_vm("v1"), make_vm("v2")])
+
+        async def make(name):
+            batcher.drop(await batcher.make(make_order(name, 5)))
+
+        async def body(_):
+            async with anyio.create_task_group() as requests:
+                for number in range(9):
+                    requests.start_soon(make, f"r{number}")
+
+        await with_batcher(batcher, body)
+        assert replicas.most_at_once == 1
+        assert sum(count for _, count in replicas.calls) == 45
+
+    run(check)
+
+
+def test_a_full_replica_is_left_alone_until_a_result_goes():
+    async def check():
+        # Something else took all but three results' room.
+        replicas = FakeReplicas(3 * RESULT_BYTES)
+        batcher = make_batcher(replicas, [make_vm("v1")])
+        made = []
+
+        async def make(name):
+            made.append(await batcher.make(make_order(name, 3)))
+
+        async def body(tasks):
+            tasks.start_soon(make, "r1")
+            tasks.start_soon(make, "r2")
+            await anyio.sleep(0.9)
+            calls = len(replicas.calls)
+            assert len(made) == 1
+            await batcher.free(made[0])
+            await anyio.sleep(0.5)
+            assert len(made) == 2
+            # One call found the room, one that it was full, one the rest.
+            assert calls <= 2
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_a_failed_call_moves_to_another_replica():
+    async def check():
+        replicas = FakeReplicas()
+        replicas.broken.add("v1")
+        batcher = make_batcher(replicas, [make_vm("v1"), make_vm("v2")])
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1"))
+            assert all(handle.startswith("v2:80/") for handle in handles)
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_a_slow_replica_is_used_only_behind_a_queue():
+    async def check():
+        replicas = FakeReplicas()
+        replicas.slow["v1"] = 8
+        batcher = make_batcher(replicas, [make_vm("v1"), make_vm("v2")])
+
+        async def body(_):
+            for number in range(8):
+                batcher.drop(await batcher.make(make_order(f"r{number}")))
+
+        await with_batcher(batcher, body)
+        calls = Counter(name for name, _ in replicas.calls)
+        assert calls["v1"] <= 2
+        assert calls["v2"] >= 6
+
+    run(check)
+
+
+def test_an_order_ends_before_its_caller_leaves():
+    async def check():
+        replicas = FakeReplicas()
+        replicas.broken.update(("v1",))
+        batcher = make_batcher(replicas, [])
+
+        async def body(_):
+            started_s = anyio.current_time()
+            try:
+                await batcher.make(make_order("r1", deadline_s=1.0))
+            except BerylcartError as error:
+                assert error.code is Code.OVERLOADED
+                assert error.ran is Ran.NO
+            else:
+                raise AssertionError
+            assert anyio.current_time() - started_s < 1.0
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_results_of_a_cancelled_order_are_dropped():
+    async def check():
+        replicas = FakeReplicas()
+        batcher = make_batcher(replicas, [make_vm("v1")])
+
+        async def body(_):
+            with anyio.move_on_after(0.1):
+                await batcher.make(make_order("r1"))
+            await anyio.sleep(0.5)
+            assert len(replicas.freed) == 8
+
+        await with_batcher(batcher, body)
+        assert not batcher.jobs
+
+    run(check)
+
+
+def test_results_made_for_another_daemon_can_be_dropped():
+    async def check():
+        replicas = FakeReplicas()
+        batcher = make_batcher(replicas, [make_vm("v1")])
+        await batcher.free(["v1:80/other-0", "gone:80/other-1"])
+        assert replicas.freed == ["v1:80/other-0"]
+
+    run(check)
+
+
+async def play_burst(per_s, length_s, drop_after_s):
+    """Play orders at a rate and tell how many were made by their target."""
+    replicas = FakeReplicas()
+    vms = [make_vm(f"v{number}") for number in range(3)]
+    batcher = make_batcher(replicas, vms)
+    on_time = 0
+
+    async def make(name):
+        nonlocal on_time
+        order = make_order(name, due_s=1.2)
+        try:
+            handles = await batcher.make(order)
+        except BerylcartError:
+            return
+        on_time += anyio.current_time() <= order.due_s
+        await anyio.sleep(drop_after_s)
+        batcher.drop(handles)
+
+    async def body(_):
+        async with anyio.create_task_group() as requests:
+            for number in range(int(per_s * length_s)):
+                requests.start_soon(make, f"r{number}")
+                await anyio.sleep(1 / per_s)
+
+    await with_batcher(batcher, body)
+    return on_time
+
+
+def test_a_burst_near_the_limit_is_made_on_time():
+    async def check():
+        # 8.5 orders of 8 pieces a second; three replicas make at most 10.7.
+        # The next stage holds each result for 0.3 s.
+        assert await play_burst(8.5, 8, 0.3) >= 0.9 * 8.5 * 8
+
+    run(check)
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_retry_window.py
@@ -0,0 +1,71 @@
+"""Check that extra sends of all daemons stay within one allowance."""
+
+from berylcart.coordination.gateway.retry_window import RetryWindow
+
+RATIO = 0.2
+WINDOW_S = 10.0
+SLACK = 54
+DAEMONS = 7
+
+
+class Clock:
+    """Give a time that a test sets."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self):
+        """Give the time."""
+        return self.now_s
+
+
+def make_window(clock, daemons=DAEMONS):
+    return RetryWindow(RATIO, WINDOW_S, SLACK, lambda: daemons, clock)
+
+
+def spend_all(window):
+    spent = 0
+    while window.try_take("model"):
+        spent += 1
+    return spent
+
+
+def test_daemons_together_stay_within_the_allowance():
+    clock = Clock()
+    windows = [make_window(clock) for _ in range(DAEMONS)]
+    for window in windows:
+        window.note_request("model", 20)
+    spent = sum(spend_all(window) for window in windows)
+    assert spent > 0
+    assert spent <= RATIO * 20 * DAEMONS + SLACK
+
+
+def test_window_slides():
+    clock = Clock()
+    window = make_window(clock)
+    first = spend_all(window)
+    clock.now_s = WINDOW_S - 0.1
+    assert not window.try_take("model")
+    clock.now_s = WINDOW_S + 0.1
+    assert spend_all(window) == first
+
+
+def test_old_requests_earn_nothing():
+    clock = Clock()
+    window = make_window(clock)
+    window.note_request("model", 100)
+    earned = window.allowance("model")
+    clock.now_s = WINDOW_S + 0.1
+    assert window.allowance("model") < earned
+
+
+def test_takes_all_or_nothing():
+    window = make_window(Clock())
+    assert not window.try_take("model", 1000)
+    assert window.try_take("model", 1)
+
+
+def test_services_have_budgets_of_their_own():
+    window = make_window(Clock())
+    spend_all(window)
+    assert window.try_take("other")
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_route_keeper.py
@@ -0,0 +1,62 @@
+"""Check that routes only ever go forward."""
+
+import json
+
+import anyio
+from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.routes import RouteTable
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..serving_fakes import run
+
+
+def parse(text):
+    try:
+        return RouteTable(json.loads(text))
+    except ValueError:
+        raise BerylcartError(Code.CONFIG_INVALID, "no version") from None
+
+
+@given(st.lists(st.integers(1, 9), min_size=1, max_size=12))
+def test_version_never_falls_whatever_the_order(versions):
+    keeper = RouteKeeper(parse)
+    seen = []
+    keeper.on_change = lambda table: seen.append(table.version)
+    for offset, version in enumerate(versions):
+        keeper.offer(str(version), offset, "store")
+    assert seen == sorted(set(seen))
+    assert keeper.version == max(versions)
+
+
+def test_invalid_text_changes_nothing():
+    keeper = RouteKeeper(parse)
+    keeper.offer("3", 1, "store")
+    keeper.offer("no number", 2, "store")
+    assert keeper.version == 3
+
+
+def test_requires_some_routes():
+    try:
+        RouteKeeper(parse).require()
+    except BerylcartError as error:
+        assert error.code is Code.NOT_READY
+        assert error.retry_after_ms
+    else:
+        raise AssertionError
+
+
+def test_offers_only_newer_routes():
+    async def check():
+        keeper = RouteKeeper(parse)
+        assert keeper.offer_for(0).checkpoint is None
+        keeper.offer("3", 1, "store")
+        await anyio.sleep(1)
+        keeper.confirm(4)
+        assert keeper.offer_for(3).checkpoint is None
+        offer = keeper.offer_for(2)
+        assert (offer.checkpoint.version, offer.checkpoint.text) == (3, "3")
+        assert keeper.freshness().as_of_offset == 4
+
+    run(check)
