--- a/Makefile
+++ b/Makefile
@@ -39,8 +39,11 @@
 layers: setup
 	$(BIN)/lint-imports
 
+# pytest names modules by their path from its root; from the repository's,
+# the folder platform would take the place of the standard module.
 unit: setup
 	$(BIN)/pytest
+	cd platform && ../$(BIN)/pytest -c ../pyproject.toml --rootdir . src tests
 
 proto: setup
 	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc \
--- a/conftest.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Import the standard library's platform before tests of platform/."""
-
-import platform
-
-assert platform.python_implementation()
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import anyio
+import pytest
 from berylcart.coordination.gateway.batcher import Batcher
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.retry_window import RetryWindow
@@ -222,13 +223,10 @@
 
         async def body(_):
             started_s = anyio.current_time()
-            try:
+            with pytest.raises(BerylcartError) as raised:
                 await batcher.make(make_order("r1", deadline_s=1.0))
-            except BerylcartError as error:
-                assert error.code is Code.OVERLOADED
-                assert error.ran is Ran.NO
-            else:
-                raise AssertionError
+            assert raised.value.code is Code.OVERLOADED
+            assert raised.value.ran is Ran.NO
             assert anyio.current_time() - started_s < 1.0
 
         await with_batcher(batcher, body)
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -0,0 +1,225 @@
+"""Check what is sent again, and that answers reach callers whole."""
+
+import anyio
+from berylcart.state.errors import (
+    Code,
+    InputsGoneError,
+    Ran,
+    UpstreamError,
+)
+
+from ..gateway_fakes import (
+    BOOKING,
+    FAILED,
+    GONE,
+    IDEMPOTENT,
+    OK,
+    REFUSED,
+    RESUMABLE,
+    STREAM,
+    Forwarding,
+    Script,
+)
+from ..serving_fakes import run
+
+RESET = UpstreamError(Code.UPSTREAM_FAILED, "reset", ran=Ran.UNKNOWN)
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+
+
+def test_answer_is_passed_on_unchanged():
+    async def check():
+        one = Forwarding(BOOKING, Script())
+        assert await one.forward() == 200
+        assert one.exchange.headers == OK.headers
+        assert one.exchange.data == b"whole"
+        assert one.exchange.is_finished
+        assert one.progress.ran is Ran.YES
+
+    run(check)
+
+
+def test_booking_with_a_lost_answer_is_not_sent_again():
+    async def check():
+        one = Forwarding(BOOKING, RESET, Script())
+        error = await one.fail()
+        assert error.ran is Ran.UNKNOWN
+        assert len(one.relay.sent) == 1
+        assert not one.exchange.is_started
+
+    run(check)
+
+
+def test_booking_that_was_refused_is_sent_to_another_replica():
+    async def check():
+        one = Forwarding(BOOKING, Script(REFUSED), Script())
+        assert await one.forward() == 200
+        first, second = one.relay.sent
+        assert first.address != second.address
+
+    run(check)
+
+
+def test_booking_refused_everywhere_did_not_run():
+    async def check():
+        one = Forwarding(BOOKING, *[Script(REFUSED) for _ in range(9)])
+        error = await one.fail()
+        assert error.ran is Ran.NO
+        assert one.progress.ran is Ran.NO
+        assert error.retry_after_ms
+
+    run(check)
+
+
+def test_unreachable_replica_costs_no_budget():
+    async def check():
+        one = Forwarding(BOOKING, None, Script())
+        one.policy.budget.slack = 0
+        assert await one.forward() == 200
+
+    run(check)
+
+
+def test_refusal_beyond_the_budget_is_final():
+    async def check():
+        one = Forwarding(BOOKING, Script(REFUSED), Script())
+        one.policy.budget.slack = 0
+        assert (await one.fail()).ran is Ran.NO
+        assert len(one.relay.sent) == 1
+
+    run(check)
+
+
+def test_booking_gets_no_promise_that_its_replica_did_not_make():
+    async def check():
+        bare = REFUSED._replace(did_not_run=False)
+        one = Forwarding(BOOKING, Script(bare))
+        assert (await one.fail()).ran is Ran.UNKNOWN
+
+    run(check)
+
+
+def test_success_without_proof_is_not_passed_on():
+    async def check():
+        one = Forwarding(BOOKING, Script(OK._replace(is_sealed=False)))
+        assert (await one.fail()).ran is Ran.UNKNOWN
+        assert not one.exchange.is_started
+
+    run(check)
+
+
+def test_truncated_answer_is_not_passed_on():
+    async def check():
+        one = Forwarding(BOOKING, Script(chunks=[b"ha"], ends=False))
+        assert (await one.fail()).ran is Ran.UNKNOWN
+        assert one.exchange.data == b""
+
+    run(check)
+
+
+def test_failed_lookup_is_tried_at_another_replica():
+    async def check():
+        one = Forwarding(IDEMPOTENT, Script(FAILED), Script())
+        assert await one.forward() == 200
+        assert one.exchange.data == b"whole"
+
+    run(check)
+
+
+def test_lookup_that_fails_twice_gets_the_replicas_answer():
+    async def check():
+        one = Forwarding(IDEMPOTENT, Script(FAILED), Script(FAILED), Script())
+        assert await one.forward() == 500
+        assert one.exchange.headers == FAILED.headers
+        assert len(one.relay.sent) == IDEMPOTENT.max_attempts
+
+    run(check)
+
+
+def test_failed_booking_is_passed_on():
+    async def check():
+        one = Forwarding(BOOKING, Script(FAILED), Script())
+        assert await one.forward() == 500
+        assert len(one.relay.sent) == 1
+
+    run(check)
+
+
+def test_silent_replica_of_a_lookup_is_given_up_on():
+    async def check():
+        one = Forwarding(IDEMPOTENT, Script(chunks=(), hangs=True), Script())
+        started_s = anyio.current_time()
+        assert await one.forward() == 200
+        assert anyio.current_time() - started_s < 2
+
+    run(check)
+
+
+def test_silent_replica_of_a_booking_is_waited_for():
+    async def check():
+        one = Forwarding(BOOKING, Script(chunks=(), hangs=True), Script())
+        with anyio.move_on_after(4):
+            await one.forward()
+        assert len(one.relay.sent) == 1
+        assert not one.exchange.is_started
+
+    run(check)
+
+
+def test_stream_passes_on_events_as_they_come():
+    async def check():
+        one = Forwarding(STREAM, Script(chunks=EVENTS))
+        begun = []
+        one.run.on_begun = lambda: begun.append(one.exchange.data)
+        assert await one.forward() == 200
+        assert one.exchange.data == b"".join(EVENTS)
+        assert begun[0] == b""
+
+    run(check)
+
+
+def test_broken_stream_goes_on_after_its_last_whole_event():
+    async def check():
+        partial = [EVENTS[0], EVENTS[1][:7]]
+        one = Forwarding(
+            RESUMABLE,
+            Script(chunks=partial, ends=False),
+            Script(chunks=[EVENTS[1]]),
+        )
+        assert await one.forward() == 200
+        assert one.exchange.data == b"".join(EVENTS)
+        assert one.header(0, b"event") == b""
+        assert one.header(1, b"event") == b"1"
+
+    run(check)
+
+
+def test_broken_stream_that_may_not_resume_stays_cut():
+    async def check():
+        one = Forwarding(
+            STREAM, Script(chunks=EVENTS[:1], ends=False), Script()
+        )
+        await one.fail()
+        assert one.exchange.is_started
+        assert not one.exchange.is_finished
+        assert len(one.relay.sent) == 1
+
+    run(check)
+
+
+def test_vanished_inputs_are_reported_as_such():
+    async def check():
+        one = Forwarding(STREAM, Script(GONE), Script())
+        assert isinstance(await one.fail(), InputsGoneError)
+        assert len(one.relay.sent) == 1
+
+    run(check)
+
+
+def test_deadline_counts_down():
+    async def check():
+        one = Forwarding(IDEMPOTENT, Script(chunks=(), hangs=True), Script())
+        await one.forward()
+        first, second = (int(one.header(n, b"left")) for n in (0, 1))
+        assert second <= first - 900
+
+    run(check)
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -0,0 +1,224 @@
+"""Check what a gateway answers, with its stages and forwarding."""
+
+import anyio
+import pytest
+from berylcart.coordination.gateway.forwarder import Forwarder
+from berylcart.coordination.gateway.gateway import Gateway, find_target
+from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.gateway.stage_results import StageResults
+from berylcart.state.errors import BerylcartError, Code, Ran
+from berylcart.state.routes import RouteStage, RouteTable
+
+from ..gateway_fakes import (
+    BOOKING,
+    GONE,
+    STAGED,
+    FakeExchange,
+    FakeRelay,
+    FakeWire,
+    Script,
+    make_keeper,
+    make_policy,
+    make_request,
+)
+from ..serving_fakes import run
+
+KEYED = make_request(api_key="k1", piece_counts=(2,), piece_key="key")
+CHAIN = STAGED._replace(
+    stages=(
+        RouteStage("sms", (), 10),
+        RouteStage("desk", (0,), 10),
+        RouteStage("notes", (), 10),
+    )
+)
+
+
+class FakeHome:
+    """Make pieces at once, and count what is dropped."""
+
+    def __init__(self):
+        self.orders = []
+        self.error = None
+
+    async def make(self, order):
+        """Make the pieces of an order."""
+        self.orders.append(order)
+        await anyio.sleep(0.1)
+        if self.error is not None:
+            raise self.error
+        return tuple(
+            f"{order.service}-{len(self.orders)}-{number}"
+            for number in range(order.pieces)
+        )
+
+
+class KeyedWire(FakeWire):
+    """Read every request as one with the key and its pieces."""
+
+    request = KEYED
+
+    def read_request(self, head, body):
+        """Read any request."""
+        return self.request._replace(target=head.target)
+
+
+class Rig:
+    """Hold a gateway with scripted replicas and fake stages."""
+
+    def __init__(self, route, *scripts, vms=("v1", "v2")):
+        self.keeper = make_keeper(route)
+        self.relay = FakeRelay(*scripts)
+        self.home = FakeHome()
+        self.dropped = []
+        self.served = []
+        self.wire = KeyedWire()
+        policy = make_policy(self.keeper, vms)
+        stages = StageResults(
+            self.home,
+            policy.budget,
+            lambda service, handles: self.dropped.extend(handles),
+            lambda handle: "lahore-1",
+        )
+        forwarder = Forwarder(self.relay, policy, self.wire)
+        self.gateway = Gateway(
+            self.keeper, self.wire, policy, forwarder, stages
+        )
+        self.gateway.on_served = self.served.append
+
+    async def serve(self, target="/a/b"):
+        """Serve one request."""
+        exchange = FakeExchange(target)
+        await self.gateway.handle(exchange)
+        return exchange
+
+
+def expect_code(call, code):
+    """Check that a call raises an error."""
+    with pytest.raises(BerylcartError) as raised:
+        call()
+    assert raised.value.code is code
+
+
+def test_finds_route_and_workspace():
+    table = make_keeper(BOOKING).table
+    assert find_target(table, KEYED).owner.workspace == "counter"
+    assert find_target(table, KEYED).rank == 0
+    expect_code(
+        lambda: find_target(table, KEYED._replace(api_key="other")),
+        Code.KEY_UNKNOWN,
+    )
+    expect_code(
+        lambda: find_target(table, KEYED._replace(target="/b/")),
+        Code.UNKNOWN_ROUTE,
+    )
+    public = RouteTable(
+        1, (BOOKING._replace(is_public=True),), has_workspaces=True
+    )
+    assert find_target(public, KEYED._replace(api_key=None)).owner is None
+
+
+def test_knows_no_routes_yet():
+    async def check():
+        rig = Rig(BOOKING)
+        rig.gateway.tables = RouteKeeper(lambda text: RouteTable(1))
+        exchange = await rig.serve()
+        assert exchange.status == Code.NOT_READY
+        assert exchange.data == b"no"
+
+    run(check)
+
+
+def test_stages_are_made_and_dropped_once_read():
+    async def check():
+        rig = Rig(STAGED, Script())
+        exchange = await rig.serve()
+        assert exchange.status == 200
+        headers = dict(rig.relay.sent[0].headers)
+        assert headers[b"inputs"] == b"sms-1-0,sms-1-1"
+        assert rig.dropped == ["sms-1-0", "sms-1-1"]
+        assert rig.home.orders[0].key == "key"
+
+    run(check)
+
+
+def test_each_stage_reads_those_before_it():
+    async def check():
+        rig = Rig(CHAIN, Script())
+        rig.wire.request = KEYED._replace(piece_counts=(2, 1, 0))
+        assert (await rig.serve()).status == 200
+        orders = {order.service: order for order in rig.home.orders}
+        assert orders["desk"].inputs == ("sms-1-0", "sms-1-1")
+        assert orders["desk"].key == ""
+        assert "notes" not in orders
+        headers = dict(rig.relay.sent[0].headers)
+        assert headers[b"inputs"] == b"desk-2-0"
+        assert sorted(rig.dropped) == ["desk-2-0", "sms-1-0", "sms-1-1"]
+
+    run(check)
+
+
+def test_vanished_inputs_are_made_again():
+    async def check():
+        rig = Rig(STAGED, Script(GONE), Script())
+        assert (await rig.serve()).status == 200
+        assert len(rig.home.orders) == 2
+        headers = dict(rig.relay.sent[1].headers)
+        assert headers[b"inputs"] == b"sms-2-0,sms-2-1"
+
+    run(check)
+
+
+def test_failed_stage_did_not_run_the_request():
+    async def check():
+        rig = Rig(STAGED)
+        rig.home.error = BerylcartError(
+            Code.OVERLOADED, "behind", retry_after_ms=700
+        )
+        exchange = await rig.serve()
+        assert exchange.status == Code.OVERLOADED
+        assert exchange.data == b"no"
+        assert rig.served[0].ran is Ran.NO
+
+    run(check)
+
+
+def test_wrong_number_of_stages_is_refused():
+    async def check():
+        rig = Rig(STAGED)
+        rig.wire.request = KEYED._replace(piece_counts=())
+        assert (await rig.serve()).status == Code.BAD_REQUEST
+
+    run(check)
+
+
+def test_routes_timeout_ends_a_request():
+    async def check():
+        route = BOOKING._replace(timeout_ms=800)
+        rig = Rig(route, Script(chunks=(), hangs=True))
+        started_s = anyio.current_time()
+        exchange = await rig.serve()
+        assert exchange.status == Code.DEADLINE_EXCEEDED
+        assert exchange.data == b"unknown"
+        assert 0.8 <= anyio.current_time() - started_s < 0.9
+
+    run(check)
+
+
+def test_caller_that_leaves_ends_the_work():
+    async def check():
+        rig = Rig(BOOKING, Script(chunks=(), hangs=True))
+        with anyio.move_on_after(0.3):
+            await rig.serve()
+        assert rig.served[0].code == Code.CALLER_GONE
+        assert rig.gateway.in_flight == 0
+
+    run(check)
+
+
+def test_no_replica_left_says_when_to_come_back():
+    async def check():
+        rig = Rig(BOOKING, vms=())
+        exchange = await rig.serve()
+        assert exchange.status == Code.NO_UPSTREAM
+
+    run(check)
--- a/packages/berylcart/tests/coordination/gateway/test_route_keeper.py
+++ b/packages/berylcart/tests/coordination/gateway/test_route_keeper.py
@@ -3,6 +3,7 @@
 import json
 
 import anyio
+import pytest
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.routes import RouteTable
@@ -38,13 +39,10 @@
 
 
 def test_requires_some_routes():
-    try:
+    with pytest.raises(BerylcartError) as raised:
         RouteKeeper(parse).require()
-    except BerylcartError as error:
-        assert error.code is Code.NOT_READY
-        assert error.retry_after_ms
-    else:
-        raise AssertionError
+    assert raised.value.code is Code.NOT_READY
+    assert raised.value.retry_after_ms
 
 
 def test_offers_only_newer_routes():
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_stage_home.py
@@ -0,0 +1,169 @@
+"""Check which daemon batches, and what happens when it fails."""
+
+import anyio
+import pytest
+from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.stage_home import StageHome
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.member_table import Member, MemberState
+
+from ..serving_fakes import run
+
+NAMES = ("d1", "d2", "d3")
+
+
+def make_member(name, **fields):
+    return Member(name, 1, f"{name}:1", f"{name}:2", "lahore-1", **fields)
+
+
+def make_order(deadline_s=5.0):
+    now_s = anyio.current_time()
+    return Order(
+        "r1", "sms", 0, 1, "k", (), 1, now_s + 1, now_s + deadline_s, "", 10
+    )
+
+
+class FakeBatcher:
+    """Make the pieces of this daemon's orders."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def make(self, order):
+        """Make one piece."""
+        self.orders.append(order)
+        return ("own",)
+
+
+class FakePeers:
+    """Answer for other daemons; some fail or hang."""
+
+    def __init__(self):
+        self.asked = []
+        self.failing = set()
+        self.hanging = set()
+        self.error = None
+
+    async def make_pieces(self, address, order, *, timeout_ms):
+        """Make one piece at a peer."""
+        self.asked.append(address)
+        if address in self.failing:
+            raise BerylcartError(Code.PEER_UNAVAILABLE, "reset")
+        if address in self.hanging:
+            await anyio.sleep(timeout_ms / 1000)
+            raise BerylcartError(Code.PEER_UNAVAILABLE, "timeout")
+        if self.error is not None:
+            raise self.error
+        return (address,)
+
+
+class Rig:
+    """Hold one daemon's view; its own name is no home of the service."""
+
+    def __init__(self):
+        self.peers = FakePeers()
+        self.batcher = FakeBatcher()
+        self.members = {name: make_member(name) for name in NAMES}
+        self.home = self.make_home("none")
+        first = self.home.home_of("sms").daemon_id
+        self.first = first
+        second = [name for name in NAMES if name != first]
+        self.others = second
+
+    def make_home(self, name):
+        """Build the view of a daemon."""
+        return StageHome(
+            name,
+            self.peers,
+            lambda: list(self.members.values()),
+            lambda service: self.batcher,
+        )
+
+
+def test_all_daemons_agree_on_the_home():
+    async def check():
+        rig = Rig()
+        views = [rig.make_home(name) for name in NAMES]
+        homes = [view.home_of("sms") for view in views]
+        named = {home.daemon_id for home in homes if home is not None}
+        assert named == {rig.first}
+        assert homes.count(None) == 1
+
+    run(check)
+
+
+def test_the_home_makes_its_own_orders():
+    async def check():
+        rig = Rig()
+        home = rig.make_home(rig.first)
+        assert await home.make(make_order()) == ("own",)
+        assert not rig.peers.asked
+
+    run(check)
+
+
+def test_a_failed_home_is_passed_by():
+    async def check():
+        rig = Rig()
+        rig.peers.failing.add(f"{rig.first}:1")
+        (handle,) = await rig.home.make(make_order())
+        assert handle != f"{rig.first}:1"
+        rig.peers.failing.clear()
+        await rig.home.make(make_order())
+        assert rig.peers.asked.count(f"{rig.first}:1") == 1
+
+    run(check)
+
+
+def test_a_suspected_home_is_left():
+    async def check():
+        rig = Rig()
+        rig.peers.hanging.add(f"{rig.first}:1")
+
+        async def suspect():
+            await anyio.sleep(0.5)
+            member = rig.members[rig.first]
+            rig.members[rig.first] = member._replace(state=MemberState.SUSPECT)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(suspect)
+            started_s = anyio.current_time()
+            (handle,) = await rig.home.make(make_order())
+        assert handle != f"{rig.first}:1"
+        assert anyio.current_time() - started_s < 1.5
+
+    run(check)
+
+
+def test_a_home_that_is_only_late_stays_the_home():
+    async def check():
+        rig = Rig()
+        rig.peers.hanging.add(f"{rig.first}:1")
+        with pytest.raises(BerylcartError) as raised:
+            await rig.home.make(make_order(deadline_s=0.7))
+        assert raised.value.code is Code.OVERLOADED
+        assert rig.home.home_of("sms").daemon_id == rig.first
+
+    run(check)
+
+
+def test_a_homes_verdict_is_final():
+    async def check():
+        rig = Rig()
+        rig.peers.error = BerylcartError(Code.OVERLOADED, "behind")
+        with pytest.raises(BerylcartError) as raised:
+            await rig.home.make(make_order())
+        assert raised.value.code is Code.OVERLOADED
+        assert len(rig.peers.asked) == 1
+
+    run(check)
+
+
+def test_a_leaving_daemon_is_no_home():
+    async def check():
+        rig = Rig()
+        member = rig.members[rig.first]
+        rig.members[rig.first] = member._replace(is_leaving=True)
+        assert rig.home.home_of("sms").daemon_id in rig.others
+
+    run(check)
