--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -335,6 +335,14 @@
     async def begin(self, run: ForwardRun, headers: Headers) -> None:
         """Write the head of a stream once, of its first replica."""
         if not run.exchange.is_started:
+            started_s = run.exchange.received_at_s
+            events.info(
+                "stream.begun",
+                request_id=run.work.request.request_id,
+                service=run.work.service,
+                latency_ms=int((anyio.current_time() - started_s) * MS_PER_S),
+                target_ms=run.work.route.target_ms,
+            )
             await run.exchange.start(HTTP_OK[0], headers)
 
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from berylcart import events
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.stage_home import StageHome
@@ -13,6 +14,8 @@
 from berylcart.state.relayed import RelayRequest
 from berylcart.state.routes import Route
 
+MS_PER_S = 1000
+
 PlaceOf = Callable[[str], str]
 
 
@@ -148,12 +151,22 @@
         """Make one stage once those before it are made."""
         for each in plan.route.stages[index].after:
             await plan.made[each].wait()
+        started_s = anyio.current_time()
         try:
             plan.results[index] = await self.make_pieces(plan, index)
         except BerylcartError as error:
             plan.error = plan.error or error
             tasks.cancel_scope.cancel()
             return
+        events.info(
+            "stage.made",
+            request_id=plan.request.request_id,
+            stage=index,
+            service=plan.route.stages[index].service,
+            pieces=plan.count(index),
+            latency_ms=int((anyio.current_time() - started_s) * MS_PER_S),
+            to_due_ms=int((plan.due_s - anyio.current_time()) * MS_PER_S),
+        )
         for each in plan.note_made(index):
             self.drop_stage(plan, each)
 
