Drop inputs once read, and refuse at arrival what its stages can't make

Changes: the home of a stage drops its inputs 0.1 s into the call that reads them last; an order is refused when its queue outlasts its inputs; results bring back how far the service is behind, and a request that can't begin before its caller leaves is refused at arrival with when to come back. The backlog counts what was made in the last 2 s behind a queue, as room may allow less than the calls' time.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -106,7 +106,7 @@
         self.policy = GatewayPolicy(
             self.keeper, self.directory.pool, self.budget, self.random
         )
-        self.places: dict[str, str] = {}
+        self.holders: dict[str, Vm] = {}
         self.directory.on_change = self.note_replicas
         self.relay = RelayClient(self.ports.wire.read_answer)
         self.batchers: dict[str, Batcher] = {}
@@ -185,6 +185,7 @@
                 self.budget,
                 self.directory.pool,
                 self.batch_limits,
+                self.drop_inputs,
             )
             self.batchers[service] = batcher
             if self.background is not None:
@@ -196,14 +197,24 @@
         if self.background is not None:
             self.background.start_soon(self.home.free, service, handles)
 
+    def drop_inputs(self, handles: Sequence[str]) -> None:
+        """Drop results of any stages."""
+        by_service: dict[str, list[str]] = {}
+        for handle in handles:
+            vm = self.holders.get(self.ports.pieces.holder(handle))
+            if vm is not None:
+                by_service.setdefault(vm.service, []).append(handle)
+        for service, group in by_service.items():
+            self.drop_results(service, group)
+
     def place_of(self, handle: str) -> str:
         """Find the place of the replica that holds a result."""
-        address = self.ports.pieces.holder(handle)
-        return self.places.get(address, "")
+        vm = self.holders.get(self.ports.pieces.holder(handle))
+        return "" if vm is None else vm.place
 
     def note_replicas(self, vms: tuple[Vm, ...]) -> None:
         """Learn which replicas there are."""
-        self.places = {vm.address: vm.place for vm in vms}
+        self.holders = {vm.address: vm for vm in vms}
         self.policy.retain(vms)
 
     def note_served(self, served: Served) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -1,5 +1,6 @@
 """Work on the pieces of one service in shared calls."""
 
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
@@ -36,6 +37,13 @@
 RECOVERING = 0.4
 # A replica that was slow is tried again: what is known of it grows old.
 SLOWNESS_HALF_LIFE_S = 6.0
+# A call reads its inputs first: well over the time for the largest ones on
+# the replicas' links, with a free slot.
+READ_S = 0.1
+# What an order's inputs were kept for when it came; they expire together.
+KEEP_SHARE = 0.8
+# A few calls of each replica.
+RATE_WINDOW_S = 2.0
 # Results differ in size from what their stage says.
 SIZE_MARGIN = 1.1
 # How long the memory of a full replica holds.
@@ -137,6 +145,7 @@
         self.order = order
         self.results: list[str] = [""] * order.pieces
         self.missing = order.pieces
+        self.unread = set(range(order.pieces))
         self.error: BerylcartError | None = None
         self.is_done = anyio.Event()
 
@@ -149,6 +158,13 @@
         if not self.missing:
             self.is_done.set()
 
+    def note_read(self, number: int) -> bool:
+        """Tell whether a piece was the last to read the order's inputs."""
+        if number not in self.unread:
+            return False
+        self.unread.discard(number)
+        return not self.unread and self.order.is_only_reader
+
     def fail(self, error: BerylcartError) -> None:
         """End the order with an error."""
         self.error = error
@@ -165,15 +181,19 @@
         budget: RetryWindow,
         pool: Callable[[str], Sequence[Vm]],
         limits: Callable[[str], BatchLimits | None],
+        on_read: Callable[[Sequence[str]], None] = lambda handles: None,
     ) -> None:
         self.service = service
         self.caller = caller
         self.budget = budget
         self.pool = pool
         self.limits = limits
+        self.on_read = on_read
         self.waiting: list[Waiting] = []
         self.jobs: dict[tuple[str, int], Job] = {}
         self.makers: dict[tuple[str, int], MakerState] = {}
+        self.made: deque[tuple[float, int]] = deque()
+        self.queued_since_s: float | None = None
         self.changed = anyio.Event()
         self.tasks: TaskGroup | None = None
 
@@ -233,7 +253,11 @@
     def check_time(self, order: Order) -> None:
         """Refuse an order that the queue makes hopeless."""
         wait_s = self.backlog_s(order.rank)
-        if anyio.current_time() + wait_s >= order.deadline_s:
+        limits = self.limits(self.service)
+        left_s = order.deadline_s - anyio.current_time()
+        if order.inputs and limits is not None:
+            left_s = min(left_s, KEEP_SHARE * limits.keep_s)
+        if wait_s >= left_s:
             raise self.overloaded(order)
 
     def backlog_s(self, rank: int) -> float:
@@ -246,7 +270,29 @@
         makers = [
             self.describe(vm, limits, now_s) for vm in self.pool(self.service)
         ]
-        return backlog_s(ahead, makers, limits)
+        estimated_s = backlog_s(ahead, makers, limits)
+        rate = self.measured_rate(now_s)
+        return estimated_s if rate is None else max(estimated_s, ahead / rate)
+
+    def measured_rate(self, now_s: float) -> float | None:
+        """Give the pieces a second behind a queue, None without one.
+
+        Room for results may allow less than the calls' time does.
+        """
+        oldest_s = now_s - RATE_WINDOW_S
+        while self.made and self.made[0][0] < oldest_s:
+            self.made.popleft()
+        if self.queued_since_s is None or self.queued_since_s > oldest_s:
+            return None
+        count = sum(made for _, made in self.made)
+        return max(1, count) / RATE_WINDOW_S
+
+    def note_queue(self) -> None:
+        """Note since when there is always work that waits."""
+        if not self.waiting:
+            self.queued_since_s = None
+        elif self.queued_since_s is None:
+            self.queued_since_s = anyio.current_time()
 
     def state(self, vm: Vm) -> MakerState:
         """Find what is known of a replica."""
@@ -268,6 +314,7 @@
 
     def dispatch(self, tasks: TaskGroup) -> None:
         """Start a call at each free replica that has work to do."""
+        self.note_queue()
         limits = self.limits(self.service)
         if limits is None or not self.waiting:
             return
@@ -323,6 +370,9 @@
         """Make one call and hand out its results."""
         state = self.state(vm)
         started_s = anyio.current_time()
+        reading = anyio.CancelScope()
+        if self.tasks is not None:
+            self.tasks.start_soon(self.wait_for_read, batch, reading)
         pieces = [
             TimedPiece(
                 each.piece,
@@ -340,6 +390,7 @@
             self.note_failed(vm, batch, error.detail)
         else:
             now_s = anyio.current_time()
+            made = sum(bool(result.handle) for result in results)
             state.learn((now_s - started_s) / expected_s, now_s)
             state.pause_s = FIRST_PAUSE_S
             events.info(
@@ -347,21 +398,42 @@
                 service=self.service,
                 vm_id=vm.vm_id,
                 pieces=len(batch),
-                made=sum(bool(result.handle) for result in results),
+                made=made,
                 first_request_id=batch[0].order.request_id,
                 latency_ms=int((now_s - started_s) * MS_PER_S),
                 expected_ms=int(expected_s * MS_PER_S),
                 waiting=len(self.waiting),
                 used_bytes=state.used_bytes(now_s),
             )
+            self.made.append((now_s, made))
+            self.note_read(batch)
             self.hand_out(vm, batch, results, limits)
         finally:
+            reading.cancel()
             state.calls -= 1
             state.reserved_bytes -= sum(e.order.result_bytes for e in batch)
             if state.is_full:
                 state.note_full(anyio.current_time())
             self.changed.set()
 
+    async def wait_for_read(
+        self, batch: Sequence[Waiting], call: anyio.CancelScope
+    ) -> None:
+        """Drop the inputs of pieces while their call still works.
+
+        They take room at the stage before, which then makes more.
+        """
+        with call:
+            await anyio.sleep(READ_S)
+            self.note_read(batch)
+
+    def note_read(self, batch: Sequence[Waiting]) -> None:
+        """Drop the inputs that no piece is to read any more."""
+        for piece in batch:
+            job = self.job_of(piece.order)
+            if job is not None and job.note_read(piece.number):
+                self.on_read(piece.order.inputs)
+
     def note_failed(
         self, vm: Vm, batch: Sequence[Waiting], detail: str
     ) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -247,6 +247,11 @@
             work.service, work.request.prompt.affinity, run.tried
         )
         plan = self.plan(run, rank, vm)
+        self.stages.home.backlogs.check(
+            work.route,
+            self.tables.require().services,
+            plan.deadline_s - anyio.current_time(),
+        )
         try:
             inputs = await self.stages.make_all(plan)
             run.work = work._replace(inputs=inputs, preferred=vm)
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -22,7 +22,8 @@
 
     A lower rank goes first. due_s is when the pieces must be made for an
     answer on time, and deadline_s when the caller leaves, on the runtime's
-    clock. A replica elsewhere than in place moves moved_bytes a piece.
+    clock. A replica elsewhere than in place moves moved_bytes a piece. The
+    inputs are dropped once read where nothing else reads them.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     place: str
     result_bytes: int
     moved_bytes: int = 0
+    is_only_reader: bool = False
 
 
 class Waiting(NamedTuple):
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
@@ -1,13 +1,14 @@
 """Send each service's pieces to the one daemon that batches them."""
 
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
 from berylcart import events
 from berylcart.coordination.claims.homes import find_home
+from berylcart.coordination.gateway.backlogs import Backlogs
 from berylcart.coordination.gateway.batcher import Batcher
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.state.errors import BerylcartError, Code
@@ -19,6 +20,15 @@
 # A home that fails is passed by for as long as a suspicion takes.
 SHUN_S = 3.0
 FREE_TIMEOUT_MS = 1000
+# Every rank waits behind what waits already.
+LAST_RANK = 2**31 - 1
+
+
+class MadePieces(NamedTuple):
+    """Carry the results of an order and how far the service is behind."""
+
+    handles: tuple[str, ...]
+    backlog_s: float
 
 
 class StagePeers(Protocol):
@@ -30,7 +40,7 @@
 
     async def make_pieces(
         self, address: str, order: Order, *, timeout_ms: int
-    ) -> tuple[str, ...]:
+    ) -> MadePieces:
         """Have the pieces of an order made."""
         ...
 
@@ -49,7 +59,7 @@
 class StageHandlers(Protocol):
     """Answer the orders of other daemons."""
 
-    async def on_make_pieces(self, order: Order) -> tuple[str, ...]:
+    async def on_make_pieces(self, order: Order) -> MadePieces:
         """Make the pieces of an order; raises BerylcartError."""
         ...
 
@@ -67,14 +77,14 @@
         self.peers = peers
         self.home = home
         self.order = order
-        self.results: tuple[str, ...] = ()
+        self.made: MadePieces | None = None
         self.failure = BerylcartError(
             Code.PEER_UNAVAILABLE, f"{home.daemon_id} is suspected"
         )
 
     async def make(
         self, members: Callable[[], Sequence[Member]]
-    ) -> tuple[str, ...]:
+    ) -> MadePieces:
         """Have the order made; raises BerylcartError."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.call, tasks)
@@ -83,15 +93,15 @@
                 if not is_running(self.home, members()):
                     break
             tasks.cancel_scope.cancel()
-        if not self.results:
+        if self.made is None:
             raise self.failure
-        return self.results
+        return self.made
 
     async def call(self, tasks: TaskGroup) -> None:
         """Call the home and end the wait."""
         left_s = self.order.deadline_s - anyio.current_time()
         try:
-            self.results = await self.peers.make_pieces(
+            self.made = await self.peers.make_pieces(
                 self.home.peer_address,
                 self.order,
                 timeout_ms=max(1, int(left_s * MS_PER_S)),
@@ -129,6 +139,7 @@
         self.peers = peers
         self.members = members
         self.batcher_of = batcher_of
+        self.backlogs = Backlogs()
         self.shunned: dict[str, float] = {}
 
     def home_of(self, service: str) -> Member | None:
@@ -151,15 +162,22 @@
         while True:
             home = self.home_of(order.service)
             if home is None:
-                return await self.batcher_of(order.service).make(order)
+                return self.take(order, await self.make_here(order))
             try:
                 call = HomeCall(self.peers, home, order)
-                return await call.make(self.members)
+                return self.take(order, await call.make(self.members))
             except BerylcartError as error:
                 if error.code is not Code.PEER_UNAVAILABLE:
+                    wait_s = (error.retry_after_ms or 0) / MS_PER_S
+                    self.backlogs.note(order.service, wait_s)
                     raise
                 self.note_failed(home, order, error)
 
+    def take(self, order: Order, made: MadePieces) -> tuple[str, ...]:
+        """Take an order's results and the news that come with them."""
+        self.backlogs.note(order.service, made.backlog_s)
+        return made.handles
+
     def note_failed(
         self, home: Member, order: Order, error: BerylcartError
     ) -> None:
@@ -177,9 +195,15 @@
             )
         self.shunned[home.daemon_id] = anyio.current_time() + SHUN_S
 
-    async def on_make_pieces(self, order: Order) -> tuple[str, ...]:
+    async def on_make_pieces(self, order: Order) -> MadePieces:
         """Make the pieces of another daemon's order."""
-        return await self.batcher_of(order.service).make(order)
+        return await self.make_here(order)
+
+    async def make_here(self, order: Order) -> MadePieces:
+        """Make the pieces of an order with this daemon's batcher."""
+        batcher = self.batcher_of(order.service)
+        handles = await batcher.make(order)
+        return MadePieces(handles, batcher.backlog_s(LAST_RANK))
 
     async def on_free_pieces(
         self, service: str, handles: Sequence[str]
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -52,6 +52,11 @@
         """Give the number of a stage's pieces."""
         return self.request.piece_counts[index]
 
+    def is_only_reader(self, index: int) -> bool:
+        """Tell whether a stage's inputs may go once it has read them."""
+        after = self.route.stages[index].after
+        return bool(after) and all(self.unread[each] == 1 for each in after)
+
     def input_bytes(self, index: int) -> int:
         """Estimate what each piece of a stage reads."""
         stages = self.route.stages
@@ -85,6 +90,7 @@
             place=place,
             result_bytes=stage.result_bytes,
             moved_bytes=moved_bytes,
+            is_only_reader=self.is_only_reader(index),
         )
 
     def inputs(self) -> tuple[str, ...]:
@@ -167,8 +173,12 @@
             latency_ms=int((anyio.current_time() - started_s) * MS_PER_S),
             to_due_ms=int((plan.due_s - anyio.current_time()) * MS_PER_S),
         )
+        is_dropped = plan.is_only_reader(index)
         for each in plan.note_made(index):
-            self.drop_stage(plan, each)
+            if is_dropped:
+                del plan.results[each]
+            else:
+                self.drop_stage(plan, each)
 
     async def make_pieces(
         self, plan: StagePlan, index: int
--- a/packages/berylcart/src/berylcart/protocol/piece_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/piece_codec.py
@@ -3,6 +3,7 @@
 import anyio
 
 from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.state.errors import BerylcartError, Code
 
@@ -32,6 +33,7 @@
         place=order.place,
         result_bytes=min(order.result_bytes, MAX_BYTES),
         moved_bytes=min(order.moved_bytes, MAX_BYTES),
+        is_only_reader=order.is_only_reader,
     )
 
 
@@ -53,6 +55,7 @@
         place=message.place,
         result_bytes=message.result_bytes,
         moved_bytes=message.moved_bytes,
+        is_only_reader=message.is_only_reader,
     )
 
 
@@ -65,13 +68,22 @@
     )
 
 
-def decode_pieces(message: pb.PiecesMessage) -> tuple[str, ...]:
+def encode_made(made: MadePieces) -> pb.PiecesMessage:
+    """Encode the results of an order."""
+    return pb.PiecesMessage(
+        handles=made.handles,
+        backlog_ms=min(MAX_TIME_MS, int(made.backlog_s * MS_PER_S)),
+    )
+
+
+def decode_made(message: pb.PiecesMessage) -> MadePieces:
     """Decode the results; raises the BerylcartError that came instead.
 
     Raises ValueError on an unknown code.
     """
     if not message.error_code:
-        return tuple(message.handles)
+        backlog_s = message.backlog_ms / MS_PER_S
+        return MadePieces(tuple(message.handles), backlog_s)
     raise BerylcartError(
         Code(message.error_code),
         message.error_detail,
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -9,6 +9,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol import piece_codec
@@ -195,7 +196,7 @@
 
     async def make_pieces(
         self, address: str, order: Order, *, timeout_ms: int
-    ) -> tuple[str, ...]:
+    ) -> MadePieces:
         """Have the pieces of an order made; raises its error."""
         reply = await self._call(
             address,
@@ -205,7 +206,7 @@
             timeout_ms,
         )
         try:
-            return piece_codec.decode_pieces(reply)
+            return piece_codec.decode_made(reply)
         except ValueError as error:
             raise BerylcartError(
                 Code.PEER_UNAVAILABLE, f"{address} sent an unknown code"
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -160,10 +160,10 @@
 
         async def handle(order: Order) -> pb.PiecesMessage:
             try:
-                handles = await self.stages.on_make_pieces(order)
+                made = await self.stages.on_make_pieces(order)
             except BerylcartError as error:
                 return piece_codec.encode_error(error)
-            return pb.PiecesMessage(handles=handles)
+            return piece_codec.encode_made(made)
 
         await self._answer(
             stream, piece_codec.decode_order, handle, lambda reply: reply
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -296,3 +296,46 @@
         assert await play_burst(8.5, 8, 0.3) >= 0.9 * 8.5 * 8
 
     run(check)
+
+
+def test_inputs_are_dropped_once_all_pieces_read_them():
+    async def check():
+        replicas = FakeReplicas()
+        batcher = make_batcher(replicas, [make_vm("v1")])
+        read = []
+        batcher.on_read = lambda handles: read.append(
+            (anyio.current_time(), handles)
+        )
+
+        async def body(_):
+            started_s = anyio.current_time()
+            order = make_order("r1", 12)._replace(is_only_reader=True)
+            await batcher.make(order)
+            await batcher.make(make_order("r2", 2))
+            ((read_s, handles),) = read
+            assert handles == order.inputs
+            # Twelve pieces take two calls; the second one begins at 0.28 s.
+            assert 0.28 < read_s - started_s < 0.45
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_inputs_of_a_failed_call_are_kept():
+    async def check():
+        replicas = FakeReplicas()
+        replicas.broken.add("v1")
+        batcher = make_batcher(replicas, [make_vm("v1")])
+        read = []
+        batcher.on_read = read.append
+
+        async def body(_):
+            order = make_order("r1", deadline_s=1.0)
+            with pytest.raises(BerylcartError):
+                await batcher.make(order._replace(is_only_reader=True))
+            assert read == []
+
+        await with_batcher(batcher, body)
+
+    run(check)
