--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -3,8 +3,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
-from berylcart.coordination.gateway.batcher import PieceCaller
-from berylcart.coordination.gateway.ports import Wire
+from berylcart.coordination.gateway.ports import PieceCaller, Wire
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.ports import VmList
 from berylcart.state.relayed import CallerHead, Refusal
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -2,12 +2,17 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
 from berylcart import events
+from berylcart.coordination.gateway.job import Job
+from berylcart.coordination.gateway.maker_state import (
+    FIRST_PAUSE_S,
+    MAX_PAUSE_S,
+    MakerState,
+)
 from berylcart.coordination.gateway.piece_queue import (
     Maker,
     Order,
@@ -17,9 +22,10 @@
     is_worthwhile,
     take_batch,
 )
+from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.state.errors import BerylcartError, Code, UpstreamError
-from berylcart.state.relayed import Piece, PieceFailure, PieceResult
+from berylcart.state.relayed import PieceFailure, PieceResult
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm
 
@@ -30,13 +36,6 @@
 PATIENCE = 4.0
 PATIENCE_S = 0.5
 MAX_FAILURES = 3
-FIRST_PAUSE_S = 0.25
-MAX_PAUSE_S = 2.0
-# A slow call costs more than a fast one gains, so it counts for more.
-SLOWING = 0.7
-RECOVERING = 0.4
-# A replica that was slow is tried again: what is known of it grows old.
-SLOWNESS_HALF_LIFE_S = 6.0
 # A call reads its inputs first: well over the time for the largest ones on
 # the replicas' links, with a free slot.
 READ_S = 0.1
@@ -46,131 +45,10 @@
 RATE_WINDOW_S = 2.0
 # Results differ in size from what their stage says.
 SIZE_MARGIN = 1.1
-# How long the memory of a full replica holds.
-FULL_HOLDS_S = 1.0
 # A last look for work when nothing else woke the dispatcher.
 IDLE_PERIOD_S = 0.1
 
 
-class TimedPiece(NamedTuple):
-    """Hold a piece and how long its request still waits."""
-
-    piece: Piece
-    left_ms: int
-
-
-class PieceCaller(Protocol):
-    """Call the replicas that work on pieces."""
-
-    async def run_pieces(
-        self, vm: Vm, pieces: Sequence[TimedPiece]
-    ) -> Sequence[PieceResult]:
-        """Make pieces; raises UpstreamError."""
-        ...
-
-    def holder(self, handle: str) -> str:
-        """Give the address of the replica that holds a result."""
-        ...
-
-    async def free_results(self, vm: Vm, handles: Sequence[str]) -> None:
-        """Let a replica drop results; raises UpstreamError."""
-        ...
-
-
-class MakerState:
-    """Hold what is known of one replica."""
-
-    def __init__(self) -> None:
-        self.calls = 0
-        self.busy_until_s = 0.0
-        self.paused_until_s = 0.0
-        self.pause_s = FIRST_PAUSE_S
-        self.slowness = 1.0
-        self.judged_at_s = 0.0
-        # What each result takes, and until when at most.
-        self.results: dict[str, tuple[int, float]] = {}
-        self.reserved_bytes = 0
-        # What its results took when it had room for no more, and when.
-        self.full_bytes = 0.0
-        self.full_at_s = -FULL_HOLDS_S
-        # Set by a call in progress that found no room.
-        self.is_full = False
-
-    def slowness_at(self, now_s: float) -> float:
-        """Let what was learnt of the replica's speed grow old."""
-        age_s = now_s - self.judged_at_s
-        weight: float = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
-        return 1.0 + max(0.0, self.slowness - 1.0) * weight
-
-    def learn(self, ratio: float, now_s: float) -> None:
-        """Take in how long a call took against what was expected."""
-        old = self.slowness_at(now_s)
-        weight = SLOWING if ratio > old else RECOVERING
-        self.slowness = old + weight * (ratio - old)
-        self.judged_at_s = now_s
-
-    def pause(self, now_s: float) -> None:
-        """Give the replica no call for a while."""
-        self.paused_until_s = now_s + self.pause_s
-        self.pause_s = min(MAX_PAUSE_S, 2 * self.pause_s)
-
-    def room_bytes(self, limit_bytes: float, now_s: float) -> float:
-        """Estimate the room for more results.
-
-        A replica that was full stays full until one of its results goes.
-        """
-        if now_s - self.full_at_s < FULL_HOLDS_S:
-            limit_bytes = min(limit_bytes, self.full_bytes)
-        return limit_bytes - self.used_bytes(now_s)
-
-    def note_full(self, now_s: float) -> None:
-        """Learn that the results held now leave no room."""
-        self.full_bytes = self.used_bytes(now_s)
-        self.full_at_s = now_s
-        self.is_full = False
-
-    def used_bytes(self, now_s: float) -> int:
-        """Sum what results take, without those that were dropped."""
-        gone = [key for key, (_, end) in self.results.items() if end < now_s]
-        for key in gone:
-            del self.results[key]
-        held = sum(size for size, _ in self.results.values())
-        return held + self.reserved_bytes
-
-
-class Job:
-    """Collect the results of one order."""
-
-    def __init__(self, order: Order) -> None:
-        self.order = order
-        self.results: list[str] = [""] * order.pieces
-        self.missing = order.pieces
-        self.unread = set(range(order.pieces))
-        self.error: BerylcartError | None = None
-        self.is_done = anyio.Event()
-
-    def settle(self, number: int, handle: str) -> None:
-        """Take one piece's result; a second one changes nothing."""
-        if self.results[number]:
-            return
-        self.results[number] = handle
-        self.missing -= 1
-        if not self.missing:
-            self.is_done.set()
-
-    def note_read(self, number: int) -> bool:
-        """Tell whether a piece was the last to read the order's inputs."""
-        if number not in self.unread:
-            return False
-        self.unread.discard(number)
-        return not self.unread and self.order.is_only_reader
-
-    def fail(self, error: BerylcartError) -> None:
-        """End the order with an error."""
-        self.error = error
-        self.is_done.set()
-
-
 class Batcher:
     """Share the calls to one service's replicas between requests."""
 
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/job.py
@@ -0,0 +1,39 @@
+"""Collect the results of one order."""
+
+import anyio
+
+from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.state.errors import BerylcartError
+
+
+class Job:
+    """Collect the results of one order."""
+
+    def __init__(self, order: Order) -> None:
+        self.order = order
+        self.results: list[str] = [""] * order.pieces
+        self.missing = order.pieces
+        self.unread = set(range(order.pieces))
+        self.error: BerylcartError | None = None
+        self.is_done = anyio.Event()
+
+    def settle(self, number: int, handle: str) -> None:
+        """Take one piece's result; a second one changes nothing."""
+        if self.results[number]:
+            return
+        self.results[number] = handle
+        self.missing -= 1
+        if not self.missing:
+            self.is_done.set()
+
+    def note_read(self, number: int) -> bool:
+        """Tell whether a piece was the last to read the order's inputs."""
+        if number not in self.unread:
+            return False
+        self.unread.discard(number)
+        return not self.unread and self.order.is_only_reader
+
+    def fail(self, error: BerylcartError) -> None:
+        """End the order with an error."""
+        self.error = error
+        self.is_done.set()
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
@@ -0,0 +1,72 @@
+"""Know how fast, full and reliable a replica that makes pieces is."""
+
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 2.0
+# A slow call costs more than a fast one gains, so it counts for more.
+SLOWING = 0.7
+RECOVERING = 0.4
+# A replica that was slow is tried again: what is known of it grows old.
+SLOWNESS_HALF_LIFE_S = 6.0
+# How long the memory of a full replica holds.
+FULL_HOLDS_S = 1.0
+
+
+class MakerState:
+    """Hold what is known of one replica."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.busy_until_s = 0.0
+        self.paused_until_s = 0.0
+        self.pause_s = FIRST_PAUSE_S
+        self.slowness = 1.0
+        self.judged_at_s = 0.0
+        # What each result takes, and until when at most.
+        self.results: dict[str, tuple[int, float]] = {}
+        self.reserved_bytes = 0
+        # What its results took when it had room for no more, and when.
+        self.full_bytes = 0.0
+        self.full_at_s = -FULL_HOLDS_S
+        # Set by a call in progress that found no room.
+        self.is_full = False
+
+    def slowness_at(self, now_s: float) -> float:
+        """Let what was learnt of the replica's speed grow old."""
+        age_s = now_s - self.judged_at_s
+        weight: float = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + max(0.0, self.slowness - 1.0) * weight
+
+    def learn(self, ratio: float, now_s: float) -> None:
+        """Take in how long a call took against what was expected."""
+        old = self.slowness_at(now_s)
+        weight = SLOWING if ratio > old else RECOVERING
+        self.slowness = old + weight * (ratio - old)
+        self.judged_at_s = now_s
+
+    def pause(self, now_s: float) -> None:
+        """Give the replica no call for a while."""
+        self.paused_until_s = now_s + self.pause_s
+        self.pause_s = min(MAX_PAUSE_S, 2 * self.pause_s)
+
+    def room_bytes(self, limit_bytes: float, now_s: float) -> float:
+        """Estimate the room for more results.
+
+        A replica that was full stays full until one of its results goes.
+        """
+        if now_s - self.full_at_s < FULL_HOLDS_S:
+            limit_bytes = min(limit_bytes, self.full_bytes)
+        return limit_bytes - self.used_bytes(now_s)
+
+    def note_full(self, now_s: float) -> None:
+        """Learn that the results held now leave no room."""
+        self.full_bytes = self.used_bytes(now_s)
+        self.full_at_s = now_s
+        self.is_full = False
+
+    def used_bytes(self, now_s: float) -> int:
+        """Sum what results take, without those that were dropped."""
+        gone = [key for key, (_, end) in self.results.items() if end < now_s]
+        for key in gone:
+            del self.results[key]
+        held = sum(size for size, _ in self.results.values())
+        return held + self.reserved_bytes
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -1,5 +1,6 @@
 """Define the ports through which a gateway reaches the outside."""
 
+from collections.abc import Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import NamedTuple, Protocol
 
@@ -8,6 +9,8 @@
     AnswerHead,
     CallerHead,
     Headers,
+    Piece,
+    PieceResult,
     Refusal,
     RelayRequest,
     UpstreamRequest,
@@ -95,3 +98,28 @@
     async def answer(self, refusal: Refusal) -> None:
         """Write a whole answer of the gateway itself."""
         ...
+
+
+class TimedPiece(NamedTuple):
+    """Hold a piece and how long its request still waits."""
+
+    piece: Piece
+    left_ms: int
+
+
+class PieceCaller(Protocol):
+    """Call the replicas that work on pieces."""
+
+    async def run_pieces(
+        self, vm: Vm, pieces: Sequence[TimedPiece]
+    ) -> Sequence[PieceResult]:
+        """Make pieces; raises UpstreamError."""
+        ...
+
+    def holder(self, handle: str) -> str:
+        """Give the address of the replica that holds a result."""
+        ...
+
+    async def free_results(self, vm: Vm, handles: Sequence[str]) -> None:
+        """Let a replica drop results; raises UpstreamError."""
+        ...
