--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 
 demo: setup
 	$(BIN)/berylcart demo
+	$(BIN)/python -m berylcart_platform.demo 2>/dev/null
 
 test: check unit
 
