Drop results while the engine reads the prompt

The last results were kept until the engine's first event, 0.2 to 1.9 s after the send, for the whole time of reading the prompt and waiting behind others; and the inputs of a call were kept for 0.1 s where reading them takes some 20 ms.

Change: results are dropped once the replica that is to read them had the time for it, worked out from their size and the links that the operator states, for calls as for requests. They stay when the attempt ends sooner: a replica that refuses gets nobody into redoing stages.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -3,7 +3,8 @@
 import random
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -121,9 +122,7 @@
             self.ports.wire,
             self.policy,
             Forwarder(self.relay, self.policy, self.ports.wire),
-            StageResults(
-                self.home, self.budget, self.drop_results, self.place_of
-            ),
+            StageResults(self.home, self.budget, self.spawn, self.place_of),
         )
         self.gateway.on_served = self.note_served
 
@@ -192,10 +191,12 @@
                 self.background.start_soon(batcher.run)
         return batcher
 
-    def drop_results(self, service: str, handles: Sequence[str]) -> None:
-        """Drop results of a stage without waiting for it."""
+    def spawn(
+        self, function: Callable[..., Coroutine[Any, Any, None]], *args: object
+    ) -> None:
+        """Run a function beside everything else until it ends."""
         if self.background is not None:
-            self.background.start_soon(self.home.free, service, handles)
+            self.background.start_soon(function, *args)
 
     def drop_inputs(self, handles: Sequence[str]) -> None:
         """Drop results of any stages."""
@@ -205,7 +206,7 @@
             if vm is not None:
                 by_service.setdefault(vm.service, []).append(handle)
         for service, group in by_service.items():
-            self.drop_results(service, group)
+            self.spawn(self.home.free, service, group)
 
     def place_of(self, handle: str) -> str:
         """Find the place of the replica that holds a result."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -20,6 +20,7 @@
     backlog_s,
     call_s,
     is_worthwhile,
+    read_s,
     take_batch,
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
@@ -36,9 +37,6 @@
 PATIENCE = 4.0
 PATIENCE_S = 0.5
 MAX_FAILURES = 3
-# A call reads its inputs first: well over the time for the largest ones on
-# the replicas' links, with a free slot.
-READ_S = 0.1
 # What an order's inputs were kept for when it came; they expire together.
 KEEP_SHARE = 0.8
 # A few calls of each replica.
@@ -250,7 +248,7 @@
         started_s = anyio.current_time()
         reading = anyio.CancelScope()
         if self.tasks is not None:
-            self.tasks.start_soon(self.wait_for_read, batch, reading)
+            self.tasks.start_soon(self.wait_for_read, batch, limits, reading)
         pieces = [
             TimedPiece(
                 each.piece,
@@ -295,14 +293,20 @@
             self.changed.set()
 
     async def wait_for_read(
-        self, batch: Sequence[Waiting], call: anyio.CancelScope
+        self,
+        batch: Sequence[Waiting],
+        limits: BatchLimits,
+        call: anyio.CancelScope,
     ) -> None:
         """Drop the inputs of pieces while their call still works.
 
         They take room at the stage before, which then makes more.
         """
         with call:
-            await anyio.sleep(READ_S)
+            size_bytes = sum(
+                each.order.moved_bytes for each in batch if each.order.inputs
+            )
+            await anyio.sleep(read_s(size_bytes, limits.link_mbps))
             self.note_read(batch)
 
     def note_read(self, batch: Sequence[Waiting]) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -107,6 +107,8 @@
         self.exchange = exchange
         self.progress = progress
         self.on_begun: Callable[[], None] = lambda: None
+        # Called with a scope that the attempt cancels at its end.
+        self.on_sent: Callable[[anyio.CancelScope], None] = lambda _: None
         self.tried: set[str] = set()
         self.sends = 0
         self.runs = 0
@@ -255,9 +257,17 @@
     ) -> int:
         """Send a request and pass on its answer, up to a silence."""
         patience = Patience(run.patience_s())
-        with patience.scope:
-            async with self.relay.exchange(request) as answer:
-                return await self.pass_on(run, answer, clock, patience)
+        attempt = anyio.CancelScope()
+
+        def note_sent() -> None:
+            run.on_sent(attempt)
+
+        try:
+            with patience.scope:
+                async with self.relay.exchange(request, note_sent) as answer:
+                    return await self.pass_on(run, answer, clock, patience)
+        finally:
+            attempt.cancel()
         raise UpstreamError(
             Code.UPSTREAM_FAILED,
             f"silent for {patience.limit_s} s",
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -255,8 +255,10 @@
         try:
             inputs = await self.stages.make_all(plan)
             run.work = work._replace(inputs=inputs, preferred=vm)
-            # The replica has read its inputs once its answer begins.
+            # The replica has read its inputs at the latest once its answer
+            # begins.
             run.on_begun = lambda: self.stages.drop_all(plan)
+            run.on_sent = lambda attempt: self.stages.watch_read(plan, attempt)
             return await self.forwarder.forward(run)
         finally:
             self.stages.drop_all(plan)
@@ -280,8 +282,19 @@
             due_s=received_s + route.target_ms / MS_PER_S,
             deadline_s=min(work.deadline_s, leaves_s),
             place=vm.place,
+            link_mbps=self.link_mbps(route),
         )
 
+    def link_mbps(self, route: Route) -> float:
+        """Find the slowest link over which a request's inputs come."""
+        services = self.tables.require().services
+        infos = [
+            services.get(route.stages[index].service)
+            for index in route.last_stages
+        ]
+        limits = [info.batches for info in infos if info is not None]
+        return min((each.link_mbps for each in limits if each), default=0.0)
+
 
 class Names:
     """Collect what a request is called, as it becomes known."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -13,6 +13,13 @@
 MS_PER_S = 1000
 # To move more than this between places is worth a wait for a near replica.
 LARGE_MOVE_BYTES = 100_000
+# A request's way to a replica with a free slot, on a link that loses nothing.
+READ_START_S = 0.05
+# Some replicas read over one link at a time.
+READ_MARGIN = 4.0
+# Well over the time for the largest results, where the link is unknown.
+UNKNOWN_READ_S = 0.2
+BITS_PER_BYTE = 8
 # Longer waits cost more of the target than a result that crosses places.
 PLACE_WAIT_S = 0.1
 
@@ -95,6 +102,18 @@
     return (limits.call_ms + pieces * limits.piece_ms) / MS_PER_S
 
 
+def read_s(size_bytes: float, link_mbps: float) -> float:
+    """Bound the time in which a replica with a free slot reads its inputs.
+
+    >>> round(read_s(4_700_000, 10_000), 3)
+    0.065
+    """
+    if not link_mbps:
+        return UNKNOWN_READ_S
+    bytes_per_s = link_mbps * 1e6 / BITS_PER_BYTE
+    return READ_START_S + READ_MARGIN * size_bytes / bytes_per_s
+
+
 def may_take(piece: Waiting, maker: Maker, now_s: float) -> bool:
     """Tell whether a replica is near enough to its inputs and reader."""
     order = piece.order
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -1,6 +1,6 @@
 """Define the ports through which a gateway reaches the outside."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import NamedTuple, Protocol
 
@@ -69,9 +69,9 @@
     """Reach upstreams."""
 
     def exchange(
-        self, request: UpstreamRequest
+        self, request: UpstreamRequest, on_sent: Callable[[], None]
     ) -> AbstractAsyncContextManager[UpstreamAnswer]:
-        """Send a request; raises UpstreamError."""
+        """Send a request and say when it is sent; raises UpstreamError."""
         ...
 
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -1,13 +1,14 @@
 """Make the results of a request's stages, each as soon as it may start."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
 from berylcart import events
-from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.piece_queue import Order, read_s
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.stage_home import StageHome
 from berylcart.state.errors import BerylcartError, Code, InputsGoneError
@@ -19,6 +20,16 @@
 PlaceOf = Callable[[str], str]
 
 
+class Spawn(Protocol):
+    """Run a function beside everything else until it ends."""
+
+    def __call__(
+        self, function: Callable[..., Coroutine[Any, Any, None]], *args: object
+    ) -> None:
+        """Start it with its arguments."""
+        ...
+
+
 class StagePlan:
     """Hold what is known of one request's stages.
 
@@ -33,6 +44,7 @@
         due_s: float,
         deadline_s: float,
         place: str,
+        link_mbps: float = 0.0,
     ) -> None:
         self.request = request
         self.route = route
@@ -40,6 +52,7 @@
         self.due_s = due_s
         self.deadline_s = deadline_s
         self.place = place
+        self.link_mbps = link_mbps
         self.results: dict[int, tuple[str, ...]] = {}
         self.made = [anyio.Event() for _ in route.stages]
         self.unread = [
@@ -93,6 +106,14 @@
             is_only_reader=self.is_only_reader(index),
         )
 
+    def read_s(self) -> float:
+        """Bound the time in which the request's replica reads its inputs."""
+        size_bytes = sum(
+            self.count(each) * self.route.stages[each].result_bytes
+            for each in self.route.last_stages
+        )
+        return read_s(size_bytes, self.link_mbps)
+
     def inputs(self) -> tuple[str, ...]:
         """List the results that the request itself reads."""
         return tuple(
@@ -128,12 +149,12 @@
         self,
         home: StageHome,
         budget: RetryWindow,
-        drop: Callable[[str, Sequence[str]], None],
+        spawn: Spawn,
         place_of: PlaceOf,
     ) -> None:
         self.home = home
         self.budget = budget
-        self.drop = drop
+        self.spawn = spawn
         self.place_of = place_of
 
     async def make_all(self, plan: StagePlan) -> tuple[str, ...]:
@@ -193,7 +214,23 @@
         """Drop the results of a stage."""
         handles = plan.results.pop(index, ())
         if handles:
-            self.drop(plan.route.stages[index].service, handles)
+            service = plan.route.stages[index].service
+            self.spawn(self.home.free, service, handles)
+
+    def watch_read(self, plan: StagePlan, attempt: anyio.CancelScope) -> None:
+        """Drop results once an attempt has read them, unless it ends first.
+
+        They take room at the last stages while the replica reads the prompt.
+        """
+        self.spawn(self.drop_read, plan, attempt)
+
+    async def drop_read(
+        self, plan: StagePlan, attempt: anyio.CancelScope
+    ) -> None:
+        """Wait until an attempt has read the results and drop them."""
+        with attempt:
+            await anyio.sleep(plan.read_s())
+            self.drop_all(plan)
 
     def drop_all(self, plan: StagePlan) -> None:
         """Drop the results that are still there."""
--- a/packages/berylcart/src/berylcart/state/routes.py
+++ b/packages/berylcart/src/berylcart/state/routes.py
@@ -79,6 +79,7 @@
     """Bound the calls of one replica that works on batches of pieces.
 
     call_ms and piece_ms are the operator's estimate of a call's time.
+    link_mbps is what results travel over, 0 where that is unknown.
     """
 
     slots: int
@@ -88,6 +89,7 @@
     piece_ms: float
     room_bytes: float
     keep_s: float
+    link_mbps: float = 0.0
 
 
 class EngineLimits(NamedTuple):
--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -25,6 +25,10 @@
 HeadReader = Callable[[int, Headers], AnswerHead]
 
 
+def ignore() -> None:
+    """Take no notice of a request that is sent."""
+
+
 class RelayConnection:
     """Send one request after another to an upstream."""
 
@@ -217,7 +221,9 @@
 
     @asynccontextmanager
     async def exchange(
-        self, request: UpstreamRequest
+        self,
+        request: UpstreamRequest,
+        on_sent: Callable[[], None] = ignore,
     ) -> AsyncGenerator[RelayAnswer]:
         """Send a request and read its answer as it arrives.
 
@@ -227,7 +233,7 @@
         answer: RelayAnswer | None = None
         try:
             with failures_reported(connection):
-                head = await self.begin(connection, request)
+                head = await self.begin(connection, request, on_sent)
                 answer = RelayAnswer(connection, head)
             yield answer
         except BaseException:
@@ -237,7 +243,10 @@
             self.give_back(connection, answer)
 
     async def begin(
-        self, connection: RelayConnection, request: UpstreamRequest
+        self,
+        connection: RelayConnection,
+        request: UpstreamRequest,
+        on_sent: Callable[[], None],
     ) -> AnswerHead:
         """Send a request and read the head of its answer."""
         try:
@@ -245,6 +254,7 @@
         except OSError:
             # An upstream may answer and close before it has read the body.
             connection.is_broken = True
+        on_sent()
         return await connection.read_head(request.request_id, self.read_head)
 
     def give_back(
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -14,7 +14,7 @@
 
 from ..serving_fakes import run
 
-LIMITS = BatchLimits(1, 2, 8, 150.0, 16.0, 1_280_000, 4.0)
+LIMITS = BatchLimits(1, 2, 8, 150.0, 16.0, 1_280_000, 4.0, 10_000.0)
 RESULT_BYTES = 60_000
 
 
@@ -315,7 +315,7 @@
             ((read_s, handles),) = read
             assert handles == order.inputs
             # Twelve pieces take two calls; the second one begins at 0.28 s.
-            assert 0.28 < read_s - started_s < 0.45
+            assert 0.28 < read_s - started_s < 0.38
 
         await with_batcher(batcher, body)
 
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -13,6 +13,7 @@
 from ..gateway_fakes import (
     BOOKING,
     GONE,
+    REFUSED,
     STAGED,
     FakeExchange,
     FakeRelay,
@@ -39,9 +40,14 @@
 
     def __init__(self):
         self.orders = []
+        self.dropped = []
         self.error = None
         self.backlogs = Backlogs()
 
+    async def free(self, service, handles):
+        """Drop results."""
+        self.dropped.extend(handles)
+
     async def make(self, order):
         """Make the pieces of an order."""
         self.orders.append(order)
@@ -71,14 +77,14 @@
         self.keeper = make_keeper(route)
         self.relay = FakeRelay(*scripts)
         self.home = FakeHome()
-        self.dropped = []
+        self.tasks = None
         self.served = []
         self.wire = KeyedWire()
         policy = make_policy(self.keeper, vms)
         stages = StageResults(
             self.home,
             policy.budget,
-            lambda service, handles: self.dropped.extend(handles),
+            self.spawn,
             lambda handle: "lahore-1",
         )
         forwarder = Forwarder(self.relay, policy, self.wire)
@@ -87,10 +93,20 @@
         )
         self.gateway.on_served = self.served.append
 
+    @property
+    def dropped(self):
+        """List the results that were dropped."""
+        return self.home.dropped
+
+    def spawn(self, function, *args):
+        """Run a function beside the request."""
+        self.tasks.start_soon(function, *args)
+
     async def serve(self, target="/a/b"):
         """Serve one request."""
         exchange = FakeExchange(target)
-        await self.gateway.handle(exchange)
+        async with anyio.create_task_group() as self.tasks:
+            await self.gateway.handle(exchange)
         return exchange
 
 
@@ -161,6 +177,33 @@
     run(check)
 
 
+def test_results_are_dropped_while_the_prompt_is_read():
+    async def check():
+        rig = Rig(STAGED, Script(starts_after_s=1.0))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(rig.serve)
+            await anyio.sleep(0.1 + 0.04)
+            assert rig.dropped == []
+            await anyio.sleep(0.3)
+            assert rig.dropped == ["sms-1-0", "sms-1-1"]
+
+    run(check)
+
+
+def test_results_that_a_full_replica_refused_are_kept():
+    async def check():
+        refusal = Script(REFUSED, starts_after_s=0.02)
+        rig = Rig(STAGED, refusal, Script(starts_after_s=1.0))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(rig.serve)
+            # 0.1 s for the stage and 0.02 s for the refusal.
+            await anyio.sleep(0.12 + 0.15)
+            assert len(rig.relay.sent) == 2
+            assert rig.dropped == []
+
+    run(check)
+
+
 def test_vanished_inputs_are_made_again():
     async def check():
         rig = Rig(STAGED, Script(GONE), Script())
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -93,8 +93,17 @@
 class Script:
     """Say how a replica answers: its head, its chunks and how it ends."""
 
-    def __init__(self, head=OK, chunks=(b"whole",), *, ends=True, hangs=False):
+    def __init__(
+        self,
+        head=OK,
+        chunks=(b"whole",),
+        *,
+        ends=True,
+        hangs=False,
+        starts_after_s=0.0,
+    ):
         self.head = head
+        self.starts_after_s = starts_after_s
         self.chunks = list(chunks)
         self.ends = ends
         self.hangs = hangs
@@ -118,14 +127,16 @@
         self.sent = []
 
     @asynccontextmanager
-    async def exchange(self, request):
+    async def exchange(self, request, on_sent=lambda: None):
         """Answer one request."""
         script = self.scripts.pop(0)
         if script is None:
             raise UnreachableError("no connection")
         self.sent.append(request)
+        on_sent()
         if isinstance(script, Exception):
             raise script
+        await anyio.sleep(script.starts_after_s)
         yield script
 
 
