--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -230,6 +230,7 @@
         ]
         state = self.state(vm)
         state.calls += 1
+        state.note_call(anyio.current_time(), limits.keep_s)
         state.reserved_bytes += sum(e.order.result_bytes for e in batch)
         expected_s = call_s(limits, len(batch))
         slow_s = expected_s * state.slowness_at(anyio.current_time())
@@ -248,7 +249,9 @@
         started_s = anyio.current_time()
         reading = anyio.CancelScope()
         if self.tasks is not None:
-            self.tasks.start_soon(self.wait_for_read, batch, limits, reading)
+            self.tasks.start_soon(
+                self.wait_for_read, vm, batch, limits, reading
+            )
         pieces = [
             TimedPiece(
                 each.piece,
@@ -282,7 +285,13 @@
                 used_bytes=state.used_bytes(now_s),
             )
             self.made.append((now_s, made))
-            self.note_read(batch)
+            self.note_read(
+                [
+                    each
+                    for each, result in zip(batch, results, strict=True)
+                    if result.failure is not PieceFailure.ROOM
+                ]
+            )
             self.hand_out(vm, batch, results, limits)
         finally:
             reading.cancel()
@@ -294,6 +303,7 @@
 
     async def wait_for_read(
         self,
+        vm: Vm,
         batch: Sequence[Waiting],
         limits: BatchLimits,
         call: anyio.CancelScope,
@@ -307,7 +317,11 @@
                 each.order.moved_bytes for each in batch if each.order.inputs
             )
             await anyio.sleep(read_s(size_bytes, limits.link_mbps))
-            self.note_read(batch)
+            # A piece that finds no room reads its inputs once more.
+            if self.state(vm).has_sure_room(
+                limits.room_bytes, anyio.current_time(), limits.keep_s
+            ):
+                self.note_read(batch)
 
     def note_read(self, batch: Sequence[Waiting]) -> None:
         """Drop the inputs that no piece is to read any more."""
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -298,6 +298,33 @@
     run(check)
 
 
+async def learn_room(batcher):
+    """Use a batcher until nothing unknown takes room at its replicas."""
+    for number in range(6):
+        batcher.drop(await batcher.make(make_order(f"earlier-{number}", 1)))
+        await anyio.sleep(1.0)
+
+
+def test_inputs_are_kept_until_a_piece_has_found_room():
+    async def check():
+        replicas = FakeReplicas()
+        batcher = make_batcher(replicas, [make_vm("v1")])
+        read = []
+        batcher.on_read = read.append
+
+        async def body(_):
+            # Results that a home before had made leave room for four.
+            replicas.held["v1:80"] = replicas.room_bytes - 4 * RESULT_BYTES
+            order = make_order("r1", 8)._replace(is_only_reader=True)
+            with anyio.move_on_after(1.0):
+                await batcher.make(order)
+            assert read == []
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
 def test_inputs_are_dropped_once_all_pieces_read_them():
     async def check():
         replicas = FakeReplicas()
@@ -308,6 +335,7 @@
         )
 
         async def body(_):
+            await learn_room(batcher)
             started_s = anyio.current_time()
             order = make_order("r1", 12)._replace(is_only_reader=True)
             await batcher.make(order)
