Finish begun orders, then those that can be in time

Change, in the queue for pieces (pure functions, played without a network): - pieces of a begun order go first: what is made of it takes room until all is; - then orders whose calls can begin in time for all later stages; late ones use what is left, unless they hold large results; - a late order that won't get its call before its inputs expire or its caller leaves is given up at once, with when to come back; - the backlog that refuses at arrival counts only what goes before; - a caller that came back, by a shorter time limit than its route's others, is due after its first request.

--- a/packages/berylcart/src/berylcart/coordination/gateway/backlogs.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/backlogs.py
@@ -8,14 +8,16 @@
 
 import anyio
 
+from berylcart.coordination.gateway.stage_times import (
+    ENGINE_S,
+    whole_call_s,
+)
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.routes import GatewayService, Route
 
 MS_PER_S = 1000
 # Older news may no longer hold; the next request asks anew.
 FRESH_S = 1.0
-# Time to the first event beside the stages: an engine's, lightly loaded.
-ENGINE_S = 0.4
 # What a refused caller should find when it comes back.
 ACCEPTABLE_S = 0.5
 
@@ -78,11 +80,7 @@
         ends_s: list[float] = []
         for stage in route.stages:
             start_s = max((ends_s[each] for each in stage.after), default=0.0)
-            info = services.get(stage.service)
-            batches = info.batches if info is not None else None
-            call_ms = 0.0
-            if batches is not None:
-                call_ms = batches.call_ms + batches.pieces * batches.piece_ms
-            wait_s = self.of(stage.service) + call_ms / MS_PER_S
-            ends_s.append(start_s + wait_s)
+            wait_s = self.of(stage.service)
+            own_s = whole_call_s(stage.service, services)
+            ends_s.append(start_s + wait_s + own_s)
         return max(ends_s, default=0.0) + ENGINE_S
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -1,6 +1,5 @@
 """Work on the pieces of one service in shared calls."""
 
-from collections import deque
 from collections.abc import Callable, Sequence
 
 import anyio
@@ -19,11 +18,15 @@
     Waiting,
     backlog_s,
     call_s,
+    count_ahead,
+    hopeless,
     is_worthwhile,
+    pieces_per_s,
     read_s,
     take_batch,
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
+from berylcart.coordination.gateway.queue_rates import QueueRates
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.state.errors import BerylcartError, Code, UpstreamError
 from berylcart.state.relayed import PieceFailure, PieceResult
@@ -39,8 +42,6 @@
 MAX_FAILURES = 3
 # What an order's inputs were kept for when it came; they expire together.
 KEEP_SHARE = 0.8
-# A few calls of each replica.
-RATE_WINDOW_S = 2.0
 # Results differ in size from what their stage says.
 SIZE_MARGIN = 1.1
 # A last look for work when nothing else woke the dispatcher.
@@ -68,8 +69,7 @@
         self.waiting: list[Waiting] = []
         self.jobs: dict[tuple[str, int], Job] = {}
         self.makers: dict[tuple[str, int], MakerState] = {}
-        self.made: deque[tuple[float, int]] = deque()
-        self.queued_since_s: float | None = None
+        self.rates = QueueRates()
         self.changed = anyio.Event()
         self.tasks: TaskGroup | None = None
 
@@ -94,9 +94,13 @@
         key = (order.request_id, order.stage)
         self.jobs[key] = job
         now_s = anyio.current_time()
+        until_s = now_s + self.left_s(order)
         self.waiting.extend(
-            Waiting(order, number, now_s) for number in range(order.pieces)
+            Waiting(order, number, now_s, until_s)
+            for number in range(order.pieces)
         )
+        if not order.is_late(now_s):
+            self.rates.arrived.note(order.pieces)
         self.changed.set()
         try:
             with anyio.move_on_after(
@@ -119,7 +123,7 @@
 
     def overloaded(self, order: Order) -> BerylcartError:
         """Describe an order that can't be made in time."""
-        wait_s = self.backlog_s(order.rank)
+        wait_s = self.backlog_s(order)
         return BerylcartError(
             Code.OVERLOADED,
             f"{self.service} is {wait_s:.1f} s behind",
@@ -128,48 +132,29 @@
 
     def check_time(self, order: Order) -> None:
         """Refuse an order that the queue makes hopeless."""
-        wait_s = self.backlog_s(order.rank)
-        limits = self.limits(self.service)
+        if self.backlog_s(order) >= self.left_s(order):
+            raise self.overloaded(order)
+
+    def left_s(self, order: Order) -> float:
+        """Say how long an order that arrives now may wait for its calls."""
         left_s = order.deadline_s - anyio.current_time()
+        limits = self.limits(self.service)
         if order.inputs and limits is not None:
             left_s = min(left_s, KEEP_SHARE * limits.keep_s)
-        if wait_s >= left_s:
-            raise self.overloaded(order)
+        return left_s
 
-    def backlog_s(self, rank: int) -> float:
-        """Estimate how long work of a rank waits for its call."""
+    def backlog_s(self, order: Order | None = None) -> float:
+        """Estimate how long an order, else any in time, waits for its call."""
         limits = self.limits(self.service)
         if limits is None:
             return 0.0
-        ahead = sum(1 for each in self.waiting if each.order.rank <= rank)
         now_s = anyio.current_time()
-        makers = [
-            self.describe(vm, limits, now_s) for vm in self.pool(self.service)
-        ]
+        ahead = count_ahead(self.waiting, order, now_s)
+        makers = self.describe_all(limits, now_s)
         estimated_s = backlog_s(ahead, makers, limits)
-        rate = self.measured_rate(now_s)
+        rate = self.rates.measured()
         return estimated_s if rate is None else max(estimated_s, ahead / rate)
 
-    def measured_rate(self, now_s: float) -> float | None:
-        """Give the pieces a second behind a queue, None without one.
-
-        Room for results may allow less than the calls' time does.
-        """
-        oldest_s = now_s - RATE_WINDOW_S
-        while self.made and self.made[0][0] < oldest_s:
-            self.made.popleft()
-        if self.queued_since_s is None or self.queued_since_s > oldest_s:
-            return None
-        count = sum(made for _, made in self.made)
-        return max(1, count) / RATE_WINDOW_S
-
-    def note_queue(self) -> None:
-        """Note since when there is always work that waits."""
-        if not self.waiting:
-            self.queued_since_s = None
-        elif self.queued_since_s is None:
-            self.queued_since_s = anyio.current_time()
-
     def state(self, vm: Vm) -> MakerState:
         """Find what is known of a replica."""
         return self.makers.setdefault((vm.vm_id, vm.incarnation), MakerState())
@@ -188,13 +173,19 @@
             slowness=state.slowness_at(now_s),
         )
 
+    def describe_all(self, limits: BatchLimits, now_s: float) -> list[Maker]:
+        """Describe all replicas for a decision."""
+        pool = self.pool(self.service)
+        return [self.describe(vm, limits, now_s) for vm in pool]
+
     def dispatch(self, tasks: TaskGroup) -> None:
         """Start a call at each free replica that has work to do."""
-        self.note_queue()
+        self.rates.note_queue(not self.waiting)
         limits = self.limits(self.service)
         if limits is None or not self.waiting:
             return
         now_s = anyio.current_time()
+        self.shed(limits, now_s)
         pool = self.pool(self.service)
         self.retain(pool)
         makers = {vm.vm_id: self.describe(vm, limits, now_s) for vm in pool}
@@ -209,6 +200,33 @@
             if batch and is_worthwhile(maker, others, count, limits):
                 self.start_call(tasks, vm, batch, limits)
 
+    def shed(self, limits: BatchLimits, now_s: float) -> None:
+        """Give up late orders that won't get their calls."""
+        makers = self.describe_all(limits, now_s)
+        if not makers:
+            return
+        rate = pieces_per_s(makers, limits)
+        measured = self.rates.measured()
+        if measured is not None:
+            rate = min(rate, measured)
+        spare = rate - self.rates.arrived.per_s()
+        for order in hopeless(self.waiting, rate, spare, now_s):
+            job = self.job_of(order)
+            if job is None:
+                continue
+            events.info(
+                "order.given_up",
+                request_id=order.request_id,
+                service=self.service,
+                waiting=len(self.waiting),
+                rate_per_s=round(rate, 1),
+                spare_per_s=round(spare, 1),
+            )
+            job.fail(self.overloaded(order))
+            self.waiting = [
+                each for each in self.waiting if each.order is not order
+            ]
+
     def retain(self, pool: Sequence[Vm]) -> None:
         """Forget replicas that are gone and have no call."""
         kept = {(vm.vm_id, vm.incarnation) for vm in pool}
@@ -225,8 +243,11 @@
     ) -> None:
         """Take pieces from the queue for a call."""
         taken = {each.piece for each in batch}
+        begun = {id(each.order) for each in batch}
         self.waiting = [
-            each for each in self.waiting if each.piece not in taken
+            each._replace(is_begun=each.is_begun or id(each.order) in begun)
+            for each in self.waiting
+            if each.piece not in taken
         ]
         state = self.state(vm)
         state.calls += 1
@@ -284,7 +305,7 @@
                 waiting=len(self.waiting),
                 used_bytes=state.used_bytes(now_s),
             )
-            self.made.append((now_s, made))
+            self.rates.made.note(made)
             self.note_read(
                 [
                     each
@@ -416,7 +437,7 @@
     def wait_again(self, piece: Waiting) -> None:
         """Queue a piece that a replica had no room for."""
         self.budget.try_take(self.service)
-        self.waiting.append(piece)
+        self.waiting.append(piece._replace(is_begun=True))
         self.changed.set()
 
     def retry(self, piece: Waiting, failure: PieceFailure | None) -> None:
@@ -427,7 +448,9 @@
         failures = piece.failures + 1
         is_allowed = failures < MAX_FAILURES
         if is_allowed and self.budget.try_take(self.service):
-            self.waiting.append(piece._replace(failures=failures))
+            self.waiting.append(
+                piece._replace(failures=failures, is_begun=True)
+            )
             self.changed.set()
             return
         job.fail(
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -6,6 +6,7 @@
 import anyio
 
 from berylcart import events
+from berylcart.coordination.gateway.caller_ages import CallerAges
 from berylcart.coordination.gateway.forwarder import (
     Forwarder,
     ForwardRun,
@@ -20,6 +21,7 @@
     StagePlan,
     StageResults,
 )
+from berylcart.coordination.gateway.stage_times import rests_s
 from berylcart.state.errors import (
     BerylcartError,
     Code,
@@ -117,6 +119,7 @@
         self.policy = policy
         self.forwarder = forwarder
         self.stages = stages
+        self.ages = CallerAges()
         self.in_flight = 0
         self.ended = anyio.Event()
         self.on_served: Callable[[Served], None] = lambda served: None
@@ -275,13 +278,24 @@
                 f"{len(work.request.piece_counts)} piece counts for "
                 f"{len(route.stages)} stages",
             )
+        deadline_ms = min(work.request.deadline_ms, route.timeout_ms)
+        age_ms = self.ages.age_ms(route.name, int(deadline_ms))
+        if age_ms:
+            events.info(
+                "request.returned",
+                request_id=work.request.request_id,
+                route=route.name,
+                deadline_ms=deadline_ms,
+                age_ms=age_ms,
+            )
         return StagePlan(
             work.request,
             route,
             rank,
-            due_s=received_s + route.target_ms / MS_PER_S,
+            due_s=received_s + (route.target_ms - age_ms) / MS_PER_S,
             deadline_s=min(work.deadline_s, leaves_s),
             place=vm.place,
+            rests_s=rests_s(route, self.tables.require().services),
             link_mbps=self.link_mbps(route),
         )
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -5,13 +5,15 @@
 """
 
 from collections.abc import Iterable, Sequence
+from math import inf
 from typing import NamedTuple
 
 from berylcart.state.relayed import Piece
 from berylcart.state.routes import BatchLimits
 
 MS_PER_S = 1000
-# To move more than this between places is worth a wait for a near replica.
+# To move more than this between places is worth a wait for a near replica,
+# and to hold more of it takes room from others.
 LARGE_MOVE_BYTES = 100_000
 # A request's way to a replica with a free slot, on a link that loses nothing.
 READ_START_S = 0.05
@@ -20,6 +22,8 @@
 # Well over the time for the largest results, where the link is unknown.
 UNKNOWN_READ_S = 0.2
 BITS_PER_BYTE = 8
+# A burst ends at some time: late work is left this much at least.
+MIN_SPARE_SHARE = 0.25
 # Longer waits cost more of the target than a result that crosses places.
 PLACE_WAIT_S = 0.1
 
@@ -27,7 +31,7 @@
 class Order(NamedTuple):
     """Describe the pieces of one stage that a request needs.
 
-    A lower rank goes first. due_s is when the pieces must be made for an
+    A lower rank goes first. due_s is when the pieces' calls must begin for an
     answer on time, and deadline_s when the caller leaves, on the runtime's
     clock. A replica elsewhere than in place moves moved_bytes a piece. The
     inputs are dropped once read where nothing else reads them.
@@ -47,14 +51,34 @@
     moved_bytes: int = 0
     is_only_reader: bool = False
 
+    def is_late(self, now_s: float) -> bool:
+        """Tell whether the order yields to those that can be in time.
+
+        Under overload nobody would be in time if those that are late already
+        went first. But an order that holds large results of earlier stages
+        gives room by going on.
+        """
+        holds_room = self.inputs and self.moved_bytes >= LARGE_MOVE_BYTES
+        return self.due_s < now_s and not holds_room
+
+
+# Whether an order waits for its first call, and whether it is late; its rank,
+# when it is due, its name.
+Urgency = tuple[bool, bool, int, float, str]
+
 
 class Waiting(NamedTuple):
-    """Hold one piece that no call has taken yet."""
+    """Hold one piece that no call has taken yet.
+
+    After until_s a call would be in vain.
+    """
 
     order: Order
     number: int
     since_s: float
+    until_s: float
     failures: int = 0
+    is_begun: bool = False
 
     @property
     def piece(self) -> Piece:
@@ -68,15 +92,20 @@
             order.inputs,
         )
 
-    def urgency(self, now_s: float) -> tuple[bool, int, float, str]:
-        """Order pieces: those still in time, by rank, by when they are due.
+    def urgency(self, now_s: float) -> Urgency:
+        """Order pieces: begun orders, then those in time, by rank, when due.
 
-        A request that is late already earns little more by being early; but
-        one that holds results of earlier stages gives room by going on.
+        What is made of a begun order takes room until all of it is made.
         """
         order = self.order
-        is_late = order.due_s < now_s and not order.inputs
-        return (is_late, order.rank, order.due_s, order.request_id)
+        is_yielding = not self.is_begun and order.is_late(now_s)
+        return (
+            not self.is_begun,
+            is_yielding,
+            order.rank,
+            order.due_s,
+            order.request_id,
+        )
 
 
 class Maker(NamedTuple):
@@ -135,7 +164,7 @@
     >>> maker = Maker("v1", "lahore-1", 0.0, 100, 1.0)
     >>> def waiting(request_id, rank):
     ...     order = Order(request_id, "s", 0, 1, "k", (), rank, 9, 9, "", 40)
-    ...     return Waiting(order, 0, 0.0)
+    ...     return Waiting(order, 0, 0.0, 9.0)
     >>> queue = [waiting("a", 2), waiting("b", 0), waiting("c", 1)]
     >>> [each.order.request_id for each in take_batch(queue, maker, limits, 0)]
     ['b', 'c']
@@ -184,6 +213,71 @@
     return own_s <= start_s + calls / rate
 
 
+def count_ahead(
+    waiting: Iterable[Waiting], order: Order | None, now_s: float
+) -> int:
+    """Count the pieces that go before an order, else before any in time.
+
+    >>> def waiting(due_s, rank):
+    ...     order = Order("r", "s", 0, 1, "k", (), rank, due_s, 9, "", 40)
+    ...     return Waiting(order, 0, 0.0, 9.0)
+    >>> queue = [waiting(1.0, 0), waiting(5.0, 0), waiting(5.0, 1)]
+    >>> count_ahead(queue, None, 2.0)
+    2
+    >>> [count_ahead(queue, each.order, 2.0) for each in queue]
+    [3, 1, 2]
+    """
+    place = (True, False, inf)
+    if order is not None:
+        place = (True, order.is_late(now_s), order.rank)
+    return sum(each.urgency(now_s)[:3] <= place for each in waiting)
+
+
+def pieces_per_s(makers: Sequence[Maker], limits: BatchLimits) -> float:
+    """Estimate what replicas make with full calls.
+
+    >>> limits = BatchLimits(1, 2, 8, 150, 16, 1e6, 4)
+    >>> round(pieces_per_s([Maker("v1", "p", 0.1, 1e6, 1.0)], limits), 1)
+    28.8
+    """
+    whole_s = call_s(limits, limits.pieces)
+    return sum(limits.pieces / whole_s / each.slowness for each in makers)
+
+
+def hopeless(
+    waiting: Iterable[Waiting], rate: float, spare: float, now_s: float
+) -> list[Order]:
+    """List the late orders that won't get their calls in time.
+
+    Late work is left what the work in time spares; rate and spare are pieces
+    a second.
+
+    >>> def waiting(request_id, due_s, until_s):
+    ...     order = Order(request_id, "s", 0, 1, "k", (), 0, due_s, 9, "", 40)
+    ...     return Waiting(order, 0, 0.0, until_s)
+    >>> queue = [waiting("a", 4.0, 5.0), waiting("b", 0.2, 5.0),
+    ...          waiting("c", 0.5, 2.0), waiting("d", 4.0, 5.0)]
+    >>> [each.request_id for each in hopeless(queue, 2.0, 1.0, 1.0)]
+    ['c']
+    >>> hopeless(queue, 2.0, 2.0, 0.1)
+    []
+    """
+    ordered = sorted(waiting, key=lambda each: each.urgency(now_s))
+    late = [
+        each
+        for each in ordered
+        if each.order.is_late(now_s) and not each.is_begun
+    ]
+    in_time_s = (len(ordered) - len(late)) / rate
+    spare = max(spare, MIN_SPARE_SHARE * rate)
+    orders: list[Order] = []
+    for ahead, piece in enumerate(late):
+        start_s = now_s + in_time_s + ahead / spare
+        if start_s >= piece.until_s and piece.order not in orders:
+            orders.append(piece.order)
+    return orders
+
+
 def backlog_s(
     waiting: int, makers: Sequence[Maker], limits: BatchLimits
 ) -> float:
@@ -196,7 +290,5 @@
     """
     if not makers:
         return 0.0
-    whole_s = call_s(limits, limits.pieces)
-    rate = sum(1 / (whole_s * maker.slowness) for maker in makers)
     free_in_s = min(maker.free_in_s for maker in makers)
-    return free_in_s + waiting / limits.pieces / rate
+    return free_in_s + waiting / pieces_per_s(makers, limits)
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
@@ -20,8 +20,6 @@
 # A home that fails is passed by for as long as a suspicion takes.
 SHUN_S = 3.0
 FREE_TIMEOUT_MS = 1000
-# Every rank waits behind what waits already.
-LAST_RANK = 2**31 - 1
 
 
 class MadePieces(NamedTuple):
@@ -203,7 +201,7 @@
         """Make the pieces of an order with this daemon's batcher."""
         batcher = self.batcher_of(order.service)
         handles = await batcher.make(order)
-        return MadePieces(handles, batcher.backlog_s(LAST_RANK))
+        return MadePieces(handles, batcher.backlog_s())
 
     async def on_free_pieces(
         self, service: str, handles: Sequence[str]
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -1,7 +1,7 @@
 """Make the results of a request's stages, each as soon as it may start."""
 
 from collections import Counter
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any, Protocol
 
 import anyio
@@ -33,7 +33,8 @@
 class StagePlan:
     """Hold what is known of one request's stages.
 
-    place is that of the replica which is to read the last results.
+    place is that of the replica which is to read the last results; rests_s
+    has the time from each stage's start to the answer's, without a queue.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         due_s: float,
         deadline_s: float,
         place: str,
+        rests_s: Sequence[float],
         link_mbps: float = 0.0,
     ) -> None:
         self.request = request
@@ -52,6 +54,7 @@
         self.due_s = due_s
         self.deadline_s = deadline_s
         self.place = place
+        self.rests_s = rests_s
         self.link_mbps = link_mbps
         self.results: dict[int, tuple[str, ...]] = {}
         self.made = [anyio.Event() for _ in route.stages]
@@ -98,7 +101,7 @@
             key="" if stage.after else self.request.piece_key,
             inputs=inputs,
             rank=self.rank,
-            due_s=self.due_s,
+            due_s=self.due_s - self.rests_s[index],
             deadline_s=self.deadline_s,
             place=place,
             result_bytes=stage.result_bytes,
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -8,7 +8,12 @@
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.gateway.stage_results import StageResults
 from berylcart.state.errors import BerylcartError, Code, Ran
-from berylcart.state.routes import RouteStage, RouteTable
+from berylcart.state.routes import (
+    BatchLimits,
+    GatewayService,
+    RouteStage,
+    RouteTable,
+)
 
 from ..gateway_fakes import (
     BOOKING,
@@ -283,3 +288,34 @@
         assert not rig.home.orders
 
     run(check)
+
+
+def test_a_caller_that_came_back_is_due_after_its_first_request():
+    async def check():
+        rig = Rig(STAGED, Script(), Script())
+        await rig.serve()
+        rig.wire.request = KEYED._replace(deadline_ms=KEYED.deadline_ms - 2000)
+        await rig.serve()
+        first, second = rig.home.orders
+        gap_s = second.due_s - first.due_s
+        # The first request took 0.1 s.
+        assert gap_s == pytest.approx(0.1 - 2.0)
+
+    run(check)
+
+
+def test_the_time_of_later_stages_makes_a_stage_due_sooner():
+    async def check():
+        rig = Rig(CHAIN, Script())
+        batches = BatchLimits(1, 2, 8, 150.0, 10.0, 1e6, 4.0)
+        services = {
+            name: GatewayService(name, 0, batches) for name in ("sms", "desk")
+        }
+        rig.keeper.table.services.update(services)
+        rig.wire.request = KEYED._replace(piece_counts=(2, 1, 0))
+        await rig.serve()
+        due_s = {order.service: order.due_s for order in rig.home.orders}
+        # A whole call takes 0.23 s.
+        assert due_s["desk"] - due_s["sms"] == pytest.approx(0.23)
+
+    run(check)
