Let a late order lose one and a half ranks, not all

Change: lateness counts as one and a half ranks in the queue for pieces.

Ruled out: strict order of ranks; a late bulletin-match would go before cert-draft in time, which earns seven times as much.

--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable, Sequence
-from math import inf
 from typing import NamedTuple
 
 from berylcart.state.relayed import Piece
@@ -22,6 +21,9 @@
 # Well over the time for the largest results, where the link is unknown.
 UNKNOWN_READ_S = 0.2
 BITS_PER_BYTE = 8
+# A late request goes after those of the next rank that are in time, and
+# before those of the rank after it, which earn less than it still does.
+LATE_RANKS = 1.5
 # A burst ends at some time: late work is left this much at least.
 MIN_SPARE_SHARE = 0.25
 # Longer waits cost more of the target than a result that crosses places.
@@ -61,10 +63,13 @@
         holds_room = self.inputs and self.moved_bytes >= LARGE_MOVE_BYTES
         return self.due_s < now_s and not holds_room
 
+    def rank_at(self, now_s: float) -> float:
+        """Give the rank, which is lower for a late order."""
+        return self.rank + LATE_RANKS * self.is_late(now_s)
 
-# Whether an order waits for its first call, and whether it is late; its rank,
-# when it is due, its name.
-Urgency = tuple[bool, bool, int, float, str]
+
+# Whether an order waits for its first call, its rank, when due, its name.
+Urgency = tuple[bool, float, float, str]
 
 
 class Waiting(NamedTuple):
@@ -93,16 +98,14 @@
         )
 
     def urgency(self, now_s: float) -> Urgency:
-        """Order pieces: begun orders, then those in time, by rank, when due.
+        """Order pieces: begun orders first, then by rank and when due.
 
         What is made of a begun order takes room until all of it is made.
         """
         order = self.order
-        is_yielding = not self.is_begun and order.is_late(now_s)
         return (
             not self.is_begun,
-            is_yielding,
-            order.rank,
+            order.rank_at(now_s),
             order.due_s,
             order.request_id,
         )
@@ -227,10 +230,10 @@
     >>> [count_ahead(queue, each.order, 2.0) for each in queue]
     [3, 1, 2]
     """
-    place = (True, False, inf)
-    if order is not None:
-        place = (True, order.is_late(now_s), order.rank)
-    return sum(each.urgency(now_s)[:3] <= place for each in waiting)
+    if order is None:
+        return sum(not each.order.is_late(now_s) for each in waiting)
+    place = (True, order.rank_at(now_s))
+    return sum(each.urgency(now_s)[:2] <= place for each in waiting)
 
 
 def pieces_per_s(makers: Sequence[Maker], limits: BatchLimits) -> float:
@@ -262,19 +265,15 @@
     >>> hopeless(queue, 2.0, 2.0, 0.1)
     []
     """
-    ordered = sorted(waiting, key=lambda each: each.urgency(now_s))
-    late = [
-        each
-        for each in ordered
-        if each.order.is_late(now_s) and not each.is_begun
-    ]
-    in_time_s = (len(ordered) - len(late)) / rate
     spare = max(spare, MIN_SPARE_SHARE * rate)
+    start_s = now_s
     orders: list[Order] = []
-    for ahead, piece in enumerate(late):
-        start_s = now_s + in_time_s + ahead / spare
-        if start_s >= piece.until_s and piece.order not in orders:
-            orders.append(piece.order)
+    for piece in sorted(waiting, key=lambda each: each.urgency(now_s)):
+        order = piece.order
+        is_yielding = order.is_late(now_s) and not piece.is_begun
+        if is_yielding and start_s >= piece.until_s and order not in orders:
+            orders.append(order)
+        start_s += 1 / (spare if is_yielding else rate)
     return orders
 
 
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
@@ -0,0 +1,55 @@
+"""Check in which order pieces are taken."""
+
+from berylcart.coordination.gateway.piece_queue import (
+    Maker,
+    Order,
+    Waiting,
+    take_batch,
+)
+from berylcart.state.routes import BatchLimits
+
+LIMITS = BatchLimits(1, 2, 8, 150.0, 16.0, 1_280_000, 4.0)
+NOW_S = 10.0
+
+
+def waiting(request_id, pieces=1, **fields):
+    known = {
+        "request_id": request_id,
+        "service": "sms",
+        "stage": 1,
+        "pieces": pieces,
+        "key": "",
+        "inputs": ("10.0.0.1:80/x",),
+        "rank": 1,
+        "due_s": NOW_S + 1,
+        "deadline_s": NOW_S + 7,
+        "place": "",
+        "result_bytes": 60_000,
+    }
+    order = Order(**{**known, **fields})
+    return [
+        Waiting(order, number, NOW_S, NOW_S + 3) for number in range(pieces)
+    ]
+
+
+def take(*queues, room_bytes=LIMITS.room_bytes):
+    maker = Maker("v1", "lahore-1", 0.0, room_bytes, 1.0)
+    queue = [piece for pieces in queues for piece in pieces]
+    batch = take_batch(queue, maker, LIMITS, NOW_S)
+    return [each.order.request_id for each in batch]
+
+
+def test_a_late_order_goes_after_the_next_rank_and_before_the_one_after():
+    late = waiting("late", rank=0, due_s=NOW_S - 1)
+    queue = [late, waiting("next", rank=1), waiting("last", rank=2)]
+    assert take(*queue) == ["next", "late", "last"]
+
+
+def test_a_late_order_that_holds_large_results_goes_on():
+    late = waiting("late", due_s=NOW_S - 1, moved_bytes=360_000)
+    assert take(waiting("in-time"), late) == ["late", "in-time"]
+
+
+def test_a_begun_order_goes_first():
+    begun = [e._replace(is_begun=True) for e in waiting("begun", rank=2)]
+    assert take(waiting("urgent", rank=0), begun) == ["begun", "urgent"]
