Begin an order that fits a call in one call

Cause: pieces of an order went to two or three replicas wherever a call had a few places left. Every piece of the next stage then reads from several places, and the order waits for the slowest of its calls while its results take room.

Change: an order that fits a call is not begun in what others leave of one; a larger one, or the rest of a begun one, still fills a call, and a replica with room for a part only takes that.

--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from itertools import groupby
 from typing import NamedTuple
 
 from berylcart.state.relayed import Piece
@@ -172,19 +173,36 @@
     >>> [each.order.request_id for each in take_batch(queue, maker, limits, 0)]
     ['b', 'c']
     """
+    ordered = sorted(waiting, key=lambda each: each.urgency(now_s))
     batch: list[Waiting] = []
     room_bytes = maker.room_bytes
-    for piece in sorted(waiting, key=lambda each: each.urgency(now_s)):
+    for order, pieces in groupby(ordered, key=lambda each: each.order):
+        able = [each for each in pieces if may_take(each, maker, now_s)]
+        count = limits.pieces - len(batch)
+        if order.result_bytes:
+            count = min(count, int(room_bytes // order.result_bytes))
+        if batch and is_parted(able, count, limits):
+            continue
+        taken = able[: max(0, count)]
+        room_bytes -= len(taken) * order.result_bytes
+        batch += taken
         if len(batch) == limits.pieces:
             break
-        size_bytes = piece.order.result_bytes
-        if size_bytes > room_bytes or not may_take(piece, maker, now_s):
-            continue
-        room_bytes -= size_bytes
-        batch.append(piece)
     return batch
 
 
+def is_parted(
+    pieces: Sequence[Waiting], count: int, limits: BatchLimits
+) -> bool:
+    """Tell whether a call would part an order that another may take whole.
+
+    What reads results of one replica only is made near it.
+    """
+    if not pieces or pieces[0].is_begun:
+        return False
+    return count < len(pieces) <= limits.pieces
+
+
 def is_worthwhile(
     maker: Maker, others: Sequence[Maker], count: int, limits: BatchLimits
 ) -> bool:
--- a/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
+++ b/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
@@ -53,3 +53,24 @@
 def test_a_begun_order_goes_first():
     begun = [e._replace(is_begun=True) for e in waiting("begun", rank=2)]
     assert take(waiting("urgent", rank=0), begun) == ["begun", "urgent"]
+
+
+def test_an_order_that_fits_a_call_is_not_parted_for_what_is_left_of_one():
+    queue = [waiting("first", 6), waiting("second", 5), waiting("third", 2)]
+    assert take(*queue) == ["first"] * 6 + ["third"] * 2
+
+
+def test_an_order_larger_than_a_call_fills_what_is_left():
+    queue = [waiting("first", 6), waiting("second", 9)]
+    assert take(*queue) == ["first"] * 6 + ["second"] * 2
+
+
+def test_little_room_is_better_used_than_not():
+    assert take(waiting("first", 6), room_bytes=200_000) == ["first"] * 3
+
+
+def test_the_rest_of_a_begun_order_is_taken_as_far_as_it_fits():
+    rest = [e._replace(is_begun=True) for e in waiting("begun", 6)]
+    other = waiting("other", 4, due_s=NOW_S + 0.5)
+    other = [e._replace(is_begun=True) for e in other]
+    assert take(rest, other) == ["other"] * 4 + ["begun"] * 4
