Part the batcher's queue and its replicas from its decisions

A field that nothing read goes too.

Ruled out: a change of behaviour by the parting itself; the tests of the batcher stand unchanged but for one attribute's place.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -269,7 +269,7 @@
         self.metrics.members.set(len(self.membership.live_members()))
         self.metrics.lost_lines.set(events.lost_lines())
         for service, batcher in self.batchers.items():
-            waiting = len(batcher.waiting)
+            waiting = len(batcher.orders.waiting)
             self.metrics.backlog_pieces.labels(service).set(waiting)
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         await exchange.answer(Refusal(200, headers, self.metrics.text()))
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -6,14 +6,13 @@
 from anyio.abc import TaskGroup
 
 from berylcart import events
-from berylcart.coordination.gateway.job import Job
 from berylcart.coordination.gateway.maker_state import (
     FIRST_PAUSE_S,
     MAX_PAUSE_S,
-    MakerState,
 )
+from berylcart.coordination.gateway.makers import Makers
+from berylcart.coordination.gateway.orders import Orders
 from berylcart.coordination.gateway.piece_queue import (
-    Maker,
     Order,
     Waiting,
     backlog_s,
@@ -28,7 +27,7 @@
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
 from berylcart.coordination.gateway.queue_rates import QueueRates
 from berylcart.coordination.gateway.retry_window import RetryWindow
-from berylcart.state.errors import BerylcartError, Code, UpstreamError
+from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.relayed import PieceFailure, PieceResult
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm
@@ -63,14 +62,11 @@
         self.service = service
         self.caller = caller
         self.budget = budget
-        self.pool = pool
         self.limits = limits
         self.on_read = on_read
-        self.waiting: list[Waiting] = []
-        self.jobs: dict[tuple[str, int], Job] = {}
-        self.makers: dict[tuple[str, int], MakerState] = {}
+        self.orders = Orders()
+        self.makers = Makers(caller, lambda: pool(service))
         self.rates = QueueRates()
-        self.changed = anyio.Event()
         self.tasks: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -79,9 +75,9 @@
             self.tasks = tasks
             while True:
                 self.dispatch(tasks)
-                self.changed = anyio.Event()
+                self.orders.changed = anyio.Event()
                 with anyio.move_on_after(IDLE_PERIOD_S):
-                    await self.changed.wait()
+                    await self.orders.changed.wait()
 
     async def make(self, order: Order) -> tuple[str, ...]:
         """Make all pieces of an order and name their results.
@@ -90,18 +86,10 @@
         UPSTREAM_REJECTED when an input is gone.
         """
         self.check_time(order)
-        job = Job(order)
-        key = (order.request_id, order.stage)
-        self.jobs[key] = job
         now_s = anyio.current_time()
-        until_s = now_s + self.left_s(order)
-        self.waiting.extend(
-            Waiting(order, number, now_s, until_s)
-            for number in range(order.pieces)
-        )
+        job = self.orders.add(order, now_s + self.left_s(order))
         if not order.is_late(now_s):
             self.rates.arrived.note(order.pieces)
-        self.changed.set()
         try:
             with anyio.move_on_after(
                 order.deadline_s - GIVE_UP_S - anyio.current_time()
@@ -110,11 +98,7 @@
         finally:
             if job.missing or job.error is not None:
                 self.drop([each for each in job.results if each])
-            if self.jobs.get(key) is job:
-                del self.jobs[key]
-            self.waiting = [
-                each for each in self.waiting if each.order is not order
-            ]
+            self.orders.remove(job)
         if job.error is not None:
             raise job.error
         if job.missing:
@@ -149,60 +133,39 @@
         if limits is None:
             return 0.0
         now_s = anyio.current_time()
-        ahead = count_ahead(self.waiting, order, now_s)
-        makers = self.describe_all(limits, now_s)
+        ahead = count_ahead(self.orders.waiting, order, now_s)
+        makers = self.makers.describe_all(limits, now_s)
         estimated_s = backlog_s(ahead, makers, limits)
         rate = self.rates.measured()
         return estimated_s if rate is None else max(estimated_s, ahead / rate)
 
-    def state(self, vm: Vm) -> MakerState:
-        """Find what is known of a replica."""
-        return self.makers.setdefault((vm.vm_id, vm.incarnation), MakerState())
-
-    def describe(self, vm: Vm, limits: BatchLimits, now_s: float) -> Maker:
-        """Describe a replica for a decision."""
-        state = self.state(vm)
-        busy_until_s = state.paused_until_s
-        if state.calls >= limits.slots:
-            busy_until_s = max(busy_until_s, state.busy_until_s)
-        return Maker(
-            vm_id=vm.vm_id,
-            place=vm.place,
-            free_in_s=max(0.0, busy_until_s - now_s),
-            room_bytes=state.room_bytes(limits.room_bytes, now_s),
-            slowness=state.slowness_at(now_s),
-        )
-
-    def describe_all(self, limits: BatchLimits, now_s: float) -> list[Maker]:
-        """Describe all replicas for a decision."""
-        pool = self.pool(self.service)
-        return [self.describe(vm, limits, now_s) for vm in pool]
-
     def dispatch(self, tasks: TaskGroup) -> None:
         """Start a call at each free replica that has work to do."""
-        self.rates.note_queue(not self.waiting)
+        self.rates.note_queue(not self.orders.waiting)
         limits = self.limits(self.service)
-        if limits is None or not self.waiting:
+        if limits is None or not self.orders.waiting:
             return
         now_s = anyio.current_time()
         self.shed(limits, now_s)
-        pool = self.pool(self.service)
-        self.retain(pool)
-        makers = {vm.vm_id: self.describe(vm, limits, now_s) for vm in pool}
+        pool = self.makers.pool()
+        self.makers.retain(pool)
+        makers = {
+            vm.vm_id: self.makers.describe(vm, limits, now_s) for vm in pool
+        }
         for vm in sorted(pool, key=lambda each: makers[each.vm_id].slowness):
             maker = makers[vm.vm_id]
-            state = self.state(vm)
+            state = self.makers.state(vm)
             if state.calls >= limits.slots or state.paused_until_s > now_s:
                 continue
             others = [each for each in makers.values() if each is not maker]
-            batch = take_batch(self.waiting, maker, limits, now_s)
-            count = len(self.waiting)
+            batch = take_batch(self.orders.waiting, maker, limits, now_s)
+            count = len(self.orders.waiting)
             if batch and is_worthwhile(maker, others, count, limits):
                 self.start_call(tasks, vm, batch, limits)
 
     def shed(self, limits: BatchLimits, now_s: float) -> None:
         """Give up late orders that won't get their calls."""
-        makers = self.describe_all(limits, now_s)
+        makers = self.makers.describe_all(limits, now_s)
         if not makers:
             return
         rate = pieces_per_s(makers, limits)
@@ -210,29 +173,20 @@
         if measured is not None:
             rate = min(rate, measured)
         spare = rate - self.rates.arrived.per_s()
-        for order in hopeless(self.waiting, rate, spare, now_s):
-            job = self.job_of(order)
+        for order in hopeless(self.orders.waiting, rate, spare, now_s):
+            job = self.orders.job_of(order)
             if job is None:
                 continue
             events.info(
                 "order.given_up",
                 request_id=order.request_id,
                 service=self.service,
-                waiting=len(self.waiting),
+                waiting=len(self.orders.waiting),
                 rate_per_s=round(rate, 1),
                 spare_per_s=round(spare, 1),
             )
             job.fail(self.overloaded(order))
-            self.waiting = [
-                each for each in self.waiting if each.order is not order
-            ]
-
-    def retain(self, pool: Sequence[Vm]) -> None:
-        """Forget replicas that are gone and have no call."""
-        kept = {(vm.vm_id, vm.incarnation) for vm in pool}
-        for key in self.makers.keys() - kept:
-            if not self.makers[key].calls:
-                del self.makers[key]
+            self.orders.drop_pieces(order)
 
     def start_call(
         self,
@@ -242,14 +196,8 @@
         limits: BatchLimits,
     ) -> None:
         """Take pieces from the queue for a call."""
-        taken = {each.piece for each in batch}
-        begun = {id(each.order) for each in batch}
-        self.waiting = [
-            each._replace(is_begun=each.is_begun or id(each.order) in begun)
-            for each in self.waiting
-            if each.piece not in taken
-        ]
-        state = self.state(vm)
+        self.orders.take(batch)
+        state = self.makers.state(vm)
         state.calls += 1
         state.note_call(anyio.current_time(), limits.keep_s)
         state.reserved_bytes += sum(e.order.result_bytes for e in batch)
@@ -266,7 +214,7 @@
         expected_s: float,
     ) -> None:
         """Make one call and hand out its results."""
-        state = self.state(vm)
+        state = self.makers.state(vm)
         started_s = anyio.current_time()
         reading = anyio.CancelScope()
         if self.tasks is not None:
@@ -302,7 +250,7 @@
                 first_request_id=batch[0].order.request_id,
                 latency_ms=int((now_s - started_s) * MS_PER_S),
                 expected_ms=int(expected_s * MS_PER_S),
-                waiting=len(self.waiting),
+                waiting=len(self.orders.waiting),
                 used_bytes=state.used_bytes(now_s),
             )
             self.rates.made.note(made)
@@ -320,7 +268,7 @@
             state.reserved_bytes -= sum(e.order.result_bytes for e in batch)
             if state.is_full:
                 state.note_full(anyio.current_time())
-            self.changed.set()
+            self.orders.changed.set()
 
     async def wait_for_read(
         self,
@@ -339,7 +287,7 @@
             )
             await anyio.sleep(read_s(size_bytes, limits.link_mbps))
             # A piece that finds no room reads its inputs once more.
-            if self.state(vm).has_sure_room(
+            if self.makers.state(vm).has_sure_room(
                 limits.room_bytes, anyio.current_time(), limits.keep_s
             ):
                 self.note_read(batch)
@@ -347,7 +295,7 @@
     def note_read(self, batch: Sequence[Waiting]) -> None:
         """Drop the inputs that no piece is to read any more."""
         for piece in batch:
-            job = self.job_of(piece.order)
+            job = self.orders.job_of(piece.order)
             if job is not None and job.note_read(piece.number):
                 self.on_read(piece.order.inputs)
 
@@ -363,7 +311,7 @@
             request_id=batch[0].order.request_id,
             detail=detail,
         )
-        self.state(vm).pause(anyio.current_time())
+        self.makers.state(vm).pause(anyio.current_time())
         for piece in batch:
             self.retry(piece, PieceFailure.ERROR)
 
@@ -375,7 +323,7 @@
         limits: BatchLimits,
     ) -> None:
         """Give each piece's result to its order."""
-        state = self.state(vm)
+        state = self.makers.state(vm)
         end_s = anyio.current_time() + limits.keep_s
         unwanted: list[str] = []
         for piece, result in zip(batch, results, strict=True):
@@ -384,7 +332,7 @@
                 continue
             size_bytes = int(SIZE_MARGIN * piece.order.result_bytes)
             state.results[result.handle] = (size_bytes, end_s)
-            job = self.job_of(piece.order)
+            job = self.orders.job_of(piece.order)
             if job is None:
                 unwanted.append(result.handle)
             else:
@@ -400,11 +348,6 @@
         if self.tasks is not None and handles:
             self.tasks.start_soon(self.free, handles)
 
-    def job_of(self, order: Order) -> Job | None:
-        """Find the job that waits for an order's results."""
-        job = self.jobs.get((order.request_id, order.stage))
-        return job if job is not None and job.order is order else None
-
     def note_refused(
         self, vm: Vm, piece: Waiting, failure: PieceFailure | None
     ) -> None:
@@ -417,7 +360,7 @@
             stage=piece.order.stage,
             failure=failure,
         )
-        job = self.job_of(piece.order)
+        job = self.orders.job_of(piece.order)
         if job is None:
             return
         if failure is PieceFailure.LATE:
@@ -429,7 +372,7 @@
                 BerylcartError(Code.UPSTREAM_REJECTED, "an input is gone")
             )
         elif failure is PieceFailure.ROOM:
-            self.state(vm).is_full = True
+            self.makers.state(vm).is_full = True
             self.wait_again(piece)
         else:
             self.retry(piece, failure)
@@ -437,21 +380,17 @@
     def wait_again(self, piece: Waiting) -> None:
         """Queue a piece that a replica had no room for."""
         self.budget.try_take(self.service)
-        self.waiting.append(piece._replace(is_begun=True))
-        self.changed.set()
+        self.orders.put_back(piece)
 
     def retry(self, piece: Waiting, failure: PieceFailure | None) -> None:
         """Queue a piece again within the budget, else fail its order."""
-        job = self.job_of(piece.order)
+        job = self.orders.job_of(piece.order)
         if job is None:
             return
         failures = piece.failures + 1
         is_allowed = failures < MAX_FAILURES
         if is_allowed and self.budget.try_take(self.service):
-            self.waiting.append(
-                piece._replace(failures=failures, is_begun=True)
-            )
-            self.changed.set()
+            self.orders.put_back(piece._replace(failures=failures))
             return
         job.fail(
             BerylcartError(
@@ -462,30 +401,6 @@
         )
 
     async def free(self, handles: Sequence[str]) -> None:
-        """Drop results at the replicas that hold them.
-
-        Another daemon may have had them made.
-        """
-        makers = {vm.address: vm for vm in self.pool(self.service)}
-        held: dict[str, list[str]] = {}
-        for handle in handles:
-            held.setdefault(self.caller.holder(handle), []).append(handle)
-        for address, group in held.items():
-            vm = makers.get(address)
-            if vm is not None:
-                await self.free_at(vm, group)
-
-    async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
-        """Drop results at one replica."""
-        state = self.state(vm)
-        try:
-            await self.caller.free_results(vm, handles)
-        except UpstreamError as error:
-            # The replica drops them by itself after a while.
-            events.info(
-                "results.not_freed", vm_id=vm.vm_id, detail=error.detail
-            )
-            return
-        for handle in handles:
-            state.results.pop(handle, None)
-        self.changed.set()
+        """Drop results at the replicas that hold them."""
+        await self.makers.free(handles)
+        self.orders.changed.set()
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -0,0 +1,79 @@
+"""Know the replicas that make pieces, and what they hold."""
+
+from collections.abc import Callable, Sequence
+
+from berylcart import events
+from berylcart.coordination.gateway.maker_state import MakerState
+from berylcart.coordination.gateway.piece_queue import Maker
+from berylcart.coordination.gateway.ports import PieceCaller
+from berylcart.state.errors import UpstreamError
+from berylcart.state.routes import BatchLimits
+from berylcart.state.vm import Vm
+
+
+class Makers:
+    """Hold what is known of one service's replicas."""
+
+    def __init__(
+        self, caller: PieceCaller, pool: Callable[[], Sequence[Vm]]
+    ) -> None:
+        self.caller = caller
+        self.pool = pool
+        self.states: dict[tuple[str, int], MakerState] = {}
+
+    def state(self, vm: Vm) -> MakerState:
+        """Find what is known of a replica."""
+        return self.states.setdefault((vm.vm_id, vm.incarnation), MakerState())
+
+    def retain(self, pool: Sequence[Vm]) -> None:
+        """Forget replicas that are gone and have no call."""
+        kept = {(vm.vm_id, vm.incarnation) for vm in pool}
+        for key in self.states.keys() - kept:
+            if not self.states[key].calls:
+                del self.states[key]
+
+    def describe(self, vm: Vm, limits: BatchLimits, now_s: float) -> Maker:
+        """Describe a replica for a decision."""
+        state = self.state(vm)
+        busy_until_s = state.paused_until_s
+        if state.calls >= limits.slots:
+            busy_until_s = max(busy_until_s, state.busy_until_s)
+        return Maker(
+            vm_id=vm.vm_id,
+            place=vm.place,
+            free_in_s=max(0.0, busy_until_s - now_s),
+            room_bytes=state.room_bytes(limits.room_bytes, now_s),
+            slowness=state.slowness_at(now_s),
+        )
+
+    def describe_all(self, limits: BatchLimits, now_s: float) -> list[Maker]:
+        """Describe all replicas for a decision."""
+        return [self.describe(vm, limits, now_s) for vm in self.pool()]
+
+    async def free(self, handles: Sequence[str]) -> None:
+        """Drop results at the replicas that hold them.
+
+        Another daemon may have had them made.
+        """
+        holders = {vm.address: vm for vm in self.pool()}
+        held: dict[str, list[str]] = {}
+        for handle in handles:
+            held.setdefault(self.caller.holder(handle), []).append(handle)
+        for address, group in held.items():
+            vm = holders.get(address)
+            if vm is not None:
+                await self.free_at(vm, group)
+
+    async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
+        """Drop results at one replica."""
+        state = self.state(vm)
+        try:
+            await self.caller.free_results(vm, handles)
+        except UpstreamError as error:
+            # The replica drops them by itself after a while.
+            events.info(
+                "results.not_freed", vm_id=vm.vm_id, detail=error.detail
+            )
+            return
+        for handle in handles:
+            state.results.pop(handle, None)
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -30,7 +30,6 @@
     workspace: str | None = None
     inputs: tuple[str, ...] = ()
     last_event_id: str = ""
-    priority: int | None = None
 
 
 class Wire(Protocol):
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -247,7 +247,7 @@
             assert len(replicas.freed) == 8
 
         await with_batcher(batcher, body)
-        assert not batcher.jobs
+        assert not batcher.orders.jobs
 
     run(check)
 
