Refuse a request for more pieces than any route asks for

Cause, found by reading: a caller may ask for up to 10^11 pieces of a stage by one header, and the daemon would have queued each of them until its memory was gone; a peer's order may as well.

Change: over 10,000 pieces in a request are answered 400 and never queued; an order of a peer with more is refused.

Ruled out: the header's size as a bound; eleven digits pass it.

--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -16,6 +16,7 @@
     GatewayPolicy,
     RouteTables,
 )
+from berylcart.coordination.gateway.piece_queue import MAX_PIECES
 from berylcart.coordination.gateway.ports import CallerExchange, Wire
 from berylcart.coordination.gateway.stage_results import (
     StagePlan,
@@ -288,6 +289,12 @@
                 deadline_ms=deadline_ms,
                 age_ms=age_ms,
             )
+        if sum(work.request.piece_counts) > MAX_PIECES:
+            raise BerylcartError(
+                Code.BAD_REQUEST,
+                f"{sum(work.request.piece_counts)} pieces; {MAX_PIECES} at "
+                "most",
+            )
         return StagePlan(
             work.request,
             route,
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -25,6 +25,8 @@
 # A late request goes after those of the next rank that are in time, and
 # before those of the rank after it, which earn less than it still does.
 LATE_RANKS = 1.5
+# Far over what any route asks for; the queue of one request stays small.
+MAX_PIECES = 10_000
 # A burst ends at some time: late work is left this much at least.
 MIN_SPARE_SHARE = 0.25
 # Longer waits cost more of the target than a result that crosses places.
--- a/packages/berylcart/src/berylcart/protocol/piece_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/piece_codec.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.piece_queue import MAX_PIECES, Order
 from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.state.errors import BerylcartError, Code
@@ -38,9 +38,9 @@
 
 
 def decode_order(message: pb.PieceOrderMessage) -> Order:
-    """Decode an order; raises ValueError on one without pieces."""
-    if not message.count or not message.request_id:
-        raise ValueError("an order names a request and some pieces")
+    """Decode an order; raises ValueError on none or too many pieces."""
+    if not 0 < message.count <= MAX_PIECES or not message.request_id:
+        raise ValueError(f"an order names a request and up to {MAX_PIECES}")
     now_s = anyio.current_time()
     return Order(
         request_id=message.request_id,
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -319,3 +319,13 @@
         assert due_s["desk"] - due_s["sms"] == pytest.approx(0.23)
 
     run(check)
+
+
+def test_a_request_for_too_many_pieces_is_refused():
+    async def check():
+        rig = Rig(STAGED)
+        rig.wire.request = KEYED._replace(piece_counts=(10**9,))
+        assert (await rig.serve()).status == Code.BAD_REQUEST
+        assert not rig.home.orders
+
+    run(check)
