--- a/packages/berylcart/tests/protocol/test_piece_codec.py
+++ b/packages/berylcart/tests/protocol/test_piece_codec.py
@@ -13,11 +13,12 @@
 )
 from berylcart.state.errors import BerylcartError, Code
 from google.protobuf.message import DecodeError
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ..coordination.serving_fakes import run
 
+FIXED = settings(deadline=None, derandomize=True)
 NAMES = st.text(min_size=1, max_size=20)
 SMALL = st.integers(0, 1000)
 ORDERS = st.builds(
@@ -38,6 +39,7 @@
 )
 
 
+@FIXED
 @given(ORDERS)
 def test_an_order_comes_back_as_it_was(order):
     async def check():
@@ -52,6 +54,7 @@
     run(check)
 
 
+@FIXED
 @given(st.binary(max_size=200))
 def test_any_bytes_are_an_order_or_refused(data):
     async def check():
@@ -71,6 +74,7 @@
         decode_order(message)
 
 
+@FIXED
 @given(st.binary(max_size=200))
 def test_any_bytes_are_results_or_an_error(data):
     try:
@@ -80,6 +84,7 @@
     assert made.backlog_s >= 0
 
 
+@FIXED
 @given(st.lists(NAMES, max_size=5), st.floats(0, 1000))
 def test_results_come_back_as_they_were(handles, backlog_s):
     made = decode_made(encode_made(MadePieces(tuple(handles), backlog_s)))
@@ -87,6 +92,7 @@
     assert made.backlog_s == pytest.approx(backlog_s, abs=0.001)
 
 
+@FIXED
 @given(st.sampled_from(Code), NAMES, st.integers(1, 10_000))
 def test_an_error_comes_back_as_it_was(code, detail, retry_after_ms):
     error = BerylcartError(code, detail, retry_after_ms=retry_after_ms)
