Count a send after vanished inputs into the retry budget

Cause, found by reading the diff: a request that a model replica refused with 409 had its stages made again and was sent once more without a word to the budget. The send is a repeat at that service, and dropping results early makes 409 likelier where a replica crashes.

Change: the second send takes from the budget, or the request ends as not run.

Ruled out: stages made again before any send; these are no arrival there.

--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -240,10 +240,14 @@
                     route=route.name,
                     stage_run=number,
                 )
-                if number == MAX_STAGE_RUNS:
+                if number == MAX_STAGE_RUNS or not self.may_resend(run):
                     raise
         raise AssertionError
 
+    def may_resend(self, run: ForwardRun) -> bool:
+        """Tell whether the budget allows another send, if it is another."""
+        return not run.sends or self.policy.budget.try_take(run.work.service)
+
     async def run_staged(self, run: ForwardRun, rank: int) -> int:
         """Make the results that a request reads, then forward it."""
         work = run.work
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -5,6 +5,7 @@
 from berylcart.coordination.gateway.backlogs import Backlogs
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, find_target
+from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.gateway.stage_results import StageResults
 from berylcart.state.errors import BerylcartError, Code, Ran
@@ -220,6 +221,18 @@
     run(check)
 
 
+def test_a_request_with_vanished_inputs_is_sent_again_within_the_budget():
+    async def check():
+        rig = Rig(STAGED, Script(GONE), Script())
+        rig.gateway.policy.budget = RetryWindow(0.0, 10.0, 0, lambda: 1)
+        exchange = await rig.serve()
+        assert exchange.status != 200
+        assert len(rig.relay.sent) == 1
+        assert rig.served[0].ran is Ran.NO
+
+    run(check)
+
+
 def test_failed_stage_did_not_run_the_request():
     async def check():
         rig = Rig(STAGED)
