Test the bound on pieces at the bound

Cause: the test asked for 10^9 pieces; without the check it took the machine's memory for minutes instead of failing. It now asks for one more than allowed, which is stricter, and fails at once without the check.

Ruled out: a change of the product; only the test changes.

--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -5,6 +5,7 @@
 from berylcart.coordination.gateway.backlogs import Backlogs
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, find_target
+from berylcart.coordination.gateway.piece_queue import MAX_PIECES
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.gateway.stage_results import StageResults
@@ -337,7 +338,7 @@
 def test_a_request_for_too_many_pieces_is_refused():
     async def check():
         rig = Rig(STAGED)
-        rig.wire.request = KEYED._replace(piece_counts=(10**9,))
+        rig.wire.request = KEYED._replace(piece_counts=(MAX_PIECES + 1,))
         assert (await rig.serve()).status == Code.BAD_REQUEST
         assert not rig.home.orders
 
