Log an order's rank and slack, and how long results take room

order.made now tells the order's rank and its slack when its first call began; results.dropped tells how long the oldest of the results took room. Two lines an order at most, no logic changed.

Test: test_dropped_results_log_how_long_they_took_room, and the test of order.made checks the new fields.

--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -10,6 +10,7 @@
 from berylcart.coordination.gateway.maker_state import (
     FIRST_PAUSE_S,
     MAX_PAUSE_S,
+    Held,
 )
 from berylcart.coordination.gateway.makers import Makers
 from berylcart.coordination.gateway.orders import Orders
@@ -117,6 +118,8 @@
             service=self.service,
             stage=order.stage,
             pieces=order.pieces,
+            rank=order.rank,
+            slack_ms=int((order.due_s - job.begun_s) * MS_PER_S),
             queued_ms=int((job.begun_s - now_s) * MS_PER_S),
             latency_ms=int((anyio.current_time() - now_s) * MS_PER_S),
         )
@@ -303,14 +306,15 @@
     ) -> None:
         """Give each piece's result to its order."""
         state = self.makers.state(vm)
-        end_s = anyio.current_time() + limits.keep_s
+        now_s = anyio.current_time()
+        end_s = now_s + limits.keep_s
         unwanted: list[str] = []
         for piece, result in zip(batch, results, strict=True):
             if not result.handle:
                 self.note_refused(vm, piece, result.failure)
                 continue
             size_bytes = int(SIZE_MARGIN * piece.order.result_bytes)
-            state.hold(result.handle, size_bytes, end_s)
+            state.hold(result.handle, Held(size_bytes, now_s, end_s))
             job = self.orders.job_of(piece.order)
             if job is None:
                 unwanted.append(result.handle)
--- a/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
@@ -1,6 +1,7 @@
 """Know how fast, full and reliable a replica that makes pieces is."""
 
 from math import inf
+from typing import NamedTuple
 
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 2.0
@@ -13,6 +14,14 @@
 FULL_HOLDS_S = 1.0
 
 
+class Held(NamedTuple):
+    """Describe a result that takes room at its replica, until_s at most."""
+
+    size_bytes: int
+    since_s: float
+    until_s: float
+
+
 class MakerState:
     """Hold what is known of one replica."""
 
@@ -23,8 +32,8 @@
         self.pause_s = FIRST_PAUSE_S
         self.slowness = 1.0
         self.judged_at_s = 0.0
-        # What each result takes, and until when at most, soonest first.
-        self.results: dict[str, tuple[int, float]] = {}
+        # By handle, those that expire soonest first.
+        self.results: dict[str, Held] = {}
         self.held_bytes = 0
         self.reserved_bytes = 0
         # What its results took when it had room for no more, and when.
@@ -66,22 +75,24 @@
         self.full_at_s = now_s
         self.is_full = False
 
-    def hold(self, handle: str, size_bytes: int, until_s: float) -> None:
+    def hold(self, handle: str, held: Held) -> None:
         """Note a result that takes room until it is dropped or expires."""
         self.drop(handle)
-        self.results[handle] = (size_bytes, until_s)
-        self.held_bytes += size_bytes
+        self.results[handle] = held
+        self.held_bytes += held.size_bytes
 
-    def drop(self, handle: str) -> None:
-        """Note that a result takes no more room."""
-        size_bytes, _ = self.results.pop(handle, (0, 0.0))
-        self.held_bytes -= size_bytes
+    def drop(self, handle: str) -> Held | None:
+        """Note that a result takes no more room, and tell what it took."""
+        held = self.results.pop(handle, None)
+        if held is not None:
+            self.held_bytes -= held.size_bytes
+        return held
 
     def used_bytes(self, now_s: float) -> int:
         """Sum what results take, without those that were dropped."""
         while self.results:
-            handle, (_, until_s) = next(iter(self.results.items()))
-            if until_s >= now_s:
+            handle, held = next(iter(self.results.items()))
+            if held.until_s >= now_s:
                 break
             self.drop(handle)
         return self.held_bytes + self.reserved_bytes
--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Sequence
 
+import anyio
+
 from berylcart import events
 from berylcart.coordination.gateway.maker_state import MakerState
 from berylcart.coordination.gateway.piece_queue import Maker
@@ -10,6 +12,8 @@
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm
 
+MS_PER_S = 1000
+
 
 class Makers:
     """Hold what is known of one service's replicas."""
@@ -75,5 +79,13 @@
                 "results.not_freed", vm_id=vm.vm_id, detail=error.detail
             )
             return
-        for handle in handles:
-            state.drop(handle)
+        now_s = anyio.current_time()
+        dropped = [state.drop(handle) for handle in handles]
+        held_s = [now_s - each.since_s for each in dropped if each is not None]
+        events.info(
+            "results.dropped",
+            service=vm.service,
+            vm_id=vm.vm_id,
+            results=len(handles),
+            held_ms=int(max(held_s, default=0.0) * MS_PER_S),
+        )
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -8,6 +8,7 @@
 import pytest
 from berylcart import events
 from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.maker_state import Held
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
@@ -165,6 +166,31 @@
     # A call of eight pieces takes 278 ms.
     assert [each["queued_ms"] for each in made] == [0, 278]
     assert [each["latency_ms"] for each in made] == [278, 556]
+    assert [each["rank"] for each in made] == [1, 1]
+    assert [each["slack_ms"] for each in made] == [2000, 1722]
+
+
+def test_dropped_results_log_how_long_they_took_room(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        events, "info", lambda name, **fields: lines.append((name, fields))
+    )
+
+    async def check():
+        batcher = make_batcher(FakeReplicas(), [make_vm("v1")])
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1"))
+            await anyio.sleep(0.7)
+            await batcher.free(handles)
+
+        await with_batcher(batcher, body)
+
+    run(check)
+    dropped = [fields for name, fields in lines if name == "results.dropped"]
+    assert [(each["results"], each["held_ms"]) for each in dropped] == [
+        (8, 700)
+    ]
 
 
 def test_a_replica_gets_one_call_at_a_time():
@@ -314,7 +340,9 @@
         vms = [make_vm("v1"), make_vm("v2")]
         batcher = make_batcher(replicas, vms)
         batcher.makers.state(vms[1]).learn(1.1, anyio.current_time())
-        batcher.makers.state(vms[0]).hold("v1:80/x", LIMITS.room_bytes, inf)
+        batcher.makers.state(vms[0]).hold(
+            "v1:80/x", Held(LIMITS.room_bytes, 0.0, inf)
+        )
 
         async def body(_):
             with anyio.fail_after(0.4):
