--- /dev/null
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -0,0 +1,326 @@
+"""Play a load on a gateway whose stages have few replicas, without a network.
+
+The replicas work as the limits of their services say: one call at a time,
+room for results until they are dropped or expire, inputs read at a call's
+start.
+"""
+
+import random
+from collections import Counter
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.forwarder import Forwarder
+from berylcart.coordination.gateway.gateway import Gateway
+from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
+from berylcart.coordination.gateway.piece_queue import call_s
+from berylcart.coordination.gateway.retry_window import RetryWindow
+from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.gateway.stage_home import StageHome
+from berylcart.coordination.gateway.stage_results import StageResults
+from berylcart.state.relayed import PieceFailure, PieceResult
+from berylcart.state.routes import (
+    BatchLimits,
+    EngineLimits,
+    GatewayService,
+    Owner,
+    Route,
+    RouteTable,
+)
+from berylcart.state.vm import Vm, VmRole, VmState
+
+from .gateway_fakes import (
+    SERVICE,
+    FakeExchange,
+    FakeWire,
+    Script,
+    make_request,
+)
+
+HOST = "host"
+# A lightly loaded engine's first event, and how long it then streams.
+FIRST_EVENT_S = 0.24
+STREAM_S = 0.5
+
+
+class StageService(NamedTuple):
+    """Describe a service that works on pieces."""
+
+    limits: BatchLimits
+    replicas: int
+
+
+class Load(NamedTuple):
+    """Describe the requests of one route."""
+
+    route: Route
+    per_s: float
+    piece_counts: tuple[int, ...]
+
+
+class Replica:
+    """Work on one call at a time and hold results."""
+
+    def __init__(self, limits: BatchLimits) -> None:
+        self.limits = limits
+        self.turn = anyio.Lock()
+        self.results: dict[str, tuple[int, float]] = {}
+        self.slowness = 1.0
+
+    def holds(self, handle: str) -> bool:
+        """Tell whether a result is still there."""
+        held = self.results.get(handle)
+        return held is not None and held[1] > anyio.current_time()
+
+    def used_bytes(self) -> int:
+        """Sum what its results take."""
+        now_s = anyio.current_time()
+        return sum(
+            size for size, end_s in self.results.values() if end_s > now_s
+        )
+
+
+class Fleet:
+    """Run a gateway's stages on replicas of a paused clock."""
+
+    def __init__(self, services: dict[str, StageService], loads, seed=1):
+        self.services = services
+        self.loads = loads
+        self.random = random.Random(seed)
+        self.replicas: dict[str, Replica] = {}
+        self.vms: dict[str, list[Vm]] = {}
+        self.result_bytes = {
+            (index, stage.service): stage.result_bytes
+            for load in loads
+            for index, stage in enumerate(load.route.stages)
+        }
+        self.in_time: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.made: Counter[str] = Counter()
+        self.gone = 0
+        for name, service in services.items():
+            self.vms[name] = [
+                make_replica(name, number)
+                for number in range(service.replicas)
+            ]
+            for vm in self.vms[name]:
+                self.replicas[vm.address] = Replica(service.limits)
+        self.vms[SERVICE] = [make_replica(SERVICE, n) for n in range(5)]
+        self.keeper = make_table(services, loads)
+        self.batchers: dict[str, Batcher] = {}
+        self.budget = RetryWindow(0.2, 10.0, 54, lambda: 1)
+        policy = GatewayPolicy(
+            self.keeper, self.pool, self.budget, random.Random(1)
+        )
+        self.home = StageHome("d1", None, list, self.batcher_of)
+        stages = StageResults(self.home, self.spawn, lambda _: "lahore-1")
+        wire = FleetWire()
+        self.gateway = Gateway(
+            self.keeper, wire, policy, Forwarder(self, policy, wire), stages
+        )
+        self.tasks = None
+
+    def pool(self, service):
+        """List the replicas of a service."""
+        return tuple(self.vms.get(service, ()))
+
+    def limits(self, service):
+        """Give a service's limits."""
+        info = self.services.get(service)
+        return None if info is None else info.limits
+
+    def batcher_of(self, service):
+        """Find a service's batcher, and start it at its first use."""
+        if service not in self.batchers:
+            batcher = Batcher(
+                service,
+                self,
+                self.budget,
+                self.pool,
+                self.limits,
+                self.drop_inputs,
+            )
+            self.batchers[service] = batcher
+            self.spawn(batcher.run)
+        return self.batchers[service]
+
+    def drop_inputs(self, handles):
+        """Drop results of any stages."""
+        groups = {}
+        for handle in handles:
+            service = handle.split("-")[0]
+            groups.setdefault(service, []).append(handle)
+        for service, group in groups.items():
+            self.spawn(self.home.free, service, group)
+
+    def spawn(self, function, *args):
+        """Run a function beside everything else."""
+        self.tasks.start_soon(function, *args)
+
+    async def run_pieces(self, vm, pieces):
+        """Make pieces once the replica is free."""
+        replica = self.replicas[vm.address]
+        async with replica.turn:
+            results = [self.begin(vm, each.piece) for each in pieces]
+            time_s = call_s(replica.limits, len(pieces)) * replica.slowness
+            await anyio.sleep(time_s)
+            end_s = anyio.current_time() + replica.limits.keep_s
+            for result in results:
+                if result.handle:
+                    size, _ = replica.results[result.handle]
+                    replica.results[result.handle] = (size, end_s)
+        self.made[vm.service] += sum(bool(each.handle) for each in results)
+        return results
+
+    def begin(self, vm, piece):
+        """Take a piece's room if its inputs are there."""
+        replica = self.replicas[vm.address]
+        for handle in piece.inputs:
+            if not self.replicas[self.holder(handle)].holds(handle):
+                self.gone += 1
+                return PieceResult(failure=PieceFailure.GONE)
+        size = self.result_bytes[piece.stage, vm.service]
+        if replica.used_bytes() + size > replica.limits.room_bytes:
+            return PieceResult(failure=PieceFailure.ROOM)
+        handle = (
+            f"{vm.address}/{piece.request_id}-{piece.stage}.{piece.number}"
+        )
+        replica.results[handle] = (size, float("inf"))
+        return PieceResult(handle)
+
+    def holder(self, handle):
+        """Give the address in a handle."""
+        return handle.partition("/")[0]
+
+    async def free_results(self, vm, handles):
+        """Drop results."""
+        for handle in handles:
+            self.replicas[vm.address].results.pop(handle, None)
+
+    @asynccontextmanager
+    async def exchange(self, request, on_sent=lambda: None):
+        """Stream an engine's answer."""
+        on_sent()
+        yield Engine()
+
+    async def play(self, length_s, count_from_s=0.0):
+        """Send each route's requests at random times."""
+        async with anyio.create_task_group() as self.tasks:
+            async with anyio.create_task_group() as callers:
+                for load in self.loads:
+                    callers.start_soon(
+                        self.send_all, load, length_s, count_from_s
+                    )
+            self.tasks.cancel_scope.cancel()
+
+    async def send_all(self, load, length_s, count_from_s):
+        """Send the requests of one route."""
+        random_source = random.Random(self.random.random())
+        start_s = anyio.current_time()
+        async with anyio.create_task_group() as requests:
+            number = 0
+            while anyio.current_time() < start_s + length_s:
+                await anyio.sleep(random_source.expovariate(load.per_s))
+                number += 1
+                counts = anyio.current_time() >= start_s + count_from_s
+                name = f"{load.route.name}{number}"
+                requests.start_soon(self.send, load, name, counts)
+
+    async def send(self, load, name, counts):
+        """Send one request and note whether it was in time."""
+        route = load.route
+        exchange = FleetExchange(
+            make_request(
+                request_id=name,
+                target=route.path_prefix,
+                host=HOST,
+                deadline_ms=route.timeout_ms,
+                api_key="k1",
+                piece_counts=load.piece_counts,
+                piece_key="key",
+            )
+        )
+        await self.gateway.handle(exchange)
+        self.sent[route.name] += counts
+        if exchange.first_s is not None:
+            latency_s = exchange.first_s - exchange.received_at_s
+            is_in_time = latency_s * 1000 <= route.target_ms
+            self.in_time[route.name] += counts and is_in_time
+
+    def share_in_time(self, name):
+        """Give the share of a route's requests that were in time."""
+        return self.in_time[name] / self.sent[name]
+
+
+class Engine(Script):
+    """Stream an answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.times_s = [FIRST_EVENT_S, STREAM_S]
+        self.chunks = [b"first", b"last"]
+
+    async def read(self):
+        """Give the next event."""
+        if self.times_s:
+            await anyio.sleep(self.times_s.pop(0))
+        return await super().read()
+
+
+class FleetExchange(FakeExchange):
+    """Note when the first event came."""
+
+    def __init__(self, request):
+        super().__init__(request.target)
+        self.request = request
+        self.head = request
+        self.first_s = None
+
+    async def send(self, data):
+        """Take bytes."""
+        if self.first_s is None and self.status == 200:
+            self.first_s = anyio.current_time()
+
+
+class FleetWire(FakeWire):
+    """Read a request that the exchange holds."""
+
+    def read_request(self, head, body):
+        """Give the request."""
+        return head
+
+
+def make_replica(service, number):
+    """Describe a replica."""
+    name = f"{service}-{number}"
+    return Vm(
+        name,
+        1,
+        name,
+        "lahore-1",
+        VmRole.UPSTREAM,
+        service,
+        VmState.LIVE,
+        name,
+    )
+
+
+def make_table(services, loads):
+    """Keep one table of the loads' routes."""
+    infos = {
+        name: GatewayService(name, 0, service.limits)
+        for name, service in services.items()
+    }
+    infos[SERVICE] = GatewayService(SERVICE, 0, None, EngineLimits(64, 10**6))
+    table = RouteTable(
+        1,
+        tuple(load.route for load in loads),
+        infos,
+        {"k1": Owner("counter", 1)},
+        has_workspaces=True,
+    )
+    keeper = RouteKeeper(lambda text: table)
+    keeper.offer("text", 1, "test")
+    return keeper
