Let late orders yield at every stage, or give up their inputs

The same order was never given up either, and its inputs took the room of the stage before.

Late orders now yield at every stage. One that holds large results is given up at once where work in time half fills the next calls, so that its room goes to requests that can still be in time; its caller is told when to come back.

test_a_late_order_that_holds_large_results_goes_on asserted the cause. It is replaced by test_a_late_order_that_holds_large_results_makes_no_other_late and test_a_late_order_behind_work_in_time_gives_up_its_inputs.

--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -20,6 +20,7 @@
     backlog_s,
     call_s,
     count_ahead,
+    crowded_out,
     hopeless,
     is_worthwhile,
     pieces_per_s,
@@ -197,9 +198,13 @@
         if measured is not None:
             rate = min(rate, measured)
         spare = rate - self.rates.arrived.per_s()
-        for order in hopeless(self.orders.waiting, rate, spare, now_s):
+        given_up = hopeless(self.orders.waiting, rate, spare, now_s)
+        given_up += crowded_out(
+            self.orders.waiting, len(makers), limits, now_s
+        )
+        for order in given_up:
             job = self.orders.job_of(order)
-            if job is None:
+            if job is None or job.error is not None:
                 continue
             events.info(
                 "order.given_up",
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -28,6 +28,8 @@
 MAX_PIECES = 10_000
 # A burst ends at some time: late work is left this much at least.
 MIN_SPARE_SHARE = 0.25
+# Work in time that half fills the next calls leaves late orders little.
+CROWDED_CALLS = 0.5
 # Longer waits cost more of the target than a result that crosses places.
 PLACE_WAIT_S = 0.1
 
@@ -59,11 +61,14 @@
         """Tell whether the order yields to those that can be in time.
 
         Under overload nobody would be in time if those that are late already
-        went first. But an order that holds large results of earlier stages
-        gives room by going on.
+        went first.
         """
-        holds_room = self.inputs and self.moved_bytes >= LARGE_MOVE_BYTES
-        return self.due_s < now_s and not holds_room
+        return self.due_s < now_s
+
+    @property
+    def holds_room(self) -> bool:
+        """Tell whether large results of earlier stages wait for the order."""
+        return bool(self.inputs) and self.moved_bytes >= LARGE_MOVE_BYTES
 
     def rank_at(self, now_s: float) -> float:
         """Give the rank, which is lower for a late order."""
@@ -322,6 +327,40 @@
     return orders
 
 
+def crowded_out(
+    waiting: Sequence[Waiting],
+    replicas: int,
+    limits: BatchLimits,
+    now_s: float,
+) -> list[Order]:
+    """List the late orders whose inputs take room from work in time.
+
+    They would wait until the queue of work in time is shorter than the calls
+    that it fills.
+
+    >>> limits = BatchLimits(1, 2, 2, 150, 16, 1e6, 4)
+    >>> def waiting(request_id, due_s):
+    ...     order = Order(request_id, "s", 1, 1, "", ("r",), 0, due_s, 9, "",
+    ...                   40, 200_000)
+    ...     return Waiting(order, (0,), 0.0, 5.0)
+    >>> queue = [waiting("late", 0.5), waiting("in-time", 4.0)]
+    >>> [each.request_id for each in crowded_out(queue, 1, limits, 1.0)]
+    ['late']
+    >>> crowded_out(queue, 2, limits, 1.0)
+    []
+    """
+    ahead = count_ahead(waiting, None, now_s)
+    if ahead < CROWDED_CALLS * limits.pieces * replicas:
+        return []
+    return [
+        each.order
+        for each in waiting
+        if each.order.is_late(now_s)
+        and each.order.holds_room
+        and not each.is_begun
+    ]
+
+
 def backlog_s(
     waiting: int, makers: Sequence[Maker], limits: BatchLimits
 ) -> float:
--- a/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
+++ b/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
@@ -4,6 +4,7 @@
     Maker,
     Order,
     Waiting,
+    crowded_out,
     is_worthwhile,
     take_batch,
 )
@@ -44,9 +45,20 @@
     assert take(*queue) == ["next", "late", "last"]
 
 
-def test_a_late_order_that_holds_large_results_goes_on():
+def test_a_late_order_that_holds_large_results_makes_no_other_late():
     late = waiting("late", due_s=NOW_S - 1, moved_bytes=360_000)
-    assert take(waiting("in-time"), late) == ["late", "in-time"]
+    assert take(waiting("in-time"), late) == ["in-time", "late"]
+
+
+def test_a_late_order_behind_work_in_time_gives_up_its_inputs():
+    late = waiting("late", due_s=NOW_S - 1, moved_bytes=360_000)
+    begun = waiting("begun", due_s=NOW_S - 1, moved_bytes=360_000)
+    begun = [each._replace(is_begun=True) for each in begun]
+    small = waiting("small", due_s=NOW_S - 1)
+    queue = [*late, *begun, *small, *waiting("in-time", 4)]
+    given_up = crowded_out(queue, 1, LIMITS, NOW_S)
+    assert [each.request_id for each in given_up] == ["late"]
+    assert crowded_out(queue, 2, LIMITS, NOW_S) == []
 
 
 def test_a_begun_order_goes_first():
