Begin an order soon enough for all its calls and the turns of later stages

Behind a slow last stage orders begin at the last moment, when they are due. The due time counted one call a stage and no wait: an order of 16 pieces where 15 fit a call needs two, and the replicas of a later stage are busy.

The time left to later stages now counts the calls that the order's pieces need at the replicas there are, and for each later stage the mean wait until one of its busy replicas is free.

--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -306,7 +306,12 @@
             due_s=received_s + (route.target_ms - age_ms) / MS_PER_S,
             deadline_s=min(work.deadline_s, leaves_s),
             place=vm.place,
-            rests_s=rests_s(route, self.tables.require().services),
+            rests_s=rests_s(
+                route,
+                work.request.piece_counts,
+                self.tables.require().services,
+                lambda service: len(self.policy.pool(service)),
+            ),
             link_mbps=self.link_mbps(route),
         )
 
