Let a large order yield where it makes several small ones late

Behind a stage that can't keep up, one order of 30 pieces takes the time of two or four usual ones, which are then late. Orders went by due time alone.

Ten times a second, the orders that yield are now chosen by Hodgson's rule, which keeps the most orders in time: planned by due time, rank by rank, the largest order planned so far is left out whenever one would begin too late. An order that yields is not begun in what is left of a call while one in time waits: its rest would go first in the next call.

--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -13,6 +13,7 @@
     Held,
 )
 from berylcart.coordination.gateway.makers import Makers
+from berylcart.coordination.gateway.on_time import yielding_orders
 from berylcart.coordination.gateway.orders import Orders
 from berylcart.coordination.gateway.piece_queue import (
     Order,
@@ -189,7 +190,7 @@
                 makers[vm.vm_id] = self.makers.describe(vm, limits, now_s)
 
     def shed(self, limits: BatchLimits, now_s: float) -> None:
-        """Give up late orders that won't get their calls."""
+        """Choose the orders that yield; give up those that get no calls."""
         makers = self.makers.describe_all(limits, now_s)
         if not makers:
             return
@@ -197,6 +198,11 @@
         measured = self.rates.measured()
         if measured is not None:
             rate = min(rate, measured)
+        free_s = now_s + min(maker.free_in_s for maker in makers)
+        yielding = yielding_orders(
+            self.orders.waiting, pieces_per_s(makers, limits), free_s, now_s
+        )
+        self.orders.note_yielding(yielding)
         spare = rate - self.rates.arrived.per_s()
         given_up = hopeless(self.orders.waiting, rate, spare, now_s)
         given_up += crowded_out(
--- a/packages/berylcart/src/berylcart/coordination/gateway/orders.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/orders.py
@@ -7,6 +7,7 @@
 from berylcart.coordination.gateway.job import Job
 from berylcart.coordination.gateway.piece_queue import (
     Order,
+    OrderName,
     TakenPiece,
     Waiting,
     count_pieces,
@@ -18,13 +19,13 @@
 
     def __init__(self) -> None:
         self.waiting: list[Waiting] = []
-        self.jobs: dict[tuple[str, int], Job] = {}
+        self.jobs: dict[OrderName, Job] = {}
         self.changed = anyio.Event()
 
     def add(self, order: Order, until_s: float) -> Job:
         """Queue all pieces of an order, for calls that begin until then."""
         job = Job(order)
-        self.jobs[order.request_id, order.stage] = job
+        self.jobs[order.name] = job
         now_s = anyio.current_time()
         numbers = tuple(range(order.pieces))
         self.waiting.append(Waiting(order, numbers, now_s, until_s))
@@ -33,9 +34,8 @@
 
     def remove(self, job: Job) -> None:
         """Forget an order and its pieces."""
-        key = (job.order.request_id, job.order.stage)
-        if self.jobs.get(key) is job:
-            del self.jobs[key]
+        if self.jobs.get(job.order.name) is job:
+            del self.jobs[job.order.name]
         self.drop_pieces(job.order)
 
     def drop_pieces(self, order: Order) -> None:
@@ -46,9 +46,16 @@
 
     def job_of(self, order: Order) -> Job | None:
         """Find the job that waits for an order's results."""
-        job = self.jobs.get((order.request_id, order.stage))
+        job = self.jobs.get(order.name)
         return job if job is not None and job.order is order else None
 
+    def note_yielding(self, names: Set[OrderName]) -> None:
+        """Note which orders yield to others from now on."""
+        self.waiting = [
+            each._replace(is_yielding=each.order.name in names)
+            for each in self.waiting
+        ]
+
     def count_waiting(self) -> int:
         """Count the pieces that wait for a call."""
         return count_pieces(self.waiting)
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -34,6 +34,10 @@
 PLACE_WAIT_S = 0.1
 
 
+# A request and the number of one of its stages.
+OrderName = tuple[str, int]
+
+
 class Order(NamedTuple):
     """Describe the pieces of one stage that a request needs.
 
@@ -65,15 +69,16 @@
         """
         return self.due_s < now_s
 
+    @property
+    def name(self) -> OrderName:
+        """Tell the order from all others."""
+        return self.request_id, self.stage
+
     @property
     def holds_room(self) -> bool:
         """Tell whether large results of earlier stages wait for the order."""
         return bool(self.inputs) and self.moved_bytes >= LARGE_MOVE_BYTES
 
-    def rank_at(self, now_s: float) -> float:
-        """Give the rank, which is lower for a late order."""
-        return self.rank + LATE_RANKS * self.is_late(now_s)
-
 
 # Whether an order waits for its first call, its rank, when due, its name.
 Urgency = tuple[bool, float, float, str]
@@ -83,7 +88,8 @@
     """Hold pieces of one order that no call has taken yet.
 
     One entry for each order keeps a decision's cost apart from the number of
-    pieces. After until_s a call would be in vain.
+    pieces. After until_s a call would be in vain. is_yielding is set where
+    the order makes others late that can be in time.
     """
 
     order: Order
@@ -92,6 +98,15 @@
     until_s: float
     failures: int = 0
     is_begun: bool = False
+    is_yielding: bool = False
+
+    def yields(self, now_s: float) -> bool:
+        """Tell whether the order goes after those that can be in time."""
+        return self.is_yielding or self.order.is_late(now_s)
+
+    def rank_at(self, now_s: float) -> float:
+        """Give the rank, which is lower for an order that yields."""
+        return self.order.rank + LATE_RANKS * self.yields(now_s)
 
     def urgency(self, now_s: float) -> Urgency:
         """Order pieces: begun orders first, then by rank and when due.
@@ -101,7 +116,7 @@
         order = self.order
         return (
             not self.is_begun,
-            order.rank_at(now_s),
+            self.rank_at(now_s),
             order.due_s,
             order.request_id,
         )
@@ -199,12 +214,17 @@
     able.sort(key=lambda each: each.urgency(now_s))
     batch: list[TakenPiece] = []
     room_bytes = maker.room_bytes
+    # The rest of an order that is begun now would go first in the next call.
+    has_passed = False
     for entry in able:
         result_bytes = entry.order.result_bytes
         count = limits.pieces - len(batch)
         if result_bytes:
             count = min(count, int(room_bytes // result_bytes))
+        if has_passed and entry.yields(now_s) and not entry.is_begun:
+            continue
         if batch and is_parted(entry, count, limits):
+            has_passed = True
             continue
         taken = entry.first(max(0, count))
         room_bytes -= len(taken) * result_bytes
@@ -268,9 +288,10 @@
     [3, 1, 2]
     """
     if order is None:
-        ahead = [e for e in waiting if not e.order.is_late(now_s)]
+        ahead = [e for e in waiting if not e.yields(now_s)]
     else:
-        place = (True, order.rank_at(now_s))
+        own = Waiting(order, (), now_s, order.deadline_s)
+        place = own.urgency(now_s)[:2]
         ahead = [e for e in waiting if e.urgency(now_s)[:2] <= place]
     return count_pieces(ahead)
 
@@ -299,7 +320,7 @@
 def hopeless(
     waiting: Iterable[Waiting], rate: float, spare: float, now_s: float
 ) -> list[Order]:
-    """List the late orders that won't get their calls in time.
+    """List the orders that yield and won't get their calls in time.
 
     Late work is left what the work in time spares; rate and spare are pieces
     a second.
@@ -318,7 +339,7 @@
     start_s = now_s
     orders: list[Order] = []
     for entry in sorted(waiting, key=lambda each: each.urgency(now_s)):
-        is_yielding = entry.order.is_late(now_s) and not entry.is_begun
+        is_yielding = entry.yields(now_s) and not entry.is_begun
         own_rate = spare if is_yielding else rate
         last_s = start_s + (len(entry.numbers) - 1) / own_rate
         if is_yielding and last_s >= entry.until_s:
@@ -333,7 +354,7 @@
     limits: BatchLimits,
     now_s: float,
 ) -> list[Order]:
-    """List the late orders whose inputs take room from work in time.
+    """List the orders that yield and whose inputs take room from work in time.
 
     They would wait until the queue of work in time is shorter than the calls
     that it fills.
@@ -355,9 +376,7 @@
     return [
         each.order
         for each in waiting
-        if each.order.is_late(now_s)
-        and each.order.holds_room
-        and not each.is_begun
+        if each.yields(now_s) and each.order.holds_room and not each.is_begun
     ]
 
 
--- a/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
+++ b/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
@@ -76,6 +76,13 @@
     assert take(*queue) == ["first"] * 6 + ["second"] * 2
 
 
+def test_an_order_that_yields_is_not_begun_before_one_in_time():
+    late = waiting("late", 9, due_s=NOW_S - 1)
+    queue = [waiting("first", 6), waiting("second", 5), late]
+    assert take(*queue) == ["first"] * 6
+    assert take(waiting("first", 6), late) == ["first"] * 6 + ["late"] * 2
+
+
 def test_little_room_is_better_used_than_not():
     assert take(waiting("first", 6), room_bytes=200_000) == ["first"] * 3
 
--- a/packages/berylcart/tests/coordination/gateway/test_stage_overload.py
+++ b/packages/berylcart/tests/coordination/gateway/test_stage_overload.py
@@ -29,14 +29,19 @@
 SEEDS = pytest.mark.parametrize("seed", [1, 2, 3])
 
 
-def play(seed, *, seconds=3, thirds=3, plain=PLAIN):
-    """Play 2.27 and 3.03 requests a second, 85 pieces of the third stage."""
+LOADS = (Load(URGENT, 2.27, (1, 8, 16)), Load(PLAIN, 3.03, (1, 8, 16)))
+EQUAL = tuple(
+    each._replace(route=each.route._replace(priority=0)) for each in LOADS
+)
+
+
+def play(seed, *, seconds=3, thirds=3, loads=LOADS):
+    """Play a load, LOADS with 85 pieces of the third stage a second."""
     services = {
         "first": StageService(FIRST, 3),
         "second": StageService(SECOND, seconds),
         "third": StageService(THIRD, thirds),
     }
-    loads = [Load(URGENT, 2.27, (1, 8, 16)), Load(plain, 3.03, (1, 8, 16))]
     fleets = []
 
     async def check():
@@ -50,7 +55,7 @@
 @SEEDS
 def test_a_third_stage_that_makes_two_thirds_of_the_load_is_late_for_few(seed):
     # One replica makes 54 pieces a second.
-    fleet = play(seed, thirds=1, plain=PLAIN._replace(priority=0))
+    fleet = play(seed, thirds=1, loads=EQUAL)
     assert fleet.share_in_time("urgent") >= FLOOR
     assert fleet.share_in_time("plain") >= FLOOR
 
@@ -60,7 +65,7 @@
     seed,
 ):
     # One replica makes 29 pieces a second, and 42 are wanted.
-    fleet = play(seed, seconds=1, plain=PLAIN._replace(priority=0))
+    fleet = play(seed, seconds=1, loads=EQUAL)
     assert fleet.share_in_time("urgent") >= FLOOR
     assert fleet.share_in_time("plain") >= FLOOR
 
@@ -72,3 +77,12 @@
     urgent = fleet.share_in_time("urgent")
     assert urgent >= CALM_FLOOR
     assert urgent >= fleet.share_in_time("plain") - BEHIND
+
+
+@SEEDS
+def test_large_orders_make_no_small_ones_late_behind_a_short_stage(seed):
+    # The small orders want 40 of the 54 pieces a second, the large ones 60.
+    small = Load(URGENT, 5.0, (1, 8, 8))
+    large = Load(PLAIN._replace(priority=0), 1.5, (1, 8, 40))
+    fleet = play(seed, thirds=1, loads=(small, large))
+    assert fleet.share_in_time("urgent") >= CALM_FLOOR
