Let results that were read give way where room for new ones is short

The home of the reading stage now tells the home of the results when the last call for an order has read them. They become spare: a replica without room for its next call drops them first, else they stay until the order is made. So a failed piece still finds its inputs wherever room isn't short.

The tests of kept inputs check the new notice beside what they checked before. New: test_results_that_were_read_make_no_call_small and test_results_that_were_read_stay_for_a_failed_piece_where_there_is_room.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -203,15 +203,15 @@
         if self.background is not None:
             self.background.start_soon(function, *args)
 
-    def drop_inputs(self, handles: Sequence[str]) -> None:
-        """Drop results of any stages."""
+    def drop_inputs(self, handles: Sequence[str], is_spare: bool) -> None:
+        """Drop results of any stages, spare ones where room is short."""
         by_service: dict[str, list[str]] = {}
         for handle in handles:
             vm = self.holders.get(self.ports.pieces.holder(handle))
             if vm is not None:
                 by_service.setdefault(vm.service, []).append(handle)
         for service, group in by_service.items():
-            self.spawn(self.home.free, service, group)
+            self.spawn(self.home.free, service, group, is_spare)
 
     def place_of(self, handle: str) -> str:
         """Find the place of the replica that holds a result."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -19,12 +19,14 @@
     Order,
     TakenPiece,
     backlog_s,
+    call_bytes,
     call_s,
     count_ahead,
     crowded_out,
     hopeless,
     is_worthwhile,
     pieces_per_s,
+    read_s,
     take_batch,
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
@@ -62,7 +64,9 @@
         budget: RetryWindow,
         pool: Callable[[str], Sequence[Vm]],
         limits: Callable[[str], BatchLimits | None],
-        on_read: Callable[[Sequence[str]], None] = lambda handles: None,
+        on_read: Callable[[Sequence[str], bool], None] = (
+            lambda handles, is_spare: None
+        ),
     ) -> None:
         self.service = service
         self.caller = caller
@@ -113,7 +117,7 @@
             raise self.overloaded(order)
         # Sooner, a piece that has to be made again would miss its inputs.
         if order.is_only_reader:
-            self.on_read(order.inputs)
+            self.on_read(order.inputs, False)
         events.info(
             "order.made",
             request_id=order.request_id,
@@ -173,6 +177,7 @@
             self.shed(limits, now_s)
         pool = self.makers.pool()
         self.makers.retain(pool)
+        wanted_bytes = call_bytes(self.orders.waiting, limits)
         makers = {
             vm.vm_id: self.makers.describe(vm, limits, now_s) for vm in pool
         }
@@ -181,6 +186,11 @@
             state = self.makers.state(vm)
             if state.calls >= limits.slots or state.paused_until_s > now_s:
                 continue
+            if state.is_clearing:
+                continue
+            if state.spare and maker.room_bytes < wanted_bytes:
+                tasks.start_soon(self.clear_spare, vm)
+                continue
             batch = take_batch(self.orders.waiting, maker, limits, now_s)
             # A faster replica that is still free can't take this work.
             busy = [each for each in makers.values() if each.free_in_s > 0]
@@ -240,6 +250,18 @@
         slow_s = expected_s * state.slowness_at(anyio.current_time())
         state.busy_until_s = anyio.current_time() + slow_s
         tasks.start_soon(self.call, vm, batch, limits, expected_s)
+        for order in self.orders.all_taken(batch):
+            if order.is_only_reader and order.holds_room:
+                tasks.start_soon(self.note_inputs_read, order, limits)
+
+    async def note_inputs_read(
+        self, order: Order, limits: BatchLimits
+    ) -> None:
+        """Let an order's inputs give way once its last call has read them."""
+        size_bytes = order.pieces * order.moved_bytes
+        await anyio.sleep(read_s(size_bytes, limits.link_mbps))
+        if self.orders.job_of(order) is not None:
+            self.on_read(order.inputs, True)
 
     async def call(
         self,
@@ -394,6 +416,16 @@
             )
         )
 
+    def note_spare(self, handles: Sequence[str]) -> None:
+        """Let results give way to others where room is short."""
+        self.makers.note_spare(handles)
+        self.orders.changed.set()
+
+    async def clear_spare(self, vm: Vm) -> None:
+        """Drop the results at a replica that may give way."""
+        await self.makers.clear_spare(vm)
+        self.orders.changed.set()
+
     async def free(self, handles: Sequence[str]) -> None:
         """Drop results at the replicas that hold them."""
         await self.makers.free(handles)
--- a/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
@@ -35,6 +35,9 @@
         # By handle, those that expire soonest first.
         self.results: dict[str, Held] = {}
         self.held_bytes = 0
+        # Those that were read, and are read again only if a piece fails.
+        self.spare: set[str] = set()
+        self.is_clearing = False
         self.reserved_bytes = 0
         # What its results took when it had room for no more, and when.
         self.full_bytes = 0.0
@@ -83,11 +86,17 @@
 
     def drop(self, handle: str) -> Held | None:
         """Note that a result takes no more room, and tell what it took."""
+        self.spare.discard(handle)
         held = self.results.pop(handle, None)
         if held is not None:
             self.held_bytes -= held.size_bytes
         return held
 
+    def note_spare(self, handle: str) -> None:
+        """Note that a result may give way to others."""
+        if handle in self.results:
+            self.spare.add(handle)
+
     def used_bytes(self, now_s: float) -> int:
         """Sum what results take, without those that were dropped."""
         while self.results:
--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -1,6 +1,6 @@
 """Know the replicas that make pieces, and what they hold."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import anyio
 
@@ -59,6 +59,13 @@
 
         Another daemon may have had them made.
         """
+        for vm, group in self.by_holder(handles):
+            await self.free_at(vm, group)
+
+    def by_holder(
+        self, handles: Sequence[str]
+    ) -> Iterator[tuple[Vm, list[str]]]:
+        """Group results by the replica that holds them."""
         holders = {vm.address: vm for vm in self.pool()}
         held: dict[str, list[str]] = {}
         for handle in handles:
@@ -66,7 +73,23 @@
         for address, group in held.items():
             vm = holders.get(address)
             if vm is not None:
-                await self.free_at(vm, group)
+                yield vm, group
+
+    def note_spare(self, handles: Sequence[str]) -> None:
+        """Note results that may give way to others."""
+        for vm, group in self.by_holder(handles):
+            for handle in group:
+                self.state(vm).note_spare(handle)
+
+    async def clear_spare(self, vm: Vm) -> None:
+        """Drop a replica's results that may give way to others."""
+        state = self.state(vm)
+        state.is_clearing = True
+        try:
+            await self.free_at(vm, sorted(state.spare))
+        finally:
+            state.spare.clear()
+            state.is_clearing = False
 
     async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
         """Drop results at one replica."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/orders.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/orders.py
@@ -79,6 +79,12 @@
             if job is not None:
                 job.begun_s = min(job.begun_s, now_s)
 
+    def all_taken(self, batch: Sequence[TakenPiece]) -> list[Order]:
+        """List a call's orders of which no piece waits any more."""
+        waiting = {each.order.name for each in self.waiting}
+        orders = {piece.order.name: piece.order for piece in batch}
+        return [order for name, order in orders.items() if name not in waiting]
+
     def put_back(self, piece: TakenPiece, failures: int) -> None:
         """Queue a piece again whose call gave no result."""
         entry = piece.entry._replace(
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -234,6 +234,19 @@
     return batch
 
 
+def call_bytes(waiting: Iterable[Waiting], limits: BatchLimits) -> int:
+    """Bound what the results of the next call take.
+
+    >>> limits = BatchLimits(1, 2, 8, 150, 16, 1e6, 4)
+    >>> order = Order("r", "s", 0, 3, "k", (), 0, 9, 9, "", 40)
+    >>> call_bytes([Waiting(order, (0, 1, 2), 0.0, 9.0)], limits)
+    120
+    """
+    entries = list(waiting)
+    pieces = min(limits.pieces, count_pieces(entries))
+    return pieces * max((e.order.result_bytes for e in entries), default=0)
+
+
 def is_parted(entry: Waiting, count: int, limits: BatchLimits) -> bool:
     """Tell whether a call would part an order that another may take whole.
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
@@ -48,10 +48,11 @@
         address: str,
         service: str,
         handles: Sequence[str],
+        is_spare: bool,
         *,
         timeout_ms: int,
     ) -> None:
-        """Have results dropped."""
+        """Have results dropped, spare ones only where room is short."""
         ...
 
 
@@ -63,9 +64,9 @@
         ...
 
     async def on_free_pieces(
-        self, service: str, handles: Sequence[str]
+        self, service: str, handles: Sequence[str], is_spare: bool
     ) -> None:
-        """Drop results."""
+        """Drop results, spare ones only where room is short."""
         ...
 
 
@@ -208,22 +209,33 @@
         return MadePieces(handles, batcher.backlog_s())
 
     async def on_free_pieces(
-        self, service: str, handles: Sequence[str]
+        self, service: str, handles: Sequence[str], is_spare: bool
     ) -> None:
         """Drop results for another daemon."""
-        await self.batcher_of(service).free(handles)
+        batcher = self.batcher_of(service)
+        if is_spare:
+            batcher.note_spare(handles)
+        else:
+            await batcher.free(handles)
+
+    async def free(
+        self, service: str, handles: Sequence[str], is_spare: bool = False
+    ) -> None:
+        """Have results dropped that nobody reads any more.
 
-    async def free(self, service: str, handles: Sequence[str]) -> None:
-        """Have results dropped that nobody reads any more."""
+        Spare ones are read again if a piece fails, and are dropped only
+        where room is short.
+        """
         home = self.home_of(service)
         if home is None:
-            await self.batcher_of(service).free(handles)
+            await self.on_free_pieces(service, handles, is_spare)
             return
         try:
             await self.peers.free_pieces(
                 home.peer_address,
                 service,
                 handles,
+                is_spare,
                 timeout_ms=FREE_TIMEOUT_MS,
             )
         except BerylcartError as error:
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -217,14 +217,17 @@
         address: str,
         service: str,
         handles: Sequence[str],
+        is_spare: bool,
         *,
         timeout_ms: int,
     ) -> None:
-        """Have results of stages dropped."""
+        """Have results of stages dropped, spare ones where room is short."""
         await self._call(
             address,
             "FreePieces",
-            pb.FreePiecesMessage(service=service, handles=handles),
+            pb.FreePiecesMessage(
+                service=service, handles=handles, is_spare=is_spare
+            ),
             lambda message: None,
             timeout_ms,
         )
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -174,7 +174,7 @@
 
         async def handle(message: pb.FreePiecesMessage) -> None:
             await self.stages.on_free_pieces(
-                message.service, tuple(message.handles)
+                message.service, tuple(message.handles), message.is_spare
             )
 
         await self._answer(
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -487,8 +487,8 @@
         replicas = FakeReplicas()
         batcher = make_batcher(replicas, [make_vm("v1")])
         read = []
-        batcher.on_read = lambda handles: read.append(
-            (anyio.current_time(), handles)
+        batcher.on_read = lambda handles, is_spare: read.append(
+            (anyio.current_time(), handles, is_spare)
         )
 
         async def body(_):
@@ -496,8 +496,9 @@
             order = make_order("r1", 12)._replace(is_only_reader=True)
             await batcher.make(order)
             await batcher.make(make_order("r2", 2))
-            ((read_s, handles),) = read
+            ((read_s, handles, is_spare),) = read
             assert handles == order.inputs
+            assert not is_spare
             # Twelve pieces take two calls, of 278 and 214 ms.
             assert read_s - started_s == pytest.approx(0.492)
 
@@ -512,29 +513,66 @@
         replicas.failing_pieces = {("r1", 3)}
         batcher = make_batcher(replicas, [make_vm("v1")])
         read = []
-        batcher.on_read = read.append
+        batcher.on_read = lambda handles, is_spare: read.append(
+            (handles, is_spare)
+        )
 
         async def body(tasks):
-            order = make_order("r1", 8)._replace(is_only_reader=True)
+            order = make_order("r1", 8)._replace(
+                is_only_reader=True, moved_bytes=480_000
+            )
             tasks.start_soon(batcher.make, order)
             await anyio.sleep(0.4)
             assert replicas.calls == [("v1", 8), ("v1", 1)]
-            assert not read
+            assert (order.inputs, False) not in read
             await anyio.sleep(0.1)
-            assert read == [order.inputs]
+            # Each of the two calls had read them.
+            assert read == [(order.inputs, True)] * 2 + [(order.inputs, False)]
 
         await with_batcher(batcher, body)
 
     run(check)
 
 
+def make_after_read_results(replicas):
+    """Make an order at a replica whose room the results of one before take."""
+    sizes = []
+
+    async def check():
+        batcher = make_batcher(replicas, [make_vm("v1")])
+        limits = LIMITS._replace(room_bytes=replicas.room_bytes)
+        batcher.limits = lambda service: limits
+
+        async def body(_):
+            batcher.note_spare(await batcher.make(make_order("r1", 8)))
+            await batcher.make(make_order("r2", 8))
+            sizes.extend(size for _, size in replicas.calls)
+
+        await with_batcher(batcher, body)
+
+    run(check)
+    return sizes
+
+
+def test_results_that_were_read_make_no_call_small():
+    replicas = FakeReplicas(12 * RESULT_BYTES)
+    assert make_after_read_results(replicas) == [8, 8]
+    assert len(replicas.freed) == 8
+
+
+def test_results_that_were_read_stay_for_a_failed_piece_where_there_is_room():
+    replicas = FakeReplicas(20 * RESULT_BYTES)
+    assert make_after_read_results(replicas) == [8, 8]
+    assert not replicas.freed
+
+
 def test_inputs_of_a_failed_call_are_kept():
     async def check():
         replicas = FakeReplicas()
         replicas.broken.add("v1")
         batcher = make_batcher(replicas, [make_vm("v1")])
         read = []
-        batcher.on_read = read.append
+        batcher.on_read = lambda handles, is_spare: read.append(handles)
 
         async def body(_):
             order = make_order("r1", deadline_s=1.0)
--- a/packages/berylcart/tests/coordination/stage_fleet.py
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -146,14 +146,14 @@
             self.spawn(batcher.run)
         return self.batchers[service]
 
-    def drop_inputs(self, handles):
+    def drop_inputs(self, handles, is_spare):
         """Drop results of any stages."""
         groups = {}
         for handle in handles:
             service = handle.split("-")[0]
             groups.setdefault(service, []).append(handle)
         for service, group in groups.items():
-            self.spawn(self.home.free, service, group)
+            self.spawn(self.home.free, service, group, is_spare)
 
     def spawn(self, function, *args):
         """Run a function beside everything else."""
