Try a replica that failed with one piece

After a failed call the next one carries one piece until one succeeds, so a replica that stays broken costs one extra piece a pause. New: test_a_replica_that_failed_is_tried_with_one_piece.

--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -44,6 +44,8 @@
 PATIENCE = 4.0
 PATIENCE_S = 0.5
 MAX_FAILURES = 3
+# What the next call of a replica that failed risks.
+PROBE_PIECES = 1
 # What an order's inputs were kept for when it came; they expire together.
 KEEP_SHARE = 0.8
 # Results differ in size from what their stage says.
@@ -191,7 +193,14 @@
             if state.spare and maker.room_bytes < wanted_bytes:
                 tasks.start_soon(self.clear_spare, vm)
                 continue
-            batch = take_batch(self.orders.waiting, maker, limits, now_s)
+            # A replica that fails again must not use up the retry budget.
+            pieces = PROBE_PIECES if state.has_failed else limits.pieces
+            batch = take_batch(
+                self.orders.waiting,
+                maker,
+                limits._replace(pieces=pieces),
+                now_s,
+            )
             # A faster replica that is still free can't take this work.
             busy = [each for each in makers.values() if each.free_in_s > 0]
             count = self.orders.count_waiting()
--- a/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
@@ -58,6 +58,11 @@
         self.slowness = old + weight * (ratio - old)
         self.judged_at_s = now_s
 
+    @property
+    def has_failed(self) -> bool:
+        """Tell whether no call has succeeded since one failed."""
+        return self.pause_s > FIRST_PAUSE_S
+
     def pause(self, now_s: float) -> None:
         """Give the replica no call for a while."""
         self.paused_until_s = now_s + self.pause_s
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -315,6 +315,25 @@
     run(check)
 
 
+def test_a_replica_that_failed_is_tried_with_one_piece():
+    async def check():
+        replicas = FakeReplicas()
+        replicas.broken.add("v1")
+        batcher = make_batcher(replicas, [make_vm("v1")])
+
+        async def body(tasks):
+            tasks.start_soon(batcher.make, make_order("r1"))
+            await anyio.sleep(0.1)
+            assert replicas.calls == [("v1", 8)]
+            replicas.broken.clear()
+            await anyio.sleep(1.0)
+            assert replicas.calls == [("v1", 8), ("v1", 1), ("v1", 7)]
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
 def test_a_slow_replica_is_used_only_behind_a_queue():
     async def check():
         replicas = FakeReplicas()
