--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -16,6 +16,7 @@
 from berylcart.coordination.gateway.on_time import yielding_orders
 from berylcart.coordination.gateway.orders import Orders
 from berylcart.coordination.gateway.piece_queue import (
+    Maker,
     Order,
     TakenPiece,
     backlog_s,
@@ -179,7 +180,6 @@
             self.shed(limits, now_s)
         pool = self.makers.pool()
         self.makers.retain(pool)
-        wanted_bytes = call_bytes(self.orders.waiting, limits)
         makers = {
             vm.vm_id: self.makers.describe(vm, limits, now_s) for vm in pool
         }
@@ -190,7 +190,9 @@
                 continue
             if state.is_clearing:
                 continue
-            if state.spare and maker.room_bytes < wanted_bytes:
+            if state.spare and maker.room_bytes < call_bytes(
+                self.orders.waiting, limits
+            ):
                 tasks.start_soon(self.clear_spare, vm)
                 continue
             # A replica that fails again must not use up the retry budget.
@@ -217,30 +219,51 @@
         measured = self.rates.measured()
         if measured is not None:
             rate = min(rate, measured)
-        free_s = now_s + min(maker.free_in_s for maker in makers)
-        yielding = yielding_orders(
-            self.orders.waiting, pieces_per_s(makers, limits), free_s, now_s
-        )
-        self.orders.note_yielding(yielding)
+        self.note_yielding(makers, limits, now_s)
         spare = rate - self.rates.arrived.per_s()
-        given_up = hopeless(self.orders.waiting, rate, spare, now_s)
-        given_up += crowded_out(
+        for order in hopeless(self.orders.waiting, rate, spare, now_s):
+            self.give_up(order, "no call in time", now_s)
+        for order in crowded_out(
             self.orders.waiting, len(makers), limits, now_s
-        )
-        for order in given_up:
-            job = self.orders.job_of(order)
-            if job is None or job.error is not None:
-                continue
+        ):
+            self.give_up(order, "holds inputs behind work in time", now_s)
+
+    def note_yielding(
+        self, makers: Sequence[Maker], limits: BatchLimits, now_s: float
+    ) -> None:
+        """Choose the orders that yield so that more are in time."""
+        free_s = now_s + min(maker.free_in_s for maker in makers)
+        rate = pieces_per_s(makers, limits)
+        names = yielding_orders(self.orders.waiting, rate, free_s, now_s)
+        for order in self.orders.note_yielding(names):
             events.info(
-                "order.given_up",
+                "order.yields",
                 request_id=order.request_id,
                 service=self.service,
+                stage=order.stage,
+                pieces=order.pieces,
+                slack_ms=int((order.due_s - now_s) * MS_PER_S),
                 waiting=self.orders.count_waiting(),
                 rate_per_s=round(rate, 1),
-                spare_per_s=round(spare, 1),
             )
-            job.fail(self.overloaded(order))
-            self.orders.drop_pieces(order)
+
+    def give_up(self, order: Order, reason: str, now_s: float) -> None:
+        """Refuse an order that won't be made."""
+        job = self.orders.job_of(order)
+        if job is None:
+            return
+        events.info(
+            "order.given_up",
+            request_id=order.request_id,
+            service=self.service,
+            stage=order.stage,
+            reason=reason,
+            rank=order.rank,
+            slack_ms=int((order.due_s - now_s) * MS_PER_S),
+            waiting=self.orders.count_waiting(),
+        )
+        job.fail(self.overloaded(order))
+        self.orders.drop_pieces(order)
 
     def start_call(
         self,
--- a/packages/berylcart/src/berylcart/coordination/gateway/orders.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/orders.py
@@ -49,12 +49,18 @@
         job = self.jobs.get(order.name)
         return job if job is not None and job.order is order else None
 
-    def note_yielding(self, names: Set[OrderName]) -> None:
-        """Note which orders yield to others from now on."""
+    def note_yielding(self, names: Set[OrderName]) -> list[Order]:
+        """Note which orders yield to others, and list those that are new."""
+        new = [
+            each.order
+            for each in self.waiting
+            if each.order.name in names and not each.is_yielding
+        ]
         self.waiting = [
             each._replace(is_yielding=each.order.name in names)
             for each in self.waiting
         ]
+        return new
 
     def count_waiting(self) -> int:
         """Count the pieces that wait for a call."""
