Give up no urgent order for work of a lower rank

A late order with large inputs was given up for any work in time, also for work of a rank that it goes before.

Only work that goes before the order counts now. Results noted as spare while others are being dropped stay noted. test_a_late_urgent_order_is_not_given_up_for_work_of_a_low_rank failed before.

--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -84,11 +84,12 @@
     async def clear_spare(self, vm: Vm) -> None:
         """Drop a replica's results that may give way to others."""
         state = self.state(vm)
+        handles = sorted(state.spare)
+        state.spare.clear()
         state.is_clearing = True
         try:
-            await self.free_at(vm, sorted(state.spare))
+            await self.free_at(vm, handles)
         finally:
-            state.spare.clear()
             state.is_clearing = False
 
     async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -4,7 +4,8 @@
 pieces of different requests share calls.
 """
 
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from berylcart.state.relayed import Piece
@@ -383,16 +384,30 @@
     >>> crowded_out(queue, 2, limits, 1.0)
     []
     """
-    ahead = count_ahead(waiting, None, now_s)
-    if ahead < CROWDED_CALLS * limits.pieces * replicas:
-        return []
+    crowded = CROWDED_CALLS * limits.pieces * replicas
+    in_time: Counter[float] = Counter()
+    for each in waiting:
+        if not each.yields(now_s):
+            in_time[each.rank_at(now_s)] += len(each.numbers)
     return [
         each.order
         for each in waiting
-        if each.yields(now_s) and each.order.holds_room and not each.is_begun
+        if each.yields(now_s)
+        and each.order.holds_room
+        and not each.is_begun
+        and count_before(in_time, each.rank_at(now_s)) >= crowded
     ]
 
 
+def count_before(pieces: Mapping[float, int], rank: float) -> int:
+    """Count the pieces whose rank is no lower.
+
+    >>> count_before({0: 5, 1: 3, 2: 4}, 1)
+    8
+    """
+    return sum(count for each, count in pieces.items() if each <= rank)
+
+
 def backlog_s(
     waiting: int, makers: Sequence[Maker], limits: BatchLimits
 ) -> float:
