Fill a call with part of an order where its results are small

That matters for large results only. Those of the last stage are 6 KB a piece.

An order whose results are small in all is now parted. The rest goes first in the next call, in which the whole order would have been made.

Test: test_an_order_with_small_results_fills_what_is_left_of_a_call; the one for large results stands.

--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -251,9 +251,11 @@
 def is_parted(entry: Waiting, count: int, limits: BatchLimits) -> bool:
     """Tell whether a call would part an order that another may take whole.
 
-    What reads results of one replica only is made near it.
+    What reads large results of one replica only is made near it.
     """
-    if entry.is_begun:
+    order = entry.order
+    is_small = order.pieces * order.result_bytes < LARGE_MOVE_BYTES
+    if entry.is_begun or is_small:
         return False
     return count < len(entry.numbers) <= limits.pieces
 
--- a/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
+++ b/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
@@ -79,6 +79,11 @@
     assert take(*queue) == ["first"] * 6 + ["third"] * 2
 
 
+def test_an_order_with_small_results_fills_what_is_left_of_a_call():
+    queue = [waiting("first", 6), waiting("second", 5, result_bytes=6_000)]
+    assert take(*queue) == ["first"] * 6 + ["second"] * 2
+
+
 def test_an_order_larger_than_a_call_fills_what_is_left():
     queue = [waiting("first", 6), waiting("second", 9)]
     assert take(*queue) == ["first"] * 6 + ["second"] * 2
