Part giving up and shedding from the queue and the batcher

Read as a newcomer: piece_queue.py had grown to order the queue and to choose what is given up of it, batcher.py to make calls and to shed load. Choosing what is given up is now giving_up.py, pure functions beside on_time.py; acting on it and logging why is shedder.py. Moved, not changed, but that the rate of the replicas is worked out once a look instead of twice.

The tests of giving up moved with the functions.

--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -1,7 +1,6 @@
 """Work on the pieces of one service in shared calls."""
 
 from collections.abc import Callable, Sequence
-from math import inf
 
 import anyio
 from anyio.abc import TaskGroup
@@ -13,26 +12,22 @@
     Held,
 )
 from berylcart.coordination.gateway.makers import Makers
-from berylcart.coordination.gateway.on_time import yielding_orders
 from berylcart.coordination.gateway.orders import Orders
 from berylcart.coordination.gateway.piece_queue import (
-    Maker,
     Order,
     TakenPiece,
     backlog_s,
     call_bytes,
     call_s,
     count_ahead,
-    crowded_out,
-    hopeless,
     is_worthwhile,
-    pieces_per_s,
     read_s,
     take_batch,
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
 from berylcart.coordination.gateway.queue_rates import QueueRates
 from berylcart.coordination.gateway.retry_window import RetryWindow
+from berylcart.coordination.gateway.shedder import Shedder
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.relayed import PieceFailure, PieceResult
 from berylcart.state.routes import BatchLimits
@@ -53,8 +48,6 @@
 SIZE_MARGIN = 1.1
 # A last look for work when nothing else woke the dispatcher.
 IDLE_PERIOD_S = 0.1
-# A caller of a late order notices no shorter time.
-SHED_PERIOD_S = 0.1
 
 
 class Batcher:
@@ -80,7 +73,9 @@
         self.makers = Makers(caller, lambda: pool(service))
         self.rates = QueueRates()
         self.tasks: TaskGroup | None = None
-        self.shed_at_s = -inf
+        self.shedder = Shedder(
+            service, self.orders, self.makers, self.rates, self.overloaded
+        )
 
     async def run(self) -> None:
         """Give calls to free replicas until cancelled."""
@@ -175,9 +170,7 @@
         if limits is None or not self.orders.waiting:
             return
         now_s = anyio.current_time()
-        if now_s >= self.shed_at_s:
-            self.shed_at_s = now_s + SHED_PERIOD_S
-            self.shed(limits, now_s)
+        self.shedder.look(limits, now_s)
         pool = self.makers.pool()
         self.makers.retain(pool)
         makers = {
@@ -210,61 +203,6 @@
                 self.start_call(tasks, vm, batch, limits)
                 makers[vm.vm_id] = self.makers.describe(vm, limits, now_s)
 
-    def shed(self, limits: BatchLimits, now_s: float) -> None:
-        """Choose the orders that yield; give up those that get no calls."""
-        makers = self.makers.describe_all(limits, now_s)
-        if not makers:
-            return
-        rate = pieces_per_s(makers, limits)
-        measured = self.rates.measured()
-        if measured is not None:
-            rate = min(rate, measured)
-        self.note_yielding(makers, limits, now_s)
-        spare = rate - self.rates.arrived.per_s()
-        for order in hopeless(self.orders.waiting, rate, spare, now_s):
-            self.give_up(order, "no call in time", now_s)
-        for order in crowded_out(
-            self.orders.waiting, len(makers), limits, now_s
-        ):
-            self.give_up(order, "holds inputs behind work in time", now_s)
-
-    def note_yielding(
-        self, makers: Sequence[Maker], limits: BatchLimits, now_s: float
-    ) -> None:
-        """Choose the orders that yield so that more are in time."""
-        free_s = now_s + min(maker.free_in_s for maker in makers)
-        rate = pieces_per_s(makers, limits)
-        names = yielding_orders(self.orders.waiting, rate, free_s, now_s)
-        for order in self.orders.note_yielding(names):
-            events.info(
-                "order.yields",
-                request_id=order.request_id,
-                service=self.service,
-                stage=order.stage,
-                pieces=order.pieces,
-                slack_ms=int((order.due_s - now_s) * MS_PER_S),
-                waiting=self.orders.count_waiting(),
-                rate_per_s=round(rate, 1),
-            )
-
-    def give_up(self, order: Order, reason: str, now_s: float) -> None:
-        """Refuse an order that won't be made."""
-        job = self.orders.job_of(order)
-        if job is None:
-            return
-        events.info(
-            "order.given_up",
-            request_id=order.request_id,
-            service=self.service,
-            stage=order.stage,
-            reason=reason,
-            rank=order.rank,
-            slack_ms=int((order.due_s - now_s) * MS_PER_S),
-            waiting=self.orders.count_waiting(),
-        )
-        job.fail(self.overloaded(order))
-        self.orders.drop_pieces(order)
-
     def start_call(
         self,
         tasks: TaskGroup,
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -255,33 +255,41 @@
     run(check)
 
 
+async def make_sixty_at_a_large_fleets_home(replicas, after_each):
+    """Make orders of one piece at a home that earns little retry budget."""
+    vms = [make_vm("v1"), make_vm("v2")]
+    budget = RetryWindow(0.2, 10.0, 54, lambda: 87)
+    batcher = Batcher("sms", replicas, budget, lambda _: vms, lambda _: LIMITS)
+    made = []
+
+    async def make(name):
+        handles = await batcher.make(make_order(name, 1))
+        made.append(name)
+        batcher.drop(handles)
+
+    async def body(_):
+        async with anyio.create_task_group() as requests:
+            for number in range(60):
+                requests.start_soon(make, f"r{number}")
+                await anyio.sleep(0.02)
+                after_each(number)
+
+    await with_batcher(batcher, body)
+    assert len(made) == 60
+
+
 def test_a_failed_call_at_the_home_of_a_large_fleet_fails_no_order():
     async def check():
         replicas = FakeReplicas()
-        vms = [make_vm("v1"), make_vm("v2")]
-        budget = RetryWindow(0.2, 10.0, 54, lambda: 87)
-        batcher = Batcher(
-            "sms", replicas, budget, lambda _: vms, lambda _: LIMITS
-        )
-        made = []
 
-        async def make(name):
-            handles = await batcher.make(make_order(name, 1))
-            made.append(name)
-            batcher.drop(handles)
+        def after_each(number):
+            if number == 50:
+                replicas.broken.add("v1")
+            if replicas.has_failed:
+                replicas.broken.clear()
 
-        async def body(_):
-            async with anyio.create_task_group() as requests:
-                for number in range(60):
-                    requests.start_soon(make, f"r{number}")
-                    await anyio.sleep(0.02)
-                    if number == 50:
-                        replicas.broken.add("v1")
-                    if replicas.has_failed:
-                        replicas.broken.clear()
-
-        await with_batcher(batcher, body)
-        assert len(made) == 60
+        await make_sixty_at_a_large_fleets_home(replicas, after_each)
+        assert replicas.has_failed
 
     run(check)
 
@@ -289,28 +297,13 @@
 def test_a_replica_that_stays_broken_at_a_large_fleets_home_fails_no_order():
     async def check():
         replicas = FakeReplicas()
-        vms = [make_vm("v1"), make_vm("v2")]
-        budget = RetryWindow(0.2, 10.0, 54, lambda: 87)
-        batcher = Batcher(
-            "sms", replicas, budget, lambda _: vms, lambda _: LIMITS
-        )
-        made = []
 
-        async def make(name):
-            handles = await batcher.make(make_order(name, 1))
-            made.append(name)
-            batcher.drop(handles)
+        def after_each(number):
+            if number == 45:
+                replicas.broken.add("v1")
 
-        async def body(_):
-            async with anyio.create_task_group() as requests:
-                for number in range(60):
-                    requests.start_soon(make, f"r{number}")
-                    await anyio.sleep(0.02)
-                    if number == 45:
-                        replicas.broken.add("v1")
-
-        await with_batcher(batcher, body)
-        assert len(made) == 60
+        await make_sixty_at_a_large_fleets_home(replicas, after_each)
+        assert replicas.has_failed
 
     run(check)
 
--- a/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
+++ b/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
@@ -4,7 +4,6 @@
     Maker,
     Order,
     Waiting,
-    crowded_out,
     is_worthwhile,
     take_batch,
 )
@@ -50,25 +49,6 @@
     assert take(waiting("in-time"), late) == ["in-time", "late"]
 
 
-def test_a_late_order_behind_work_in_time_gives_up_its_inputs():
-    late = waiting("late", due_s=NOW_S - 1, moved_bytes=360_000)
-    begun = waiting("begun", due_s=NOW_S - 1, moved_bytes=360_000)
-    begun = [each._replace(is_begun=True) for each in begun]
-    small = waiting("small", due_s=NOW_S - 1)
-    queue = [*late, *begun, *small, *waiting("in-time", 4)]
-    given_up = crowded_out(queue, 1, LIMITS, NOW_S)
-    assert [each.request_id for each in given_up] == ["late"]
-    assert crowded_out(queue, 2, LIMITS, NOW_S) == []
-
-
-def test_a_late_urgent_order_is_not_given_up_for_work_of_a_low_rank():
-    late = waiting("late", rank=0, due_s=NOW_S - 1, moved_bytes=360_000)
-    queue = [*late, *waiting("plain", 8, rank=2)]
-    assert not crowded_out(queue, 1, LIMITS, NOW_S)
-    queue += waiting("next", 8, rank=1)
-    assert crowded_out(queue, 1, LIMITS, NOW_S) == [late[0].order]
-
-
 def test_a_begun_order_goes_first():
     begun = [e._replace(is_begun=True) for e in waiting("begun", rank=2)]
     assert take(waiting("urgent", rank=0), begun) == ["begun", "urgent"]
--- a/packages/berylcart/tests/coordination/stage_fleet.py
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -84,7 +84,6 @@
         self.limits = limits
         self.turn = anyio.Lock()
         self.results: dict[str, tuple[int, float]] = {}
-        self.slowness = 1.0
 
     def holds(self, handle: str) -> bool:
         """Tell whether a result is still there."""
@@ -181,7 +180,7 @@
         replica = self.replicas[vm.address]
         async with replica.turn:
             results = [self.begin(vm, each.piece) for each in pieces]
-            time_s = call_s(replica.limits, len(pieces)) * replica.slowness
+            time_s = call_s(replica.limits, len(pieces))
             await anyio.sleep(time_s)
             end_s = anyio.current_time() + replica.limits.keep_s
             for result in results:
