Call other daemons over MessagePack-RPC instead of gRPC

In the daemon that is home to the stages, answering peers took 3.5 of 9.8 s, most of it in h2, hpack and hyperframe, which are pure Python. Calls now go as MessagePack-RPC frames (msgpack, in C) around the same protobuf messages on one kept connection a pair; frames of one turn of the loop are written at once. A cancelled call is told to the peer, which stops working on it, and a lost connection ends the work on its calls, as before.

Ruled out: grpcio, which starts threads of its own and takes longer to import.

Daemons before and after this change don't understand each other: a rolling start over it has two groups that each find homes of their own, which costs time and no promise; routes and replicas come from the store in both.

--- a/Makefile
+++ b/Makefile
@@ -54,5 +54,4 @@
 		-Iberylcart/protocol=proto \
 		--python_out=packages/berylcart/src \
 		--pyi_out=packages/berylcart/src \
-		--grpclib_python_out=packages/berylcart/src \
 		berylcart/protocol/peer.proto
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -29,7 +29,7 @@
 from berylcart.state.vm import Vm
 from berylcart.transport.caller_connection import ConnectionRules
 from berylcart.transport.caller_server import CallerServer
-from berylcart.transport.peer_client import GrpcPeers
+from berylcart.transport.peer_client import RpcPeers
 from berylcart.transport.peer_server import PeerServer
 from berylcart.transport.relay_client import RelayClient
 
@@ -71,7 +71,7 @@
         self.directory = VmDirectory(
             ports.replicas, settings.replicas_interval_ms / MS_PER_S
         )
-        self.peers = GrpcPeers()
+        self.peers = RpcPeers()
         self.build_membership()
         self.build_gateway()
         self.build_servers()
--- a/packages/berylcart-daemon/src/berylcart_daemon/parts.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/parts.py
@@ -33,7 +33,7 @@
     HttpEngineOrders,
     HttpWeightStore,
 )
-from berylcart.transport.peer_client import GrpcPeers
+from berylcart.transport.peer_client import RpcPeers
 from berylcart.transport.peer_server import PeerServer
 from berylcart.transport.upstream_client import HttpUpstreams
 from berylcart.transport.vm_list_client import HttpVmList
@@ -92,7 +92,7 @@
         self.http_address = address_of(self.socket)
         self.incarnation = time.time_ns()
         self.client = HttpClient()
-        self.peers = GrpcPeers()
+        self.peers = RpcPeers()
         self.build_platform()
         self.build_policy()
         self.build_peers()
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/membership_meter.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/membership_meter.py
@@ -4,7 +4,7 @@
 import time
 from typing import Any, TypedDict
 
-from grpclib.protocol import H2Protocol
+from berylcart.transport.peer_connection import PeerConnection
 
 KB_PER_PAGE = resource.getpagesize() // 1024
 
@@ -26,7 +26,7 @@
 
 
 class Traffic:
-    """Count bytes and connections of every HTTP/2 connection."""
+    """Count bytes and connections of every peer connection."""
 
     def __init__(self) -> None:
         self.bytes_in = 0
@@ -34,8 +34,8 @@
         self.connections = 0
 
     def install(self) -> None:
-        """Wrap grpclib's protocol for the rest of this process."""
-        patched: Any = H2Protocol
+        """Wrap the connections' protocol for the rest of this process."""
+        patched: Any = PeerConnection
         receive = patched.data_received
         connect = patched.connection_made
 
--- a/packages/berylcart-tools/src/berylcart_tools/experiments/membership_node.py
+++ b/packages/berylcart-tools/src/berylcart_tools/experiments/membership_node.py
@@ -35,7 +35,7 @@
     StoredAnswer,
 )
 from berylcart.state.records import Checkpoint
-from berylcart.transport.peer_client import GrpcPeers
+from berylcart.transport.peer_client import RpcPeers
 from berylcart.transport.peer_server import PeerServer
 
 from berylcart_tools.experiments.membership_meter import (
@@ -62,7 +62,7 @@
         self.changes: list[tuple[str, str]] = []
         self.version = 0
         self.is_pulling = False
-        self.peers = GrpcPeers()
+        self.peers = RpcPeers()
         self.server = PeerServer(self, "127.0.0.1:0")
         self.membership: Membership | None = None
         self._control = control
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -1,20 +1,18 @@
-"""Call other daemons over gRPC."""
+"""Call other daemons over kept connections."""
 
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Any, TypeVar
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import anyio
 from cachetools import LRUCache
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from google.protobuf.message import DecodeError, Message
 
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol import piece_codec
-from berylcart.protocol.peer_grpc import PeerStub
-from berylcart.state.config_text import MAX_TEXT_BYTES
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import (
     AnswerQuery,
@@ -26,55 +24,68 @@
     StoredAnswer,
 )
 from berylcart.transport.listening import split_address
+from berylcart.transport.peer_connection import (
+    MAX_MESSAGE_BYTES,
+    PeerCallError,
+    PeerConnection,
+)
 
-# A configuration text of the largest size, and its verdicts, must fit.
-MAX_MESSAGE_BYTES = 2 * MAX_TEXT_BYTES
 MAX_CHANNELS = 32
 MS_PER_S = 1000
 
+Reply = TypeVar("Reply", bound=Message)
 Decoded = TypeVar("Decoded")
 
-CALL_ERRORS = (
-    GRPCError,
-    OSError,
-    ProtocolError,
-    StreamTerminatedError,
-    TimeoutError,
-    ValueError,
-)
+CALL_ERRORS = (DecodeError, OSError, PeerCallError, TimeoutError, ValueError)
 
 
 class PeerChannel:
-    """Hold a channel and close it once it is retired and no call uses it."""
+    """Hold a connection and close it once it is retired and unused."""
 
     def __init__(self, address: str) -> None:
-        host, port = split_address(address)
-        self.channel = Channel(host, port)
+        self._address = address
+        self._connection: PeerConnection | None = None
+        self._opening = asyncio.Lock()
         self._calls = 0
         self._is_retired = False
 
-    async def call(
-        self, method: str, message: object, timeout_s: float
-    ) -> Any:
-        """Make one call; raises TimeoutError when it takes too long."""
-        stub = PeerStub(self.channel)
-        call: Callable[..., Awaitable[Any]] = getattr(stub, method)
+    async def call(self, method: str, body: bytes, timeout_s: float) -> bytes:
+        """Make one call; raises TimeoutError when it takes too long.
+
+        Raises OSError where no connection opens or it fails, PeerCallError
+        when the peer refuses the call.
+        """
+        if len(body) > MAX_MESSAGE_BYTES:
+            raise ValueError("the message is too large")
         self._calls += 1
         try:
             with anyio.fail_after(timeout_s):
-                return await call(message)
+                connection = await self._open()
+                return await connection.call(method, body)
         finally:
             self._calls -= 1
             self._close_if_unused()
 
+    async def _open(self) -> PeerConnection:
+        """Give the connection, opened anew if it was lost."""
+        async with self._opening:
+            if self._connection is None or not self._connection.is_open:
+                host, port = split_address(self._address)
+                loop = asyncio.get_running_loop()
+                _, self._connection = await loop.create_connection(
+                    PeerConnection, host, port
+                )
+            return self._connection
+
     def retire(self) -> None:
         """Take no more calls, and let those in progress end."""
         self._is_retired = True
         self._close_if_unused()
 
     def _close_if_unused(self) -> None:
-        if self._is_retired and self._calls == 0:
-            self.channel.close()
+        is_unused = self._is_retired and self._calls == 0
+        if is_unused and self._connection is not None:
+            self._connection.close()
 
 
 class ChannelCache(LRUCache[str, PeerChannel]):
@@ -87,8 +98,8 @@
         return address, channel
 
 
-class GrpcPeers:
-    """Implement the Peers port over grpclib; needs a running asyncio loop."""
+class RpcPeers:
+    """Implement the Peers port; needs a running asyncio loop."""
 
     def __init__(self, max_channels: int = MAX_CHANNELS) -> None:
         self._channels = ChannelCache(maxsize=max_channels)
@@ -119,14 +130,17 @@
         self,
         address: str,
         method: str,
-        message: object,
-        decode: Callable[[Any], Decoded],
+        message: Message,
+        reply: type[Reply],
+        decode: Callable[[Reply], Decoded],
         timeout_ms: int,
     ) -> Decoded:
         channel = self._channel(address)
         try:
-            reply = await channel.call(method, message, timeout_ms / MS_PER_S)
-            return decode(reply)
+            body = await channel.call(
+                method, message.SerializeToString(), timeout_ms / MS_PER_S
+            )
+            return decode(reply.FromString(body))
         except CALL_ERRORS as error:
             self._retire(address, channel)
             raise BerylcartError(
@@ -142,6 +156,7 @@
             address,
             "Ping",
             codec.encode_ping(ping),
+            pb.GossipMessage,
             codec.decode_gossip,
             timeout_ms,
         )
@@ -154,6 +169,7 @@
             address,
             "PingRequest",
             codec.encode_ping_request(request),
+            pb.PingRequestReply,
             lambda reply: bool(reply.is_reached),
             timeout_ms,
         )
@@ -166,6 +182,7 @@
             address,
             "Exchange",
             codec.encode_gossip(gossip),
+            pb.GossipMessage,
             codec.decode_gossip,
             timeout_ms,
         )
@@ -178,6 +195,7 @@
             address,
             "PullConfig",
             codec.encode_config_query(query),
+            pb.ConfigMessage,
             codec.decode_config_offer,
             timeout_ms,
         )
@@ -190,6 +208,7 @@
             address,
             "CollectAnswer",
             codec.encode_answer_query(query),
+            pb.AnswerMessage,
             codec.decode_answer,
             timeout_ms,
         )
@@ -202,6 +221,7 @@
             address,
             "MakePieces",
             piece_codec.encode_order(order),
+            pb.PiecesMessage,
             lambda message: message,
             timeout_ms,
         )
@@ -228,6 +248,7 @@
             pb.FreePiecesMessage(
                 service=service, handles=handles, is_spare=is_spare
             ),
+            pb.FreePiecesReply,
             lambda message: None,
             timeout_ms,
         )
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -1,13 +1,11 @@
-"""Serve the calls of other daemons over gRPC."""
+"""Serve the calls of other daemons."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
-from google.protobuf.message import DecodeError
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError
-from grpclib.server import Server
+from google.protobuf.message import DecodeError, Message
 
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.stage_home import StageHandlers
@@ -15,50 +13,95 @@
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol import piece_codec
-from berylcart.protocol.peer_grpc import PeerBase
 from berylcart.state.errors import BerylcartError
 from berylcart.transport.listening import address_of, bind
-from berylcart.transport.peer_client import MAX_MESSAGE_BYTES
+from berylcart.transport.peer_connection import PeerCallError, PeerConnection
 
 CLOSE_GRACE_S = 5.0
 
 
-def limit_message(stream: Any) -> None:
-    """Refuse a message over MAX_MESSAGE_BYTES before it is buffered.
+class Method(NamedTuple):
+    """Describe a call: its message, its handler and how to translate."""
 
-    grpclib has no such limit; it reads the length, then that many bytes.
-    """
-    wire = stream._stream
-    read: Callable[[int], Awaitable[bytes]] = wire.recv_data
+    message: type[Message]
+    decode: Callable[[Any], Any]
+    handle: Callable[[Any], Awaitable[Any]]
+    encode: Callable[[Any], Message]
 
-    async def read_limited(size: int) -> bytes:
-        if size > MAX_MESSAGE_BYTES:
-            raise GRPCError(Status.RESOURCE_EXHAUSTED, "message too large")
-        return await read(size)
 
-    wire.recv_data = read_limited
+def unchanged(message: Any) -> Any:
+    """Pass a message on as it is."""
+    return message
 
 
-async def receive(stream: Any, decode: Callable[[Any], Any]) -> Any:
-    """Read a request; raises GRPCError when it is too large or malformed."""
-    limit_message(stream)
-    try:
-        message = await stream.recv_message()
-        if message is None:
-            raise GRPCError(Status.INVALID_ARGUMENT, "no message")
-        return decode(message)
-    except (ValueError, DecodeError) as error:
-        raise GRPCError(Status.INVALID_ARGUMENT, "malformed") from error
+def peer_methods(handlers: PeerHandlers) -> dict[str, Method]:
+    """List the calls that every daemon answers, by name."""
+    return {
+        "Ping": Method(
+            pb.PingMessage,
+            codec.decode_ping,
+            handlers.on_ping,
+            codec.encode_gossip,
+        ),
+        "PingRequest": Method(
+            pb.PingRequestMessage,
+            codec.decode_ping_request,
+            handlers.on_ping_request,
+            lambda is_reached: pb.PingRequestReply(is_reached=is_reached),
+        ),
+        "Exchange": Method(
+            pb.GossipMessage,
+            codec.decode_gossip,
+            handlers.on_exchange,
+            codec.encode_gossip,
+        ),
+        "PullConfig": Method(
+            pb.PullConfigMessage,
+            codec.decode_config_query,
+            handlers.on_pull_config,
+            codec.encode_config_offer,
+        ),
+        "CollectAnswer": Method(
+            pb.CollectAnswerMessage,
+            codec.decode_answer_query,
+            handlers.on_collect_answer,
+            codec.encode_answer,
+        ),
+    }
+
+
+def stage_methods(stages: StageHandlers) -> dict[str, Method]:
+    """List the calls that a daemon answers which makes pieces, by name."""
+
+    async def make(order: Order) -> pb.PiecesMessage:
+        try:
+            return piece_codec.encode_made(await stages.on_make_pieces(order))
+        except BerylcartError as error:
+            return piece_codec.encode_error(error)
+
+    async def free(message: pb.FreePiecesMessage) -> pb.FreePiecesReply:
+        await stages.on_free_pieces(
+            message.service, tuple(message.handles), message.is_spare
+        )
+        return pb.FreePiecesReply()
 
+    return {
+        "MakePieces": Method(
+            pb.PieceOrderMessage, piece_codec.decode_order, make, unchanged
+        ),
+        "FreePieces": Method(pb.FreePiecesMessage, unchanged, free, unchanged),
+    }
 
-class PeerService(PeerBase):
-    """Translate gRPC calls to the handlers' typed ones."""
+
+class PeerService:
+    """Translate calls to the handlers' typed ones."""
 
     def __init__(
         self, handlers: PeerHandlers, stages: StageHandlers | None = None
     ) -> None:
-        self._handlers = handlers
-        self._stages = stages
+        self._methods = peer_methods(handlers)
+        if stages is not None:
+            self._methods |= stage_methods(stages)
         self._calls = 0
         self._is_closing = False
         self._idle = anyio.Event()
@@ -70,119 +113,32 @@
             with anyio.move_on_after(grace_s):
                 await self._idle.wait()
 
-    async def _answer(
-        self,
-        stream: Any,
-        decode: Callable[[Any], Any],
-        handle: Callable[[Any], Awaitable[Any]],
-        encode: Callable[[Any], Any],
-    ) -> None:
+    async def answer(self, name: str, body: bytes) -> bytes:
+        """Answer one call; raises PeerCallError."""
         if self._is_closing:
-            raise GRPCError(Status.UNAVAILABLE, "closing")
+            raise PeerCallError("closing")
+        method = self._methods.get(name)
+        if method is None:
+            raise PeerCallError(f"no method {name}")
         self._calls += 1
         try:
-            await self._reply(stream, decode, handle, encode)
+            return await self._handle(method, body)
         finally:
             self._calls -= 1
             if self._is_closing and self._calls == 0:
                 self._idle.set()
 
-    async def _reply(
-        self,
-        stream: Any,
-        decode: Callable[[Any], Any],
-        handle: Callable[[Any], Awaitable[Any]],
-        encode: Callable[[Any], Any],
-    ) -> None:
-        """Read one request, handle it and send its whole reply."""
-        request = await receive(stream, decode)
+    async def _handle(self, method: Method, body: bytes) -> bytes:
+        """Have a call handled; raises PeerCallError."""
+        try:
+            request = method.decode(method.message.FromString(body))
+        except (ValueError, DecodeError) as error:
+            raise PeerCallError("malformed") from error
         try:
-            reply = await handle(request)
+            reply = await method.handle(request)
         except BerylcartError as error:
-            raise GRPCError(Status.UNAVAILABLE, str(error)) from error
-        await stream.send_message(encode(reply))
-        await stream.send_trailing_metadata()
-
-    async def Ping(self, stream: Any) -> None:  # noqa: N802
-        """Answer a probe."""
-        await self._answer(
-            stream,
-            codec.decode_ping,
-            self._handlers.on_ping,
-            codec.encode_gossip,
-        )
-
-    async def PingRequest(self, stream: Any) -> None:  # noqa: N802
-        """Probe a third daemon for a peer."""
-        await self._answer(
-            stream,
-            codec.decode_ping_request,
-            self._handlers.on_ping_request,
-            lambda is_reached: pb.PingRequestReply(is_reached=is_reached),
-        )
-
-    async def Exchange(self, stream: Any) -> None:  # noqa: N802
-        """Swap the whole membership state."""
-        await self._answer(
-            stream,
-            codec.decode_gossip,
-            self._handlers.on_exchange,
-            codec.encode_gossip,
-        )
-
-    async def PullConfig(self, stream: Any) -> None:  # noqa: N802
-        """Give the configuration to a peer that is behind."""
-        await self._answer(
-            stream,
-            codec.decode_config_query,
-            self._handlers.on_pull_config,
-            codec.encode_config_offer,
-        )
-
-    async def CollectAnswer(self, stream: Any) -> None:  # noqa: N802
-        """Give the stored answer of a claimed request."""
-        await self._answer(
-            stream,
-            codec.decode_answer_query,
-            self._handlers.on_collect_answer,
-            codec.encode_answer,
-        )
-
-    @property
-    def stages(self) -> StageHandlers:
-        """Give what makes pieces; raises GRPCError where nothing does."""
-        if self._stages is None:
-            raise GRPCError(Status.UNIMPLEMENTED, "no stages here")
-        return self._stages
-
-    async def MakePieces(self, stream: Any) -> None:  # noqa: N802
-        """Make the pieces of an order."""
-
-        async def handle(order: Order) -> pb.PiecesMessage:
-            try:
-                made = await self.stages.on_make_pieces(order)
-            except BerylcartError as error:
-                return piece_codec.encode_error(error)
-            return piece_codec.encode_made(made)
-
-        await self._answer(
-            stream, piece_codec.decode_order, handle, lambda reply: reply
-        )
-
-    async def FreePieces(self, stream: Any) -> None:  # noqa: N802
-        """Drop results of stages."""
-
-        async def handle(message: pb.FreePiecesMessage) -> None:
-            await self.stages.on_free_pieces(
-                message.service, tuple(message.handles), message.is_spare
-            )
-
-        await self._answer(
-            stream,
-            lambda message: message,
-            handle,
-            lambda _: pb.FreePiecesReply(),
-        )
+            raise PeerCallError(str(error)) from error
+        return method.encode(reply).SerializeToString()
 
 
 class PeerServer:
@@ -195,8 +151,9 @@
         stages: StageHandlers | None = None,
     ) -> None:
         self._service = PeerService(handlers, stages)
-        self._server = Server([self._service])
         self._socket = bind(address)
+        self._server: asyncio.Server | None = None
+        self._connections: set[PeerConnection] = set()
 
     @property
     def address(self) -> str:
@@ -205,10 +162,24 @@
 
     async def start(self) -> None:
         """Accept connections."""
-        await self._server.start(sock=self._socket)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, sock=self._socket
+        )
+
+    def _accept(self) -> PeerConnection:
+        connection = PeerConnection(
+            self._service.answer, on_lost=self._connections.discard
+        )
+        self._connections.add(connection)
+        return connection
 
     async def close(self, grace_s: float = CLOSE_GRACE_S) -> None:
         """Refuse new calls, finish those in progress and stop listening."""
         await self._service.drain(grace_s)
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+        if self._server is not None:
+            await self._server.wait_closed()
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -4,7 +4,6 @@
 
 import pytest
 from berylcart.protocol import peer_pb2 as pb
-from berylcart.protocol.peer_grpc import PeerStub
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
@@ -23,13 +22,13 @@
     VitalSign,
 )
 from berylcart.state.records import Checkpoint, Verdict
-from berylcart.transport.peer_client import (
+from berylcart.transport.peer_client import PeerChannel, RpcPeers
+from berylcart.transport.peer_connection import (
     MAX_MESSAGE_BYTES,
-    GrpcPeers,
-    PeerChannel,
+    PeerCallError,
+    PeerConnection,
 )
-from berylcart.transport.peer_server import PeerServer
-from grpclib.exceptions import GRPCError
+from berylcart.transport.peer_server import PeerServer, peer_methods
 
 BOUND_MS = 10_000
 ME = Member("d1", 3, "127.0.0.1:1", "127.0.0.1:2", "lahore-1", beat=4)
@@ -97,7 +96,7 @@
         handlers = EchoHandlers()
         server = PeerServer(handlers, "127.0.0.1:0")
         await server.start()
-        peers = GrpcPeers()
+        peers = RpcPeers()
         try:
             await scenario(peers, server, handlers)
         finally:
@@ -209,13 +208,23 @@
     serve(scenario)
 
 
+async def connect(server):
+    """Open a connection that checks nothing before it writes."""
+    host, port = server.address.rsplit(":", 1)
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(PeerConnection, host, port)
+    return connection
+
+
 def test_oversized_message_is_refused_and_service_goes_on():
     async def scenario(peers, server, handlers):
-        channel = PeerChannel(server.address).channel
         message = pb.PingMessage(target_id="x" * (MAX_MESSAGE_BYTES + 1))
-        with pytest.raises(GRPCError):
-            await PeerStub(channel).Ping(message, timeout=BOUND_MS / 1000)
-        channel.close()
+        body = message.SerializeToString()
+        with pytest.raises(ValueError, match="too large"):
+            await PeerChannel(server.address).call("Ping", body, 10.0)
+        connection = await connect(server)
+        with pytest.raises(ConnectionError):
+            await connection.call("Ping", body)
         assert handlers.seen == []
         ping = Ping("d9", GOSSIP)
         assert await peers.ping(server.address, ping, timeout_ms=BOUND_MS)
@@ -223,13 +232,88 @@
     serve(scenario)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [b"PRI * HTTP/2.0\r\n\r\n", b"\xc1", b"\x93\x00\x01\xa4Ping", b"\x05"],
+)
+def test_bytes_that_are_no_frame_end_only_their_connection(data):
+    async def scenario(peers, server, handlers):
+        host, port = server.address.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(data)
+        writer.write_eof()
+        assert await reader.read() == b""
+        writer.close()
+        ping = Ping("d9", GOSSIP)
+        assert await peers.ping(server.address, ping, timeout_ms=BOUND_MS)
+
+    serve(scenario)
+
+
 def test_unknown_enum_value_is_refused():
     async def scenario(peers, server, handlers):
-        channel = PeerChannel(server.address).channel
+        connection = await connect(server)
         message = pb.GossipMessage(sender=pb.MemberMessage(state=77))
-        with pytest.raises(GRPCError):
-            await PeerStub(channel).Exchange(message, timeout=BOUND_MS / 1000)
-        channel.close()
+        with pytest.raises(PeerCallError):
+            await connection.call("Exchange", message.SerializeToString())
+        connection.close()
+
+    serve(scenario)
+
+
+def test_unknown_method_is_refused_and_connection_goes_on():
+    async def scenario(peers, server, handlers):
+        connection = await connect(server)
+        with pytest.raises(PeerCallError):
+            await connection.call("Later", b"")
+        with pytest.raises(PeerCallError):
+            await connection.call("Ping", b"\xff")
+        query = pb.PullConfigMessage(known_version=7)
+        reply = await connection.call("PullConfig", query.SerializeToString())
+        assert not pb.ConfigMessage.FromString(reply).is_newer
+        connection.close()
+
+    serve(scenario)
+
+
+def test_fault_in_a_handler_fails_only_its_call():
+    async def scenario(peers, server, handlers):
+        async def fail(query):
+            raise RuntimeError("a fault")
+
+        connection = await connect(server)
+        handlers.on_collect_answer = fail
+        server._service._methods |= peer_methods(handlers)
+        with pytest.raises(PeerCallError):
+            await connection.call("CollectAnswer", b"")
+        query = pb.PullConfigMessage(known_version=7)
+        reply = await connection.call("PullConfig", query.SerializeToString())
+        assert not pb.ConfigMessage.FromString(reply).is_newer
+        connection.close()
+
+    serve(scenario)
+
+
+def test_cancelled_call_stops_its_handler():
+    async def scenario(peers, server, handlers):
+        ended = asyncio.Event()
+
+        async def wait(ping):
+            handlers.called.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ended.set()
+
+        handlers.on_ping = wait
+        server._service._methods |= peer_methods(handlers)
+        ping = Ping("d", GOSSIP)
+        call = asyncio.create_task(
+            peers.ping(server.address, ping, timeout_ms=BOUND_MS)
+        )
+        await handlers.called.wait()
+        call.cancel()
+        await ended.wait()
 
     serve(scenario)
 
@@ -245,7 +329,7 @@
 
 def test_channels_are_bounded():
     async def scenario(peers, server, handlers):
-        few = GrpcPeers(max_channels=1)
+        few = RpcPeers(max_channels=1)
         other = PeerServer(handlers, "127.0.0.1:0")
         await other.start()
         for address in (server.address, other.address, server.address):
