Wake an idle daemon by events instead of ten times a second

Housekeeping, the loop's lag, each service's batcher and the gossip woke five to ten times a second in every daemon, and housekeeping rebuilt the list of all members each time, so its cost grew with the square of the fleet. Orders asked five times a second whether their home runs.

Readiness, members and homes now follow from what changes them; the members that run are one tuple until that changes. A batcher without work sleeps, the gossip sleeps 0.5 s without news and wakes for it, the lag is taken twice a second.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -25,7 +25,7 @@
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.member_table import Member
 from berylcart.state.relayed import Refusal
-from berylcart.state.routes import BatchLimits, CallerLimits
+from berylcart.state.routes import BatchLimits, CallerLimits, RouteTable
 from berylcart.state.vm import Vm
 from berylcart.transport.caller_connection import ConnectionRules
 from berylcart.transport.caller_server import CallerServer
@@ -47,8 +47,7 @@
 # What is left of the grace period for closing once requests are cut.
 EXIT_MARGIN_S = 0.6
 DRAIN_RETRY_AFTER_MS = 100
-HOUSEKEEPING_PERIOD_S = 0.1
-SWEEP_ROUNDS = 10
+HOUSEKEEPING_PERIOD_S = 1.0
 BOOK_PERIOD_S = 2.0
 FAREWELL_TIMEOUT_S = 0.3
 MAX_ENTRIES = 64
@@ -63,6 +62,7 @@
         self.ports = ports
         self.random = random.Random()
         self.is_draining = False
+        self.was_ready = False
         self.is_closed = False
         self.found_seeds: tuple[str, ...] = ()
         self.background: TaskGroup | None = None
@@ -119,7 +119,7 @@
         self.home = StageHome(
             self.settings.daemon_id,
             self.peers,
-            self.membership.live_members,
+            self.membership.running,
             self.batcher_of,
         )
         self.gateway = Gateway(
@@ -130,6 +130,8 @@
             StageResults(self.home, self.spawn, self.place_of),
         )
         self.gateway.on_served = self.note_served
+        self.exchange.on_members = self.note_members
+        self.keeper.on_change = self.note_routes
 
     def build_servers(self) -> None:
         """Build what listens."""
@@ -222,6 +224,30 @@
         """Learn which replicas there are."""
         self.holders = {vm.address: vm for vm in vms}
         self.policy.retain(vms)
+        self.note_readiness()
+
+    def note_routes(self, table: RouteTable) -> None:
+        """Learn new routes."""
+        self.note_readiness()
+
+    def note_members(self) -> None:
+        """Learn that a daemon came, went or changed its state."""
+        live = len(self.membership.running())
+        self.most_members = max(self.most_members, live)
+        self.home.note_members()
+
+    def note_readiness(self) -> None:
+        """Announce whether callers may be sent here, once it changes."""
+        is_ready = self.is_ready()
+        if is_ready is self.was_ready:
+            return
+        self.was_ready = is_ready
+        events.info(
+            "daemon.readiness",
+            is_ready=is_ready,
+            config_version=self.keeper.version,
+        )
+        self.membership.announce(takes_callers=is_ready)
 
     def note_served(self, served: Served) -> None:
         """Log and count a finished request."""
@@ -271,7 +297,7 @@
         """Show the metrics."""
         self.metrics.in_flight.set(self.gateway.in_flight)
         self.metrics.config_version.set(self.keeper.version)
-        self.metrics.members.set(len(self.membership.live_members()))
+        self.metrics.members.set(len(self.membership.running()))
         self.metrics.lost_lines.set(events.lost_lines())
         for service, batcher in self.batchers.items():
             waiting = batcher.orders.count_waiting()
@@ -315,22 +341,10 @@
         tasks.start_soon(lag.run)
 
     async def keep_house(self) -> None:
-        """Announce readiness and close connections that grew old."""
-        was_ready = False
+        """Close connections that grew old."""
         while True:
-            for _ in range(SWEEP_ROUNDS):
-                is_ready = self.is_ready()
-                if is_ready is not was_ready:
-                    events.info(
-                        "daemon.readiness",
-                        is_ready=is_ready,
-                        config_version=self.keeper.version,
-                    )
-                was_ready = is_ready
-                self.membership.announce(takes_callers=is_ready)
-                live = len(self.membership.live_members())
-                self.most_members = max(self.most_members, live)
-                await anyio.sleep(HOUSEKEEPING_PERIOD_S)
+            await anyio.sleep(HOUSEKEEPING_PERIOD_S)
+            self.note_readiness()
             self.relay.sweep()
 
     def work_at_hand(self) -> dict[str, int]:
@@ -352,7 +366,7 @@
                         self.settings.daemon_id, self.settings.peer_address
                     )
                     is_registered = True
-                if len(self.membership.live_members()) <= 1:
+                if len(self.membership.running()) <= 1:
                     found = await self.ports.book.addresses()
                     self.found_seeds = tuple(found)
             except BerylcartError as error:
@@ -364,7 +378,7 @@
         started_s = anyio.current_time()
         events.info("daemon.draining", in_flight=self.gateway.in_flight)
         self.is_draining = True
-        self.membership.announce(takes_callers=False)
+        self.note_readiness()
         keep_s = self.settings.entries_keep_ms / MS_PER_S
         # Callers go on using this entry until their lists are renewed.
         await anyio.sleep(KEEPS_OF_ENTRIES * keep_s + DRAIN_MARGIN_S)
--- a/packages/berylcart-daemon/src/berylcart_daemon/loop_lag.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/loop_lag.py
@@ -6,7 +6,7 @@
 from berylcart import events
 
 MS_PER_S = 1000
-PERIOD_S = 0.1
+PERIOD_S = 0.5
 # Every request waits as long; the shortest targets are a tenth of a second.
 NOTABLE_LAG_S = 0.05
 
--- a/packages/berylcart-daemon/src/berylcart_daemon/route_exchange.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/route_exchange.py
@@ -1,6 +1,6 @@
 """Learn newer routes from peers, also while the store refuses this daemon."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
 from berylcart import events
@@ -10,6 +10,7 @@
 from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError
 from berylcart.state.leaving_marks import LeavingMark
+from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import ConfigFreshness, ConfigQuery
 
 PULL_TIMEOUT_MS = 1000
@@ -26,6 +27,11 @@
         self.peers = peers
         self.wanted: Sequence[str] = ()
         self.is_wanted = anyio.Event()
+        self.on_members: Callable[[], None] = lambda: None
+
+    def on_change(self, member: Member) -> None:
+        """Hear that a member joined, changed its state or went."""
+        self.on_members()
 
     def config(self) -> ConfigFreshness:
         """Give the version in force here."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -1,6 +1,7 @@
 """Work on the pieces of one service in shared calls."""
 
 from collections.abc import Callable, Sequence
+from math import inf
 
 import anyio
 from anyio.abc import TaskGroup
@@ -46,8 +47,8 @@
 KEEP_SHARE = 0.8
 # Results differ in size from what their stage says.
 SIZE_MARGIN = 1.1
-# A last look for work when nothing else woke the dispatcher.
-IDLE_PERIOD_S = 0.1
+# A look for work that waits when nothing else woke the dispatcher.
+WAITING_PERIOD_S = 0.1
 
 
 class Batcher:
@@ -84,7 +85,8 @@
             while True:
                 self.dispatch(tasks)
                 self.orders.changed = anyio.Event()
-                with anyio.move_on_after(IDLE_PERIOD_S):
+                rest_s = WAITING_PERIOD_S if self.orders.waiting else inf
+                with anyio.move_on_after(rest_s):
                     await self.orders.changed.wait()
 
     async def make(self, order: Order) -> tuple[str, ...]:
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple, Protocol
 
 import anyio
-from anyio.abc import TaskGroup
 
 from berylcart import events
 from berylcart.coordination.claims.homes import find_home
@@ -16,8 +15,6 @@
 from berylcart.state.member_table import Member, MemberState
 
 MS_PER_S = 1000
-# How often a waiting order asks whether its home still runs.
-CHECK_PERIOD_S = 0.2
 # A home that fails is passed by for as long as a suspicion takes.
 SHUN_S = 3.0
 FREE_TIMEOUT_MS = 1000
@@ -77,38 +74,20 @@
         self.peers = peers
         self.home = home
         self.order = order
-        self.made: MadePieces | None = None
-        self.failure = BerylcartError(
-            Code.PEER_UNAVAILABLE, f"{home.daemon_id} is suspected"
-        )
+        self.scope = anyio.CancelScope()
 
-    async def make(
-        self, members: Callable[[], Sequence[Member]]
-    ) -> MadePieces:
+    async def make(self) -> MadePieces:
         """Have the order made; raises BerylcartError."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.call, tasks)
-            while True:
-                await anyio.sleep(CHECK_PERIOD_S)
-                if not is_running(self.home, members()):
-                    break
-            tasks.cancel_scope.cancel()
-        if self.made is None:
-            raise self.failure
-        return self.made
-
-    async def call(self, tasks: TaskGroup) -> None:
-        """Call the home and end the wait."""
         left_s = self.order.deadline_s - anyio.current_time()
-        try:
-            self.made = await self.peers.make_pieces(
+        with self.scope:
+            return await self.peers.make_pieces(
                 self.home.peer_address,
                 self.order,
                 timeout_ms=max(1, int(left_s * MS_PER_S)),
             )
-        except BerylcartError as error:
-            self.failure = error
-        tasks.cancel_scope.cancel()
+        raise BerylcartError(
+            Code.PEER_UNAVAILABLE, f"{self.home.daemon_id} is suspected"
+        )
 
 
 def is_running(home: Member, members: Sequence[Member]) -> bool:
@@ -143,6 +122,14 @@
         self.batcher_of = batcher_of
         self.backlogs = Backlogs()
         self.shunned: dict[str, float] = {}
+        self.calls: set[HomeCall] = set()
+
+    def note_members(self) -> None:
+        """End the calls to homes that no longer seem to run."""
+        members = self.members()
+        for call in self.calls:
+            if not is_running(call.home, members):
+                call.scope.cancel()
 
     def home_of(self, service: str) -> Member | None:
         """Find a service's home, None where it is this daemon."""
@@ -166,15 +153,18 @@
             home = self.home_of(order.service)
             if home is None:
                 return self.take(order, await self.make_here(order))
+            call = HomeCall(self.peers, home, order)
+            self.calls.add(call)
             try:
-                call = HomeCall(self.peers, home, order)
-                return self.take(order, await call.make(self.members))
+                return self.take(order, await call.make())
             except BerylcartError as error:
                 if error.code is not Code.PEER_UNAVAILABLE:
                     wait_s = (error.retry_after_ms or 0) / MS_PER_S
                     self.backlogs.note(order.service, wait_s)
                     raise
                 self.note_failed(home, order, error)
+            finally:
+                self.calls.discard(call)
 
     def take(self, order: Order, made: MadePieces) -> tuple[str, ...]:
         """Take an order's results and the news that come with them."""
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -1,5 +1,6 @@
 """Compose and take in the gossip that rides on every peer call."""
 
+from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -64,6 +65,12 @@
         self._config_version = 0
         self._config_sends_left = 0
         self._differing_peer = ""
+        self.on_news: Callable[[], None] = lambda: None
+        self.roster.rumours.on_add = self._note_news
+        self._mark_rumours.on_add = self._note_news
+
+    def _note_news(self) -> None:
+        self.on_news()
 
     def _on_change(self, member: Member) -> None:
         events.info(
--- a/packages/berylcart/src/berylcart/coordination/membership/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/membership.py
@@ -69,6 +69,8 @@
         )
         self._order = ProbeOrder(self._rng)
         self._gossip_tasks = 0
+        self._has_news = anyio.Event()
+        self._gossiper.on_news = self._wake
 
     async def run(self) -> None:
         """Join through the seeds, then probe and gossip until cancelled."""
@@ -108,6 +110,10 @@
             if member.is_live and place in (None, member.place)
         ]
 
+    def running(self) -> tuple[Member, ...]:
+        """List the members that run; the same tuple until that changes."""
+        return self._roster.running()
+
     def entries_for(self, places: Sequence[str], limit: int) -> EntryList:
         """List the entries in places, which are given nearest first."""
         entries = choose_entries(self.members(), places, limit, self._rng)
@@ -175,11 +181,27 @@
         period_s = self._settings.gossip_period_ms / MS_PER_S
         self._guard.tick(anyio.current_time(), period_s)
         while self.me.is_live:
-            await anyio.sleep(period_s)
-            self._upkeep(period_s)
+            self._upkeep(await self._rest(period_s))
             if self._gossiper.has_rumours():
                 self._start_gossip(tasks)
 
+    def _wake(self) -> None:
+        self._has_news.set()
+
+    async def _rest(self, period_s: float) -> float:
+        """Sleep for a period, while idle for a longer one or until news.
+
+        Gives how long the sleep was meant to last at most.
+        """
+        if self._gossiper.has_rumours():
+            await anyio.sleep(period_s)
+            return period_s
+        period_s = self._settings.idle_period_ms / MS_PER_S
+        self._has_news = anyio.Event()
+        with anyio.move_on_after(period_s):
+            await self._has_news.wait()
+        return period_s
+
     def _upkeep(self, period_s: float) -> None:
         now = anyio.current_time()
         lost_s = self._guard.tick(now, period_s)
--- a/packages/berylcart/src/berylcart/coordination/membership/piggyback.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/piggyback.py
@@ -1,6 +1,7 @@
 """Pass each rumour on a bounded number of times."""
 
 import heapq
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 Key = TypeVar("Key")
@@ -20,6 +21,7 @@
 
     def __init__(self) -> None:
         self._left: dict[Key, int] = {}
+        self.on_add: Callable[[], None] = lambda: None
 
     def __len__(self) -> int:
         """Count the rumours still to be passed on."""
@@ -28,6 +30,7 @@
     def add(self, key: Key, transmissions: int) -> None:
         """Pass a rumour on this many times from now."""
         self._left[key] = transmissions
+        self.on_add()
 
     def discard(self, key: Key) -> None:
         """Stop passing a rumour on."""
--- a/packages/berylcart/src/berylcart/coordination/membership/roster.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/roster.py
@@ -38,6 +38,7 @@
         self._on_change = on_change
         self._members: dict[str, Member] = {}
         self._live_ids: list[str] | None = None
+        self._running: tuple[Member, ...] | None = None
         self._others_digest: int | None = None
         self._suspect_until: dict[str, float] = {}
         self._ended_at: dict[str, float] = {}
@@ -65,8 +66,21 @@
             self._others_digest = view_digest(self._members.values())
         return self._others_digest ^ view_digest([self.me])
 
+    def running(self) -> tuple[Member, ...]:
+        """List the members that run, this daemon first.
+
+        The same tuple comes until a member joins, goes or changes its state;
+        loads and versions are as of then.
+        """
+        if self._running is None:
+            others = [self._members[name] for name in self.live_ids()]
+            own = [self.me] if self.me.is_live else []
+            self._running = (*own, *others)
+        return self._running
+
     def _forget_views(self) -> None:
         self._live_ids = None
+        self._running = None
         self._others_digest = None
 
     def live_addresses(self) -> set[str]:
@@ -109,6 +123,7 @@
         before = self.me
         self.me = before._replace(**changes)  # type: ignore[arg-type]
         if is_notable(before, self.me):
+            self._running = None
             self.spread_me()
 
     def spread_me(self) -> None:
@@ -146,6 +161,7 @@
         refuted = refute(self.me, report)
         if refuted != self.me:
             self.me = refuted
+            self._running = None
             self.spread_me()
 
     def _is_doubtful(
--- a/packages/berylcart/src/berylcart/coordination/membership/settings.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/settings.py
@@ -21,6 +21,7 @@
     indirect_probes: int = 3
     suspicion_periods: float = 4.0
     gossip_period_ms: int = 200
+    idle_period_ms: int = 500
     miss_probability: float = 0.001
     exchange_period_ms: int = 60_000
     reconcile_period_ms: int = 2000
--- a/packages/berylcart/tests/coordination/gateway/test_stage_home.py
+++ b/packages/berylcart/tests/coordination/gateway/test_stage_home.py
@@ -144,6 +144,7 @@
             await anyio.sleep(0.5)
             member = rig.members[rig.first]
             rig.members[rig.first] = member._replace(state=MemberState.SUSPECT)
+            rig.home.note_members()
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(suspect)
