Read HTTP with a parser in C, on one kind of connection

Calls to replicas and the store went over httpcore, forwarded requests and callers over h11; both parse in Python, and importing httpcore takes 0.18 s of a start. HttpClient and RelayClient share UpstreamConnection.

The test of the callers' interface listens before its first call: a connection now opens sooner than the server's task runs.

--- a/packages/berylcart-daemon/tests/test_api.py
+++ b/packages/berylcart-daemon/tests/test_api.py
@@ -147,6 +147,7 @@
             max_connections=100,
         )
         async with HttpClient() as client, anyio.create_task_group() as tasks:
+            sock.listen()
             tasks.start_soon(http.serve, [sock])
             rig = Rig(client, address_of(sock), server, door, metrics)
             with anyio.fail_after(PATIENCE_S):
--- a/packages/berylcart/src/berylcart/events.py
+++ b/packages/berylcart/src/berylcart/events.py
@@ -16,7 +16,7 @@
 EVENT_PREFIX = "event="
 # About a second of the heaviest day.
 MAX_LINES = 4096
-QUIET_LIBRARIES = ("uvicorn", "httpcore")
+QUIET_LIBRARIES = ("uvicorn",)
 
 Value = str | int | float | bool | None
 
--- a/packages/berylcart/src/berylcart/transport/http_client.py
+++ b/packages/berylcart/src/berylcart/transport/http_client.py
@@ -1,33 +1,34 @@
 """Send HTTP requests and tell unsent ones from interrupted ones."""
 
 import re
-from collections.abc import AsyncGenerator, AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Iterator,
+    Mapping,
+)
+from contextlib import asynccontextmanager, contextmanager
 from types import TracebackType
-from typing import Any, NamedTuple, Self
+from typing import NamedTuple, Self
 
 import anyio
-import httpcore
 
+from berylcart.protocol.http_answers import AnswerError
 from berylcart.state.errors import BerylcartError, Code, Ran
-from berylcart.transport.connections import (
-    MAX_CONNECTIONS,
-    Connections,
-    split_address,
+from berylcart.state.relayed import Headers
+from berylcart.transport.connections import MAX_CONNECTIONS, Connections
+from berylcart.transport.upstream_connection import (
+    UpstreamConnection,
+    write_head,
 )
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_MS = 1000
 MAX_BODY_BYTES = 16 << 20
-SENDING_EVENT = "http11.send_request_headers.started"
 
 CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 
-FAILURES = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.UnsupportedProtocol,
-)
+FAILURES = (AnswerError, BerylcartError, OSError, ValueError)
 
 
 class HttpError(BerylcartError):
@@ -99,10 +100,10 @@
     return int(text) * MS_PER_S
 
 
-def read_headers(pairs: list[tuple[bytes, bytes]]) -> dict[str, str]:
+def read_headers(pairs: Headers) -> dict[str, str]:
     """Read headers with their names in lower case.
 
-    >>> read_headers([(b"Retry-After", b"1")])
+    >>> read_headers(((b"Retry-After", b"1"),))
     {'retry-after': '1'}
     """
     return {
@@ -111,64 +112,53 @@
     }
 
 
-class SendWatch:
-    """Note whether a request may have begun to be written."""
-
-    def __init__(self) -> None:
-        self.is_sent = False
-
-    async def __call__(self, event: str, info: Mapping[str, Any]) -> None:
-        """Take one trace event of httpcore."""
-        if event == SENDING_EVENT:
-            self.is_sent = True
-
-
 def encode_text(text: str) -> bytes:
     """Encode a part of a request's head.
 
-    Raises httpcore.LocalProtocolError on text that no head can carry.
+    Raises ValueError on text that no head can carry.
     """
     if CONTROL.search(text):
-        raise httpcore.LocalProtocolError("a control character in the head")
-    try:
-        return text.encode("latin-1")
-    except UnicodeEncodeError:
-        raise httpcore.LocalProtocolError("the head is not Latin-1") from None
+        raise ValueError("a control character in the head")
+    return text.encode("latin-1")
 
 
-def write_request(request: HttpRequest, watch: SendWatch) -> httpcore.Request:
-    """Write a request for httpcore."""
-    host, port = split_address(request.address)
+def write_request(request: HttpRequest) -> bytes:
+    """Write a request's head; raises ValueError."""
     headers = [
         ("Host", request.address),
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(request.body))),
         *request.headers,
     ]
-    connect_ms = min(CONNECT_TIMEOUT_MS, request.timeout_ms)
-    return httpcore.Request(
-        request.method,
-        httpcore.URL(
-            scheme=b"http",
-            host=host,
-            port=port,
-            target=encode_text(request.path),
-        ),
-        headers=[(encode_text(a), encode_text(b)) for a, b in headers],
-        content=request.body,
-        extensions={
-            "timeout": {"connect": connect_ms / MS_PER_S},
-            "trace": watch,
-        },
-    )
-
-
-def timed_out(request: HttpRequest, watch: SendWatch) -> HttpTimeoutError:
-    """Describe a request without a whole answer in time."""
-    return HttpTimeoutError(
-        f"no whole answer within {request.timeout_ms} ms",
-        is_sent=watch.is_sent,
-    )
+    lines = [encode_text(f"{name}: {value}") for name, value in headers]
+    encode_text(request.path)
+    return write_head(request.method, request.path, lines)
+
+
+class Sending:
+    """Note whether a request may have begun to be written."""
+
+    def __init__(self) -> None:
+        self.connection: UpstreamConnection | None = None
+
+    @property
+    def is_sent(self) -> bool:
+        """Tell whether any byte may have been written."""
+        return self.connection is not None and self.connection.is_sent
+
+    @contextmanager
+    def failures_reported(self) -> Iterator[None]:
+        """Turn failures of the connection into HttpError."""
+        try:
+            yield
+        except TimeoutError as error:
+            raise HttpTimeoutError(
+                "no connection in time", is_sent=self.is_sent
+            ) from error
+        except FAILURES as error:
+            raise HttpError(
+                f"{type(error).__name__}: {error}", is_sent=self.is_sent
+            ) from error
 
 
 class HttpClient:
@@ -192,7 +182,7 @@
 
     async def aclose(self) -> None:
         """Close every connection."""
-        await self.connections.aclose()
+        self.connections.close()
 
     async def request(self, request: HttpRequest) -> HttpAnswer:
         """Send a request and read its whole answer; raises HttpError."""
@@ -206,38 +196,55 @@
 
         Raises HttpError. Leaving the block early closes the connection.
         """
-        watch = SendWatch()
-        try:
-            with anyio.move_on_after(request.timeout_ms / MS_PER_S) as scope:
-                async with self.open(request, watch) as response:
-                    yield HttpStream(
-                        response.status,
-                        read_headers(response.headers),
-                        response.aiter_stream(),
-                    )
-        except httpcore.TimeoutException as error:
-            raise timed_out(request, watch) from error
-        except FAILURES as error:
-            raise HttpError(
-                f"{type(error).__name__}: {error}", is_sent=watch.is_sent
-            ) from error
+        sending = Sending()
+        with anyio.move_on_after(request.timeout_ms / MS_PER_S) as scope:
+            async with self.open(request, sending) as stream:
+                yield stream
         if scope.cancelled_caught:
-            raise timed_out(request, watch)
+            raise HttpTimeoutError(
+                f"no whole answer within {request.timeout_ms} ms",
+                is_sent=sending.is_sent,
+            )
 
     @asynccontextmanager
     async def open(
-        self, request: HttpRequest, watch: SendWatch
-    ) -> AsyncGenerator[httpcore.Response]:
+        self, request: HttpRequest, sending: Sending
+    ) -> AsyncGenerator[HttpStream]:
         """Open an answer on a connection that is given back afterwards."""
-        message = write_request(request, watch)
-        connection = await self.connections.borrow(request.address)
+        with sending.failures_reported():
+            head = write_request(request)
+            connection = await self.connections.borrow(
+                request.address,
+                min(CONNECT_TIMEOUT_MS, request.timeout_ms) / MS_PER_S,
+            )
+        sending.connection = connection
+        body = Body(connection, sending)
         try:
-            response = await connection.handle_async_request(message)
-            try:
-                yield response
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await response.aclose()
+            with sending.failures_reported():
+                await connection.send(request.method, head, request.body)
+                status, headers = await connection.read_head()
+            yield HttpStream(status, read_headers(headers), body.chunks())
         finally:
-            with anyio.CancelScope(shield=True):
-                await self.connections.give_back(request.address, connection)
+            self.connections.give_back(connection, body.is_whole)
+
+
+class Body:
+    """Read the body of an answer and note whether it was read whole."""
+
+    def __init__(
+        self, connection: UpstreamConnection, sending: Sending
+    ) -> None:
+        self.connection = connection
+        self.sending = sending
+        self.is_whole = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Read the parts of the body as they arrive."""
+        while (data := await self.read()) is not None:
+            yield data
+        self.is_whole = True
+
+    async def read(self) -> bytes | None:
+        """Read the next part, None after the last one; raises HttpError."""
+        with self.sending.failures_reported():
+            return await self.connection.read_data()
--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -4,12 +4,17 @@
 from contextlib import asynccontextmanager, contextmanager
 
 import anyio
-import h11
 
 from berylcart import events
+from berylcart.protocol.http_answers import AnswerError
 from berylcart.state.errors import Code, Ran, UnreachableError, UpstreamError
 from berylcart.state.relayed import AnswerHead, Headers, UpstreamRequest
-from berylcart.transport.channel import Channel, connect
+from berylcart.transport.channel import connect
+from berylcart.transport.upstream_connection import (
+    UpstreamConnection,
+    header_lines,
+    write_head,
+)
 
 # A few round trips within a region; a replica that takes longer is passed by.
 CONNECT_TIMEOUT_S = 0.4
@@ -18,7 +23,6 @@
 # What is left before an upstream closes an idle connection.
 IDLE_MARGIN_S = 1.0
 MAX_IDLE_PER_ADDRESS = 32
-MAX_HEAD_BYTES = 64 * 2**10
 # Answers to requests that ended before, which may come first.
 MAX_STRAY_ANSWERS = 2
 
@@ -29,46 +33,16 @@
     """Take no notice of a request that is sent."""
 
 
-class RelayConnection:
-    """Send one request after another to an upstream."""
+class RelayConnection(UpstreamConnection):
+    """Find the answer to a request among those of a connection."""
 
-    def __init__(self, address: str, channel: Channel) -> None:
-        self.address = address
-        self.channel = channel
-        self.http = new_parser()
-        self.usable_until_s = 0.0
-        self.is_sent = False
-        self.is_broken = False
+    async def send_request(self, request: UpstreamRequest) -> None:
+        """Write a whole request; raises OSError or ValueError."""
+        lines = header_lines(request.headers)
+        head = write_head(request.method, request.target, lines)
+        await self.send(request.method, head, request.body)
 
-    async def send(self, request: UpstreamRequest) -> None:
-        """Write a whole request; raises OSError."""
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=list(request.headers),
-        )
-        data = self.http.send(head) or b""
-        if request.body:
-            data += self.http.send(h11.Data(data=request.body)) or b""
-        data += self.http.send(h11.EndOfMessage()) or b""
-        self.is_sent = True
-        await self.channel.send(data)
-
-    async def next_event(self) -> h11.Event:
-        """Read the next part of an answer.
-
-        Raises OSError at its broken end, and h11.RemoteProtocolError.
-        """
-        while True:
-            event = self.http.next_event()
-            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                raise ConnectionResetError("closed before the answer's end")
-            if event is not h11.NEED_DATA:
-                assert isinstance(event, h11.Event)
-                return event
-            self.http.receive_data(await self.channel.receive())
-
-    async def read_head(
+    async def read_own_head(
         self, request_id: str, read_head: HeadReader
     ) -> AnswerHead:
         """Read the head of the answer to a request.
@@ -76,7 +50,8 @@
         Answers to other requests are read and dropped.
         """
         for _ in range(MAX_STRAY_ANSWERS + 1):
-            head = await self.read_any_head(read_head)
+            status, headers = await self.read_head()
+            head = read_head(status, headers)
             if head.request_id in (None, request_id):
                 return head
             events.warning(
@@ -85,72 +60,10 @@
                 address=self.address,
                 stray_id=head.request_id,
             )
-            await self.skip_answer()
+            while await self.read_data() is not None:
+                pass
         raise ConnectionResetError("no answer to this request")
 
-    async def read_any_head(self, read_head: HeadReader) -> AnswerHead:
-        """Read the head of the next final answer."""
-        while True:
-            event = await self.next_event()
-            if isinstance(event, h11.Response):
-                pairs = ((bytes(a), bytes(b)) for a, b in event.headers)
-                return read_head(event.status_code, tuple(pairs))
-
-    async def skip_answer(self) -> None:
-        """Read the rest of an answer and expect another one."""
-        while await self.read_data() is not None:
-            pass
-        rest, is_closed = self.http.trailing_data
-        self.http = expecting_parser()
-        self.http.receive_data(rest)
-        if is_closed:
-            self.http.receive_data(b"")
-
-    async def read_data(self) -> bytes | None:
-        """Read the next bytes of the answer, None after the last ones."""
-        while True:
-            event = await self.next_event()
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                return None
-
-    def prepare_reuse(self, idle_timeout_s: float) -> bool:
-        """Tell whether another request may follow, and until when."""
-        is_done = (
-            not self.is_broken
-            and idle_timeout_s > 0
-            and self.http.our_state is h11.DONE
-            and self.http.their_state is h11.DONE
-            and self.http.trailing_data == (b"", False)
-        )
-        if not is_done:
-            return False
-        self.http.start_next_cycle()
-        self.is_sent = False
-        self.usable_until_s = anyio.current_time() + idle_timeout_s
-        return self.channel.is_quiet()
-
-    def is_usable(self) -> bool:
-        """Tell whether a kept connection may carry a request."""
-        is_fresh = anyio.current_time() < self.usable_until_s
-        return is_fresh and self.channel.is_quiet()
-
-
-def new_parser() -> h11.Connection:
-    """Create the state of a connection to an upstream."""
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-
-
-def expecting_parser() -> h11.Connection:
-    """Create the state of a connection whose request is already sent."""
-    parser = new_parser()
-    parser.send(
-        h11.Request(method="GET", target="/", headers=[("host", "sent")])
-    )
-    parser.send(h11.EndOfMessage())
-    return parser
-
 
 class RelayAnswer:
     """Read the body of an answer; raises UpstreamError."""
@@ -181,7 +94,7 @@
     """Turn failures of a connection into UpstreamError."""
     try:
         yield
-    except (OSError, h11.ProtocolError) as error:
+    except (OSError, AnswerError, ValueError) as error:
         raise UpstreamError(
             Code.UPSTREAM_FAILED,
             f"{connection.address}: {type(error).__name__}: {error}",
@@ -250,12 +163,14 @@
     ) -> AnswerHead:
         """Send a request and read the head of its answer."""
         try:
-            await connection.send(request)
+            await connection.send_request(request)
         except OSError:
             # An upstream may answer and close before it has read the body.
             connection.is_broken = True
         on_sent()
-        return await connection.read_head(request.request_id, self.read_head)
+        return await connection.read_own_head(
+            request.request_id, self.read_head
+        )
 
     def give_back(
         self, connection: RelayConnection, answer: RelayAnswer | None
