Free results together, write log lines together, read a socket once

In 20 s of a busy home daemon's profile (4.2 s of its own code), 1,448 calls of other daemons to drop results made 1,455 HTTP requests (0.66 s), log lines took 0.41 s, and two in three reads of a socket found nothing.

Results that nobody reads any more are told as notices without an answer and freed by replica: when its next call starts, at once where a call wants their room, else within 0.2 s. Log lines go past absl's records to a thread that writes those of 50 ms together. A channel waits before it reads where the last read took all there was. The runtime's clock is read without asking anyio which library runs.

--- a/packages/berylcart-daemon/src/berylcart_daemon/api.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/api.py
@@ -5,6 +5,7 @@
 
 import anyio
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.serving.server import Server
 from berylcart.protocol.answers import answer_bytes
 from berylcart.state.errors import BerylcartError, Code, Ran
@@ -95,7 +96,7 @@
     async def serve(self, request: ServeRequest, reply: ReplyStream) -> None:
         """Serve a request and send its answer."""
         reply.request_id = request.request_id
-        started_at_s = anyio.current_time()
+        started_at_s = now_s()
         tier, target = self.parts.door.labels(request)
         metrics = self.parts.metrics
         sink = FirstTokenTimer(reply, metrics, tier, target).chunk
@@ -104,7 +105,7 @@
                 request, sink if request.is_stream else None
             )
         except BerylcartError as error:
-            latency_s = anyio.current_time() - started_at_s
+            latency_s = now_s() - started_at_s
             self.parts.door.note_refused(error)
             metrics.note_error(tier, target, latency_s, error)
             log_answer(request, latency_s, int(error.code), error.ran)
@@ -113,7 +114,7 @@
         except Exception as fault:
             await self.fail_internally(request, reply, fault)
             return
-        latency_s = anyio.current_time() - started_at_s
+        latency_s = now_s() - started_at_s
         metrics.note_answer(tier, target, latency_s)
         for report in result.stages:
             metrics.note_stage(tier, report)
@@ -144,12 +145,12 @@
     ) -> None:
         self.reply = reply
         self.histogram = metrics.first_token_seconds.labels(tier, target)
-        self.started_at_s = anyio.current_time()
+        self.started_at_s = now_s()
 
     async def chunk(self, chunk: StageChunk) -> None:
         """Pass one token on."""
         if not self.reply.has_begun:
-            elapsed_s = anyio.current_time() - self.started_at_s
+            elapsed_s = now_s() - self.started_at_s
             self.histogram.observe(elapsed_s)
         await self.reply.chunk(chunk)
 
--- a/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+from berylcart.clock import now_s
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.request import ServeRequest
 from pydantic_core import from_json
@@ -164,7 +165,7 @@
     limits: LimitSettings,
 ) -> ServeRequest:
     """Read one request in canonical form; raises BerylcartError."""
-    received_at_s = anyio.current_time()
+    received_at_s = now_s()
     deadline_ms = deadline_ms_of(request, limits)
     workspace = request.headers.get("workspace", "")
     if not workspace:
--- a/packages/berylcart-daemon/src/berylcart_daemon/config_exchange.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/config_exchange.py
@@ -2,6 +2,7 @@
 
 import anyio
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.config.keeper import ConfigKeeper
 from berylcart.coordination.membership.membership import Membership
 from berylcart.coordination.membership.peer_port import Peers
@@ -40,7 +41,7 @@
 
     def age_ms(self) -> int:
         """Give the time since the configuration was known to be newest."""
-        age_s = anyio.current_time() - self.configs.current.verified_at_s
+        age_s = now_s() - self.configs.current.verified_at_s
         return int(min(age_s, self.longest_age_s()) * MS_PER_S)
 
     def longest_age_s(self) -> float:
@@ -82,7 +83,7 @@
     async def pull(self, address: str) -> None:
         """Ask one peer for its configuration and take it if newer."""
         current = self.configs.current
-        asked_at_s = anyio.current_time()
+        asked_at_s = now_s()
         query = ConfigQuery(current.version, current.as_of_offset)
         try:
             offer = await self.peers.pull_config(
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.gateway.batcher import Batcher
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, Served
@@ -375,7 +376,7 @@
 
     async def drain(self) -> None:
         """Leave the entry lists, then refuse, then finish what runs."""
-        started_s = anyio.current_time()
+        started_s = now_s()
         events.info("daemon.draining", in_flight=self.gateway.in_flight)
         self.is_draining = True
         self.note_readiness()
@@ -385,7 +386,7 @@
         self.is_closed = True
         self.callers.close_idle()
         end_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
-        with anyio.move_on_after(end_s - anyio.current_time()):
+        with anyio.move_on_after(end_s - now_s()):
             await self.gateway.wait_idle()
         events.info("daemon.drained", in_flight=self.gateway.in_flight)
 
--- a/packages/berylcart-daemon/src/berylcart_daemon/loop_lag.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/loop_lag.py
@@ -4,6 +4,7 @@
 
 import anyio
 from berylcart import events
+from berylcart.clock import now_s
 
 MS_PER_S = 1000
 PERIOD_S = 0.5
@@ -29,9 +30,9 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            due_s = anyio.current_time() + PERIOD_S
+            due_s = now_s() + PERIOD_S
             await anyio.sleep_until(due_s)
-            self.note(anyio.current_time() - due_s)
+            self.note(now_s() - due_s)
 
     def note(self, lag_s: float) -> None:
         """Count a lag, and log a long one."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from berylcart import events
+from berylcart import clock, events
 from berylcart.coordination.gateway.maker_state import (
     FIRST_PAUSE_S,
     MAX_PAUSE_S,
@@ -15,6 +15,7 @@
 from berylcart.coordination.gateway.makers import Makers
 from berylcart.coordination.gateway.orders import Orders
 from berylcart.coordination.gateway.piece_queue import (
+    Maker,
     Order,
     TakenPiece,
     backlog_s,
@@ -47,6 +48,8 @@
 KEEP_SHARE = 0.8
 # Results differ in size from what their stage says.
 SIZE_MARGIN = 1.1
+# Results take room no longer than about a call after their last reader.
+FREE_DELAY_S = 0.2
 # A look for work that waits when nothing else woke the dispatcher.
 WAITING_PERIOD_S = 0.1
 
@@ -74,6 +77,8 @@
         self.makers = Makers(caller, lambda: pool(service))
         self.rates = QueueRates()
         self.tasks: TaskGroup | None = None
+        # Results to drop that were named before this began to run.
+        self.early: list[str] = []
         self.shedder = Shedder(
             service, self.orders, self.makers, self.rates, self.overloaded
         )
@@ -82,6 +87,7 @@
         """Give calls to free replicas until cancelled."""
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            self.drop(self.early)
             while True:
                 self.dispatch(tasks)
                 self.orders.changed = anyio.Event()
@@ -98,13 +104,13 @@
         self.check_time(order)
         # Orders of all daemons come here, and so do their extra pieces.
         self.budget.note_request(self.service)
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         job = self.orders.add(order, now_s + self.left_s(order))
         if not order.is_late(now_s):
             self.rates.arrived.note(order.pieces)
         try:
             with anyio.move_on_after(
-                order.deadline_s - GIVE_UP_S - anyio.current_time()
+                order.deadline_s - GIVE_UP_S - clock.now_s()
             ):
                 await job.is_done.wait()
         finally:
@@ -127,7 +133,7 @@
             rank=order.rank,
             slack_ms=int((order.due_s - job.begun_s) * MS_PER_S),
             queued_ms=int((job.begun_s - now_s) * MS_PER_S),
-            latency_ms=int((anyio.current_time() - now_s) * MS_PER_S),
+            latency_ms=int((clock.now_s() - now_s) * MS_PER_S),
         )
         return tuple(job.results)
 
@@ -147,7 +153,7 @@
 
     def left_s(self, order: Order) -> float:
         """Say how long an order that arrives now may wait for its calls."""
-        left_s = order.deadline_s - anyio.current_time()
+        left_s = order.deadline_s - clock.now_s()
         limits = self.limits(self.service)
         if order.inputs and limits is not None:
             left_s = min(left_s, KEEP_SHARE * limits.keep_s)
@@ -158,7 +164,7 @@
         limits = self.limits(self.service)
         if limits is None:
             return 0.0
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         ahead = count_ahead(self.orders.waiting, order, now_s)
         makers = self.makers.describe_all(limits, now_s)
         estimated_s = backlog_s(ahead, makers, limits)
@@ -171,7 +177,7 @@
         limits = self.limits(self.service)
         if limits is None or not self.orders.waiting:
             return
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         self.shedder.look(limits, now_s)
         pool = self.makers.pool()
         self.makers.retain(pool)
@@ -185,10 +191,7 @@
                 continue
             if state.is_clearing:
                 continue
-            if state.spare and maker.room_bytes < call_bytes(
-                self.orders.waiting, limits
-            ):
-                tasks.start_soon(self.clear_spare, vm)
+            if self.makes_room(tasks, vm, maker, limits):
                 continue
             # A replica that fails again must not use up the retry budget.
             pieces = PROBE_PIECES if state.has_failed else limits.pieces
@@ -205,6 +208,21 @@
                 self.start_call(tasks, vm, batch, limits)
                 makers[vm.vm_id] = self.makers.describe(vm, limits, now_s)
 
+    def makes_room(
+        self, tasks: TaskGroup, vm: Vm, maker: Maker, limits: BatchLimits
+    ) -> bool:
+        """Tell whether results go first that a call wants the room of."""
+        if maker.room_bytes >= call_bytes(self.orders.waiting, limits):
+            return False
+        state = self.makers.state(vm)
+        if state.unread:
+            state.is_room_wanted.set()
+        elif state.spare:
+            tasks.start_soon(self.clear_spare, vm)
+        else:
+            return False
+        return True
+
     def start_call(
         self,
         tasks: TaskGroup,
@@ -219,8 +237,11 @@
         state.calls += 1
         state.reserved_bytes += sum(e.order.result_bytes for e in batch)
         expected_s = call_s(limits, len(batch))
-        slow_s = expected_s * state.slowness_at(anyio.current_time())
-        state.busy_until_s = anyio.current_time() + slow_s
+        slow_s = expected_s * state.slowness_at(clock.now_s())
+        state.busy_until_s = clock.now_s() + slow_s
+        # Their room is there again when the call ends.
+        if state.unread:
+            state.is_room_wanted.set()
         tasks.start_soon(self.call, vm, batch, limits, expected_s)
         for order in self.orders.all_taken(batch):
             if order.is_only_reader and order.holds_room:
@@ -244,7 +265,7 @@
     ) -> None:
         """Make one call and hand out its results."""
         state = self.makers.state(vm)
-        started_s = anyio.current_time()
+        started_s = clock.now_s()
         pieces = [
             TimedPiece(
                 each.piece,
@@ -256,12 +277,12 @@
             with anyio.fail_after(expected_s * PATIENCE + PATIENCE_S):
                 results = await self.caller.run_pieces(vm, pieces)
         except TimeoutError:
-            state.learn(PATIENCE, anyio.current_time())
+            state.learn(PATIENCE, clock.now_s())
             self.note_failed(vm, batch, "no answer in time")
         except BerylcartError as error:
             self.note_failed(vm, batch, error.detail)
         else:
-            now_s = anyio.current_time()
+            now_s = clock.now_s()
             made = sum(bool(result.handle) for result in results)
             state.learn((now_s - started_s) / expected_s, now_s)
             state.pause_s = FIRST_PAUSE_S
@@ -283,7 +304,7 @@
             state.calls -= 1
             state.reserved_bytes -= sum(e.order.result_bytes for e in batch)
             if state.is_full:
-                state.note_full(anyio.current_time())
+                state.note_full(clock.now_s())
             self.orders.changed.set()
 
     def note_failed(
@@ -298,7 +319,7 @@
             request_id=batch[0].order.request_id,
             detail=detail,
         )
-        self.makers.state(vm).pause(anyio.current_time())
+        self.makers.state(vm).pause(clock.now_s())
         for piece in batch:
             self.retry(piece, PieceFailure.ERROR)
 
@@ -311,7 +332,7 @@
     ) -> None:
         """Give each piece's result to its order."""
         state = self.makers.state(vm)
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         end_s = now_s + limits.keep_s
         unwanted: list[str] = []
         for piece, result in zip(batch, results, strict=True):
@@ -332,9 +353,12 @@
             self.drop(unwanted)
 
     def drop(self, handles: Sequence[str]) -> None:
-        """Drop results without waiting for it."""
-        if self.tasks is not None and handles:
-            self.tasks.start_soon(self.free, handles)
+        """Drop results soon, those of one replica together."""
+        if self.tasks is None:
+            self.early.extend(handles)
+            return
+        for vm in self.makers.note_unread(handles):
+            self.tasks.start_soon(self.free_soon, vm)
 
     def note_refused(
         self, vm: Vm, piece: TakenPiece, failure: PieceFailure | None
@@ -398,7 +422,9 @@
         await self.makers.clear_spare(vm)
         self.orders.changed.set()
 
-    async def free(self, handles: Sequence[str]) -> None:
-        """Drop results at the replicas that hold them."""
-        await self.makers.free(handles)
+    async def free_soon(self, vm: Vm) -> None:
+        """Drop a replica's unread results together, at once for their room."""
+        with anyio.move_on_after(FREE_DELAY_S):
+            await self.makers.state(vm).is_room_wanted.wait()
+        await self.makers.free_unread(vm)
         self.orders.changed.set()
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -7,6 +7,7 @@
 import anyio
 
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.gateway.event_splitter import EventSplitter
 from berylcart.coordination.gateway.gateway_policy import (
     AttemptClock,
@@ -73,7 +74,7 @@
     @property
     def left_s(self) -> float:
         """Give the time until the request must be answered."""
-        return self.deadline_s - anyio.current_time()
+        return self.deadline_s - now_s()
 
 
 class KeptAnswer(NamedTuple):
@@ -93,8 +94,7 @@
     def renew(self, limit_s: float | None) -> None:
         """Wait for this long from now, None without end."""
         self.limit_s = limit_s
-        now_s = anyio.current_time()
-        self.scope.deadline = inf if limit_s is None else now_s + limit_s
+        self.scope.deadline = inf if limit_s is None else now_s() + limit_s
 
 
 class ForwardRun:
@@ -355,7 +355,7 @@
                 request_id=run.work.request.request_id,
                 service=run.work.service,
                 vm_id=run.newest_vm_id,
-                latency_ms=int((anyio.current_time() - started_s) * MS_PER_S),
+                latency_ms=int((now_s() - started_s) * MS_PER_S),
                 attempt_ms=int(clock.latency_ms),
                 target_ms=run.work.route.target_ms,
             )
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -6,6 +6,7 @@
 import anyio
 
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.gateway.caller_ages import CallerAges
 from berylcart.coordination.gateway.forwarder import (
     Forwarder,
@@ -154,7 +155,7 @@
         finally:
             self.in_flight -= 1
             self.ended.set()
-            elapsed_s = anyio.current_time() - exchange.received_at_s
+            elapsed_s = now_s() - exchange.received_at_s
             self.on_served(
                 Served(
                     names.request_id,
@@ -258,7 +259,7 @@
         self.stages.home.backlogs.check(
             work.route,
             self.tables.require().services,
-            plan.deadline_s - anyio.current_time(),
+            plan.deadline_s - now_s(),
         )
         try:
             inputs = await self.stages.make_all(plan)
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -5,8 +5,7 @@
 from random import Random
 from typing import Protocol
 
-import anyio
-
+from berylcart.clock import now_s
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.policy.ejection import Ejector
 from berylcart.coordination.policy.load_table import LoadTable
@@ -43,18 +42,18 @@
     """Note when an attempt's answer began."""
 
     def __init__(self) -> None:
-        self.started_s = anyio.current_time()
+        self.started_s = now_s()
         self.answered_s: float | None = None
 
     def note_answer(self) -> None:
         """Take the first part of the answer."""
         if self.answered_s is None:
-            self.answered_s = anyio.current_time()
+            self.answered_s = now_s()
 
     @property
     def latency_ms(self) -> float:
         """Give the time to the answer's first part, or until now."""
-        end_s = self.answered_s or anyio.current_time()
+        end_s = self.answered_s or now_s()
         return (end_s - self.started_s) * MS_PER_S
 
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
@@ -3,6 +3,8 @@
 from math import inf
 from typing import NamedTuple
 
+import anyio
+
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 2.0
 # A slow call costs more than a fast one gains, so it counts for more.
@@ -37,6 +39,9 @@
         self.held_bytes = 0
         # Those that were read, and are read again only if a piece fails.
         self.spare: set[str] = set()
+        # Those that nobody reads any more, until the replica is told.
+        self.unread: list[str] = []
+        self.is_room_wanted = anyio.Event()
         self.is_clearing = False
         self.reserved_bytes = 0
         # What its results took when it had room for no more, and when.
--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from berylcart import events
+from berylcart import clock, events
 from berylcart.coordination.gateway.maker_state import MakerState
 from berylcart.coordination.gateway.piece_queue import Maker
 from berylcart.coordination.gateway.ports import PieceCaller
@@ -27,7 +27,11 @@
 
     def state(self, vm: Vm) -> MakerState:
         """Find what is known of a replica."""
-        return self.states.setdefault((vm.vm_id, vm.incarnation), MakerState())
+        key = (vm.vm_id, vm.incarnation)
+        state = self.states.get(key)
+        if state is None:
+            state = self.states[key] = MakerState()
+        return state
 
     def retain(self, pool: Sequence[Vm]) -> None:
         """Forget replicas that are gone and have no call."""
@@ -54,13 +58,31 @@
         """Describe all replicas for a decision."""
         return [self.describe(vm, limits, now_s) for vm in self.pool()]
 
-    async def free(self, handles: Sequence[str]) -> None:
-        """Drop results at the replicas that hold them.
+    def note_unread(self, handles: Sequence[str]) -> list[Vm]:
+        """Note results to drop, and list replicas that had none before.
 
         Another daemon may have had them made.
         """
+        new: list[Vm] = []
         for vm, group in self.by_holder(handles):
-            await self.free_at(vm, group)
+            state = self.state(vm)
+            if not state.unread:
+                new.append(vm)
+            state.unread.extend(group)
+        return new
+
+    async def free_unread(self, vm: Vm) -> None:
+        """Drop a replica's results that nobody reads any more."""
+        state = self.state(vm)
+        handles, state.unread = state.unread, []
+        was_wanted = state.is_room_wanted.is_set()
+        state.is_room_wanted = anyio.Event()
+        state.is_clearing = state.is_clearing or was_wanted
+        try:
+            await self.free_at(vm, handles)
+        finally:
+            if was_wanted:
+                state.is_clearing = False
 
     def by_holder(
         self, handles: Sequence[str]
@@ -103,7 +125,7 @@
                 "results.not_freed", vm_id=vm.vm_id, detail=error.detail
             )
             return
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         dropped = [state.drop(handle) for handle in handles]
         held_s = [now_s - each.since_s for each in dropped if each is not None]
         events.info(
@@ -111,5 +133,5 @@
             service=vm.service,
             vm_id=vm.vm_id,
             results=len(handles),
-            held_ms=int(max(held_s, default=0.0) * MS_PER_S),
+            held_ms=round(max(held_s, default=0.0) * MS_PER_S),
         )
--- a/packages/berylcart/src/berylcart/coordination/gateway/orders.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/orders.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from berylcart import clock
 from berylcart.coordination.gateway.job import Job
 from berylcart.coordination.gateway.piece_queue import (
     Order,
@@ -26,7 +27,7 @@
         """Queue all pieces of an order, for calls that begin until then."""
         job = Job(order)
         self.jobs[order.name] = job
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         numbers = tuple(range(order.pieces))
         self.waiting.append(Waiting(order, numbers, now_s, until_s))
         self.changed.set()
@@ -79,7 +80,7 @@
 
     def note_begun(self, batch: Sequence[TakenPiece]) -> None:
         """Note when the first call of each order began."""
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         for piece in batch:
             job = self.job_of(piece.order)
             if job is not None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/route_keeper.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/route_keeper.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Callable
 
-import anyio
-
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.state.config import FORMAT_VERSION
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import ConfigFreshness, ConfigOffer
@@ -75,13 +74,13 @@
     def confirm(self, offset: int) -> None:
         """Note that the store holds nothing newer up to an offset."""
         self.offset = max(self.offset, offset)
-        self.confirmed_s = anyio.current_time()
+        self.confirmed_s = now_s()
 
     def age_ms(self) -> int:
         """Give the time since the store confirmed the version."""
         if not self.confirmed_s:
             return MAX_AGE_MS
-        age_s = anyio.current_time() - self.confirmed_s
+        age_s = now_s() - self.confirmed_s
         return min(MAX_AGE_MS, int(age_s * MS_PER_S))
 
     def freshness(self) -> ConfigFreshness:
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from berylcart import events
+from berylcart import clock, events
 from berylcart.coordination.claims.homes import find_home
 from berylcart.coordination.gateway.backlogs import Backlogs
 from berylcart.coordination.gateway.batcher import Batcher
@@ -49,7 +49,10 @@
         *,
         timeout_ms: int,
     ) -> None:
-        """Have results dropped, spare ones only where room is short."""
+        """Tell that results may go, spare ones only where room is short.
+
+        Nothing answers; results that the daemon misses expire.
+        """
         ...
 
 
@@ -60,10 +63,10 @@
         """Make the pieces of an order; raises BerylcartError."""
         ...
 
-    async def on_free_pieces(
+    def on_free_pieces(
         self, service: str, handles: Sequence[str], is_spare: bool
     ) -> None:
-        """Drop results, spare ones only where room is short."""
+        """Drop results soon, spare ones only where room is short."""
         ...
 
 
@@ -78,7 +81,7 @@
 
     async def make(self) -> MadePieces:
         """Have the order made; raises BerylcartError."""
-        left_s = self.order.deadline_s - anyio.current_time()
+        left_s = self.order.deadline_s - clock.now_s()
         with self.scope:
             return await self.peers.make_pieces(
                 self.home.peer_address,
@@ -133,7 +136,7 @@
 
     def home_of(self, service: str) -> Member | None:
         """Find a service's home, None where it is this daemon."""
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         usable = [
             member
             for member in self.members()
@@ -182,11 +185,11 @@
             home=home.daemon_id,
             detail=error.detail,
         )
-        if anyio.current_time() >= order.deadline_s:
+        if clock.now_s() >= order.deadline_s:
             raise BerylcartError(
                 Code.OVERLOADED, f"{order.service} gave no results in time"
             )
-        self.shunned[home.daemon_id] = anyio.current_time() + SHUN_S
+        self.shunned[home.daemon_id] = clock.now_s() + SHUN_S
 
     async def on_make_pieces(self, order: Order) -> MadePieces:
         """Make the pieces of another daemon's order."""
@@ -198,7 +201,7 @@
         handles = await batcher.make(order)
         return MadePieces(handles, batcher.backlog_s())
 
-    async def on_free_pieces(
+    def on_free_pieces(
         self, service: str, handles: Sequence[str], is_spare: bool
     ) -> None:
         """Drop results for another daemon."""
@@ -206,7 +209,7 @@
         if is_spare:
             batcher.note_spare(handles)
         else:
-            await batcher.free(handles)
+            batcher.drop(handles)
 
     async def free(
         self, service: str, handles: Sequence[str], is_spare: bool = False
@@ -218,7 +221,7 @@
         """
         home = self.home_of(service)
         if home is None:
-            await self.on_free_pieces(service, handles, is_spare)
+            self.on_free_pieces(service, handles, is_spare)
             return
         try:
             await self.peers.free_pieces(
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.gateway.piece_queue import Order, read_s
 from berylcart.coordination.gateway.stage_home import StageHome
 from berylcart.state.errors import BerylcartError, Code, InputsGoneError
@@ -178,7 +179,7 @@
         """Make one stage once those before it are made."""
         for each in plan.route.stages[index].after:
             await plan.made[each].wait()
-        started_s = anyio.current_time()
+        started_s = now_s()
         try:
             plan.results[index] = await self.make_pieces(plan, index)
         except BerylcartError as error:
@@ -191,8 +192,8 @@
             stage=index,
             service=plan.route.stages[index].service,
             pieces=plan.count(index),
-            latency_ms=int((anyio.current_time() - started_s) * MS_PER_S),
-            to_due_ms=int((plan.due_s - anyio.current_time()) * MS_PER_S),
+            latency_ms=int((now_s() - started_s) * MS_PER_S),
+            to_due_ms=int((plan.due_s - now_s()) * MS_PER_S),
         )
         is_dropped = plan.is_only_reader(index)
         for each in plan.note_made(index):
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
-import anyio
-
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.membership.demand import DemandTable
 from berylcart.coordination.membership.hooks import MembershipHooks
 from berylcart.coordination.membership.piggyback import RumourQueue
@@ -127,14 +126,14 @@
                 self.roster.live_ids(),
                 settings.vitals_per_message,
                 self._rng,
-                anyio.current_time(),
+                now_s(),
             ),
             view_digest=self.roster.view_digest(),
         )
 
     def compose_all(self) -> Gossip:
         """Compose a message with every member and the newest marks."""
-        now = anyio.current_time()
+        now = now_s()
         config = self._note_config()
         marks = list(self.marks)[-self._settings.marks_per_exchange :]
         return Gossip(
@@ -147,7 +146,7 @@
         )
 
     def _pick_news(self, target_id: str) -> list[MemberNews]:
-        now = anyio.current_time()
+        now = now_s()
         limit = self._settings.members_per_message
         if len(self.roster.rumours) > LARGE_QUEUE:
             limit *= LARGE_QUEUE_FACTOR
@@ -162,7 +161,7 @@
     def _pick_demand(self) -> list[Demand]:
         limit = self._settings.demand_per_message
         own = list(self._hooks.demand())[:limit]
-        now = anyio.current_time()
+        now = now_s()
         return own + list(self.demand.newest(limit - len(own), now))
 
     def absorb(self, gossip: Gossip) -> None:
@@ -171,7 +170,7 @@
         roster = self.roster
         if sender.daemon_id == roster.me.daemon_id:
             return
-        now = self._guard.arrival_time(anyio.current_time())
+        now = self._guard.arrival_time(now_s())
         is_joining = not roster.live_ids()
         roster.hear(sender, now)
         for news in gossip.members:
--- a/packages/berylcart/src/berylcart/coordination/membership/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/membership.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.membership.entries import EntryList, choose_entries
 from berylcart.coordination.membership.exchanger import Exchanger
 from berylcart.coordination.membership.gossip import Gossiper
@@ -124,7 +125,7 @@
 
         This daemon counts as heard.
         """
-        since = anyio.current_time() - within_ms / MS_PER_S
+        since = now_s() - within_ms / MS_PER_S
         heard = sum(
             1
             for name in daemon_ids
@@ -147,7 +148,7 @@
 
     def demand_for(self, workspace: str) -> int:
         """Sum what other daemons lately reported in flight."""
-        return self._gossiper.demand.total(workspace, anyio.current_time())
+        return self._gossiper.demand.total(workspace, now_s())
 
     async def on_ping(self, ping: Ping) -> Gossip:
         """Answer a probe."""
@@ -170,7 +171,7 @@
     async def _probe_loop(self) -> None:
         while self.me.is_live:
             period_ms = self._settings.probe_period_ms * self._health.factor
-            start = anyio.current_time()
+            start = now_s()
             name = self._order.next(self._roster.live_ids())
             if name is not None:
                 await self._prober.probe(name)
@@ -179,7 +180,7 @@
 
     async def _gossip_loop(self, tasks: TaskGroup) -> None:
         period_s = self._settings.gossip_period_ms / MS_PER_S
-        self._guard.tick(anyio.current_time(), period_s)
+        self._guard.tick(now_s(), period_s)
         while self.me.is_live:
             self._upkeep(await self._rest(period_s))
             if self._gossiper.has_rumours():
@@ -203,7 +204,7 @@
         return period_s
 
     def _upkeep(self, period_s: float) -> None:
-        now = anyio.current_time()
+        now = now_s()
         lost_s = self._guard.tick(now, period_s)
         if lost_s > 0:
             events.warning("membership.paused", lost_ms=int(lost_s * MS_PER_S))
--- a/packages/berylcart/src/berylcart/coordination/membership/prober.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/prober.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from berylcart.clock import now_s
 from berylcart.coordination.membership.gossip import Gossiper
 from berylcart.coordination.membership.peer_port import Peers
 from berylcart.coordination.membership.probe import LocalHealth, PauseGuard
@@ -52,7 +53,7 @@
         target = self._gossiper.roster.get(name)
         if target is None:
             return
-        start = anyio.current_time()
+        start = now_s()
         factor = self._health.factor
         direct_ms = self._settings.probe_timeout_ms * factor
         indirect_ms = self._settings.indirect_timeout_ms * factor
@@ -62,7 +63,7 @@
         if await self._is_reached_by_others(target, indirect_ms):
             return
         budget_s = (direct_ms + indirect_ms) / MS_PER_S
-        now = anyio.current_time()
+        now = now_s()
         self._health.record_fault()
         if not self._guard.was_late(start, now, budget_s):
             self._gossiper.roster.suspect(name, now)
--- a/packages/berylcart/src/berylcart/coordination/policy/stage_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/stage_policy.py
@@ -5,8 +5,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple, Protocol
 
-import anyio
-
+from berylcart.clock import now_s
 from berylcart.coordination.policy import deadlines
 from berylcart.coordination.policy.budgets import RetryBudget, ServiceBudgets
 from berylcart.coordination.policy.ejection import Ejector
@@ -174,7 +173,7 @@
     @contextlib.contextmanager
     def in_flight(self, vm: Vm) -> Iterator[None]:
         """Account for one attempt from its start to its end."""
-        started_at_s = anyio.current_time()
+        started_at_s = now_s()
         self.on_use(vm)
         self.parts.load_table.started(vm)
         try:
@@ -210,4 +209,4 @@
 
 def elapsed_ms(started_at_s: float) -> float:
     """Measure the time since a start."""
-    return (anyio.current_time() - started_at_s) * MS_PER_S
+    return (now_s() - started_at_s) * MS_PER_S
--- a/packages/berylcart/src/berylcart/events.py
+++ b/packages/berylcart/src/berylcart/events.py
@@ -6,8 +6,9 @@
 import sys
 from datetime import UTC, datetime
 from enum import Enum
-from queue import Full, Queue
+from queue import SimpleQueue
 from threading import Thread
+from time import sleep, time
 from typing import TextIO
 
 from absl import flags, logging
@@ -16,6 +17,15 @@
 EVENT_PREFIX = "event="
 # About a second of the heaviest day.
 MAX_LINES = 4096
+# Lines of this time are written together; a killed process loses them.
+WRITE_PERIOD_S = 0.05
+CLOSE_TIMEOUT_S = 0.3
+LEVELS = {
+    logging.DEBUG: "debug",
+    logging.INFO: "info",
+    logging.WARNING: "warning",
+    logging.ERROR: "error",
+}
 QUIET_LIBRARIES = ("uvicorn",)
 
 Value = str | int | float | bool | None
@@ -45,24 +55,91 @@
     return " ".join([f"{EVENT_PREFIX}{name}", *pairs])
 
 
+class LineWriter:
+    """Hand lines to a thread that writes them, and drop what it can't hold.
+
+    A reader that stops thereby never stops the program.
+    """
+
+    def __init__(self, stream: TextIO, max_lines: int = MAX_LINES) -> None:
+        self.stream = stream
+        self.max_lines = max_lines
+        self.lines: SimpleQueue[str | None] = SimpleQueue()
+        self.lost = 0
+        self.thread = Thread(target=self.write_lines, daemon=True)
+        self.thread.start()
+
+    def put(self, line: str) -> None:
+        """Queue a line, or count it as lost."""
+        if self.lines.qsize() < self.max_lines:
+            self.lines.put(line)
+        else:
+            self.lost += 1
+
+    def write_lines(self) -> None:
+        """Write lines until the writer is closed."""
+        is_open = True
+        while is_open:
+            batch = [self.lines.get()]
+            if batch[0] is not None:
+                # Each turn of this thread costs the program time.
+                sleep(WRITE_PERIOD_S)
+            while not self.lines.empty():
+                batch.append(self.lines.get())
+            is_open = batch[-1] is not None
+            self.stream.write("".join(line for line in batch if line))
+            self.stream.flush()
+
+    def close(self) -> None:
+        """Write what was queued, for a short time at most."""
+        self.lines.put(None)
+        self.thread.join(CLOSE_TIMEOUT_S)
+
+
+class Output:
+    """Hold the writer of a program that must not wait for its reader."""
+
+    writer: LineWriter | None = None
+
+
+def write(level: int, name: str, fields: dict[str, Value]) -> None:
+    """Log one event."""
+    pairs = format_event(name, **fields)
+    if Output.writer is None:
+        logging.log(level, "%s", pairs)
+    elif level <= logging.INFO:
+        Output.writer.put(format_line(time(), LEVELS[level], pairs))
+
+
 def debug(name: str, **fields: Value) -> None:
     """Log an event that only an investigation of this part needs."""
-    logging.debug("%s", format_event(name, **fields))
+    write(logging.DEBUG, name, fields)
 
 
 def info(name: str, **fields: Value) -> None:
     """Log an event of normal operation."""
-    logging.info("%s", format_event(name, **fields))
+    write(logging.INFO, name, fields)
 
 
 def warning(name: str, **fields: Value) -> None:
     """Log an event that an operator may want to look at."""
-    logging.warning("%s", format_event(name, **fields))
+    write(logging.WARNING, name, fields)
 
 
 def error(name: str, **fields: Value) -> None:
     """Log a fault that needs an operator."""
-    logging.error("%s", format_event(name, **fields))
+    write(logging.ERROR, name, fields)
+
+
+def format_line(at_s: float, level: str, pairs: str) -> str:
+    r"""Write a whole line; at_s counts seconds since 1970.
+
+    >>> format_line(0.25, "info", "event=a")
+    'time=1970-01-01T00:00:00.250Z level=info event=a\n'
+    """
+    at = datetime.fromtimestamp(at_s, UTC)
+    stamp = at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    return f"time={stamp} level={level} {pairs}\n"
 
 
 class EventFormatter(stdlib_logging.Formatter):
@@ -70,61 +147,48 @@
 
     def format(self, record: stdlib_logging.LogRecord) -> str:
         """Write one line for one event."""
-        at = datetime.fromtimestamp(record.created, UTC)
-        stamp = at.isoformat(timespec="milliseconds").replace("+00:00", "Z")
-        level = record.levelname.lower()
         pairs = record.getMessage()
         if not pairs.startswith(EVENT_PREFIX):
             pairs = format_event("library.log", detail=pairs)
-        return f"time={stamp} level={level} {pairs}"
+        level = record.levelname.lower()
+        return format_line(record.created, level, pairs).rstrip("\n")
 
 
 class BoundedHandler(stdlib_logging.Handler):
-    """Hand lines to a thread that writes them, and drop what it can't hold.
-
-    A reader that stops thereby never stops the program.
-    """
+    """Pass the records of libraries to the program's writer."""
 
-    def __init__(self, stream: TextIO, max_lines: int = MAX_LINES) -> None:
+    def __init__(self, writer: LineWriter) -> None:
         super().__init__()
-        self.stream = stream
-        self.lines: Queue[str] = Queue(max_lines)
-        self.lost = 0
-        Thread(target=self.write_lines, daemon=True).start()
+        self.writer = writer
 
     def emit(self, record: stdlib_logging.LogRecord) -> None:
         """Queue a line, or count it as lost."""
-        try:
-            self.lines.put_nowait(self.format(record) + "\n")
-        except Full:
-            self.lost += 1
-
-    def write_lines(self) -> None:
-        """Write lines for ever."""
-        while True:
-            self.stream.write(self.lines.get())
-            if self.lines.empty():
-                self.stream.flush()
-            self.lines.task_done()
+        self.writer.put(self.format(record) + "\n")
 
 
 def lost_lines() -> int:
     """Count the lines that were dropped."""
-    handlers = stdlib_logging.getLogger("absl").handlers
-    return sum(each.lost for each in handlers if hasattr(each, "lost"))
+    return 0 if Output.writer is None else Output.writer.lost
 
 
 def start_bounded_logging() -> None:
     """Send events to standard output, never waiting for its reader."""
     flags.FLAGS.mark_as_parsed()
-    handler = BoundedHandler(sys.stdout)
+    Output.writer = LineWriter(sys.stdout)
+    handler = BoundedHandler(Output.writer)
     handler.setFormatter(EventFormatter())
+    stdlib_logging.getLogger().handlers[:] = [handler]
     logger = stdlib_logging.getLogger("absl")
     logger.handlers[:] = [handler]
     logger.propagate = False
     logging.set_verbosity(logging.INFO)
-    for name in QUIET_LIBRARIES:
-        stdlib_logging.getLogger(name).setLevel(stdlib_logging.WARNING)
+
+
+def stop_bounded_logging() -> None:
+    """Write what is still queued."""
+    if Output.writer is not None:
+        Output.writer.close()
+        Output.writer = None
 
 
 def start_logging() -> None:
--- a/packages/berylcart/src/berylcart/protocol/piece_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/piece_codec.py
@@ -1,7 +1,6 @@
 """Translate orders of pieces between daemons to and from protobuf."""
 
-import anyio
-
+from berylcart import clock
 from berylcart.coordination.gateway.piece_queue import MAX_PIECES, Order
 from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_pb2 as pb
@@ -14,7 +13,7 @@
 
 def left_ms(time_s: float) -> int:
     """Turn a time of the runtime's clock into what is left until then."""
-    left = int((time_s - anyio.current_time()) * MS_PER_S)
+    left = int((time_s - clock.now_s()) * MS_PER_S)
     return max(-MAX_TIME_MS, min(MAX_TIME_MS, left))
 
 
@@ -41,7 +40,7 @@
     """Decode an order; raises ValueError on none or too many pieces."""
     if not 0 < message.count <= MAX_PIECES or not message.request_id:
         raise ValueError(f"an order names a request and up to {MAX_PIECES}")
-    now_s = anyio.current_time()
+    now_s = clock.now_s()
     return Order(
         request_id=message.request_id,
         service=message.service,
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -7,6 +7,7 @@
 import anyio
 
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.protocol.http_requests import (
     CONNECTION,
     GO_ON,
@@ -49,7 +50,7 @@
         self.head = head
         self.body = body
         self.writer = writer
-        self.received_at_s = anyio.current_time()
+        self.received_at_s = now_s()
         self.is_started = False
         self.is_finished = False
         # Whether the answer says that the connection ends after it.
@@ -197,6 +198,8 @@
         with anyio.move_on_after(idle_s) as scope:
             self.idle_scope = scope
             if self.is_last():
+                # A request that has arrived is still answered.
+                self.channel.look_first()
                 scope.cancel()
             try:
                 data = await self.channel.receive()
--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -44,6 +44,8 @@
         tune(sock)
         self.sock = sock
         self.is_closed = False
+        # Whether the last read took all that had arrived.
+        self.is_drained = False
 
     async def send(self, data: bytes) -> None:
         """Send all bytes."""
@@ -61,10 +63,20 @@
         """Receive some bytes, none at the end of the connection."""
         while True:
             self.check_open()
+            if self.is_drained:
+                await anyio.wait_readable(self.sock)
+                self.check_open()
             try:
-                return self.sock.recv(READ_BYTES)
+                data = self.sock.recv(READ_BYTES)
             except BlockingIOError:
-                await anyio.wait_readable(self.sock)
+                self.is_drained = True
+                continue
+            self.is_drained = 0 < len(data) < READ_BYTES
+            return data
+
+    def look_first(self) -> None:
+        """Have the next receive take what has arrived before it waits."""
+        self.is_drained = False
 
     def check_open(self) -> None:
         """Raise OSError on a channel that was closed meanwhile."""
--- a/packages/berylcart/src/berylcart/transport/connections.py
+++ b/packages/berylcart/src/berylcart/transport/connections.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from berylcart import clock
 from berylcart.transport.channel import connect
 from berylcart.transport.upstream_connection import UpstreamConnection
 
@@ -65,7 +66,7 @@
 
     def sweep(self) -> None:
         """Close the connections that expired, at most once a second."""
-        now_s = anyio.current_time()
+        now_s = clock.now_s()
         if now_s < self.swept_s + SWEEP_INTERVAL_S:
             return
         self.swept_s = now_s
--- a/packages/berylcart/src/berylcart/transport/memory_log.py
+++ b/packages/berylcart/src/berylcart/transport/memory_log.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from berylcart.clock import now_s
 from berylcart.state.errors import (
     LogAmbiguousError,
     LogGapError,
@@ -17,7 +18,7 @@
 
 def now_ms() -> int:
     """Read the runtime's clock in milliseconds."""
-    return int(anyio.current_time() * MS_PER_S)
+    return int(now_s() * MS_PER_S)
 
 
 class MemoryStream:
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -66,6 +66,11 @@
             self._calls -= 1
             self._close_if_unused()
 
+    async def tell(self, method: str, body: bytes, timeout_s: float) -> None:
+        """Send what isn't answered; raises as call does."""
+        with anyio.fail_after(timeout_s):
+            (await self._open()).notify(method, body)
+
     async def _open(self) -> PeerConnection:
         """Give the connection, opened anew if it was lost."""
         async with self._opening:
@@ -241,14 +246,20 @@
         *,
         timeout_ms: int,
     ) -> None:
-        """Have results of stages dropped, spare ones where room is short."""
-        await self._call(
-            address,
-            "FreePieces",
-            pb.FreePiecesMessage(
-                service=service, handles=handles, is_spare=is_spare
-            ),
-            pb.FreePiecesReply,
-            lambda message: None,
-            timeout_ms,
+        """Tell that results may go, spare ones where room is short."""
+        message = pb.FreePiecesMessage(
+            service=service, handles=handles, is_spare=is_spare
         )
+        channel = self._channel(address)
+        try:
+            await channel.tell(
+                "FreePieces",
+                message.SerializeToString(),
+                timeout_ms / MS_PER_S,
+            )
+        except CALL_ERRORS as error:
+            self._retire(address, channel)
+            raise BerylcartError(
+                Code.PEER_UNAVAILABLE,
+                f"FreePieces to {address} failed: {type(error).__name__}",
+            ) from error
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -7,6 +7,7 @@
 import anyio
 from google.protobuf.message import DecodeError, Message
 
+from berylcart import events
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.stage_home import StageHandlers
 from berylcart.coordination.membership.peer_port import PeerHandlers
@@ -18,6 +19,7 @@
 from berylcart.transport.peer_connection import PeerCallError, PeerConnection
 
 CLOSE_GRACE_S = 5.0
+FREE_PIECES = "FreePieces"
 
 
 class Method(NamedTuple):
@@ -79,17 +81,10 @@
         except BerylcartError as error:
             return piece_codec.encode_error(error)
 
-    async def free(message: pb.FreePiecesMessage) -> pb.FreePiecesReply:
-        await stages.on_free_pieces(
-            message.service, tuple(message.handles), message.is_spare
-        )
-        return pb.FreePiecesReply()
-
     return {
         "MakePieces": Method(
             pb.PieceOrderMessage, piece_codec.decode_order, make, unchanged
         ),
-        "FreePieces": Method(pb.FreePiecesMessage, unchanged, free, unchanged),
     }
 
 
@@ -102,6 +97,7 @@
         self._methods = peer_methods(handlers)
         if stages is not None:
             self._methods |= stage_methods(stages)
+        self._stages = stages
         self._calls = 0
         self._is_closing = False
         self._idle = anyio.Event()
@@ -128,6 +124,20 @@
             if self._is_closing and self._calls == 0:
                 self._idle.set()
 
+    def heed(self, name: str, body: bytes) -> None:
+        """Take what needs no answer."""
+        if name != FREE_PIECES or self._stages is None:
+            events.warning("peer.unknown_notice", method=name)
+            return
+        try:
+            message = pb.FreePiecesMessage.FromString(body)
+        except DecodeError as error:
+            events.warning("peer.malformed", method=name, detail=str(error))
+            return
+        self._stages.on_free_pieces(
+            message.service, tuple(message.handles), message.is_spare
+        )
+
     async def _handle(self, method: Method, body: bytes) -> bytes:
         """Have a call handled; raises PeerCallError."""
         try:
@@ -169,7 +179,9 @@
 
     def _accept(self) -> PeerConnection:
         connection = PeerConnection(
-            self._service.answer, on_lost=self._connections.discard
+            self._service.answer,
+            self._service.heed,
+            self._connections.discard,
         )
         self._connections.add(connection)
         return connection
--- a/packages/berylcart/src/berylcart/transport/upstream_connection.py
+++ b/packages/berylcart/src/berylcart/transport/upstream_connection.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Iterable
 
-import anyio
-
+from berylcart.clock import now_s
 from berylcart.protocol.http_answers import (
     AnswerEnd,
     AnswerHead,
@@ -94,10 +93,10 @@
         if not is_done or idle_timeout_s <= 0:
             return False
         self.is_sent = False
-        self.usable_until_s = anyio.current_time() + idle_timeout_s
+        self.usable_until_s = now_s() + idle_timeout_s
         return self.channel.is_quiet()
 
     def is_usable(self) -> bool:
         """Tell whether a kept connection may carry a request."""
-        is_fresh = anyio.current_time() < self.usable_until_s
+        is_fresh = now_s() < self.usable_until_s
         return is_fresh and self.channel.is_quiet()
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -294,6 +294,45 @@
     serve(scenario)
 
 
+def test_notices_that_cannot_be_read_end_nothing():
+    async def scenario(peers, server, handlers):
+        connection = await connect(server)
+        connection.notify("FreePieces", b"\xff")
+        connection.notify("Later", b"")
+        connection.notify("cancel", b"77")
+        query = pb.PullConfigMessage(known_version=7)
+        reply = await connection.call("PullConfig", query.SerializeToString())
+        assert not pb.ConfigMessage.FromString(reply).is_newer
+        connection.close()
+
+    serve(scenario)
+
+
+def test_results_that_may_go_are_told():
+    async def scenario(peers, server, handlers):
+        told = []
+
+        class Stages:
+            def on_free_pieces(self, *facts):
+                told.append(facts)
+
+        stages = PeerServer(handlers, "127.0.0.1:0", Stages())
+        await stages.start()
+        address = stages.address
+        await peers.free_pieces(
+            address, "sms", ["a", "b"], True, timeout_ms=BOUND_MS
+        )
+        await peers.ping(address, Ping("d", GOSSIP), timeout_ms=BOUND_MS)
+        assert told == [("sms", ("a", "b"), True)]
+        await stages.close()
+        with pytest.raises(BerylcartError):
+            await RpcPeers().free_pieces(
+                address, "sms", ["a"], False, timeout_ms=BOUND_MS
+            )
+
+    serve(scenario)
+
+
 def test_cancelled_call_stops_its_handler():
     async def scenario(peers, server, handlers):
         ended = asyncio.Event()
