Keep all daemons together within the requests that a replica asks for

A replica in need names in its answers the requests a second that it takes from all daemons together; the users' rule LIMIT sums over the daemons that passed on such an answer. A bucket in each of 195 daemons breaks that sum by its first request alone.

A daemon holds itself back from the first such answer that it reads. What can't go there goes to another replica, or is refused at once. Calls for pieces count each piece; the home of a service is its only sender.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -16,6 +16,7 @@
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
 from berylcart.coordination.gateway.home_capacity import capacity_permille
 from berylcart.coordination.gateway.ports import CallerExchange
+from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.gateway.stage_home import StageHome
@@ -110,8 +111,18 @@
             retries.slack,
             lambda: self.most_members,
         )
+        self.request_limits = RequestLimits(
+            self.settings.daemon_id, self.member_ids, self.random
+        )
+        self.request_limits.on_news = self.membership.tell_limit
+        self.exchange.on_limit_news = self.request_limits.hear
+        self.ports.pieces.on_limit = self.request_limits.note_answer
         self.policy = GatewayPolicy(
-            self.keeper, self.directory.pool, self.budget, self.random
+            self.keeper,
+            self.directory.pool,
+            self.budget,
+            self.random,
+            self.request_limits,
         )
         self.holders: dict[str, Vm] = {}
         self.directory.on_change = self.note_replicas
@@ -171,6 +182,10 @@
         table = self.keeper.table
         return CallerLimits() if table is None else table.limits
 
+    def member_ids(self) -> Sequence[str]:
+        """List the daemons that may send requests."""
+        return [each.daemon_id for each in self.membership.running()]
+
     def seeds(self) -> Sequence[str]:
         """List peer addresses to join through."""
         known = [*self.settings.seeds, *self.found_seeds]
@@ -192,6 +207,7 @@
                 self.budget,
                 self.directory.pool,
                 self.batch_limits,
+                self.request_limits,
                 self.drop_inputs,
             )
             self.batchers[service] = batcher
--- a/packages/berylcart-daemon/src/berylcart_daemon/route_exchange.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/route_exchange.py
@@ -11,7 +11,11 @@
 from berylcart.state.errors import BerylcartError
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member
-from berylcart.state.peer_messages import ConfigFreshness, ConfigQuery
+from berylcart.state.peer_messages import (
+    ConfigFreshness,
+    ConfigQuery,
+    LimitNews,
+)
 
 PULL_TIMEOUT_MS = 1000
 
@@ -28,6 +32,7 @@
         self.wanted: Sequence[str] = ()
         self.is_wanted = anyio.Event()
         self.on_members: Callable[[], None] = lambda: None
+        self.on_limit_news: Callable[[LimitNews], None] = lambda news: None
 
     def on_change(self, member: Member) -> None:
         """Hear that a member joined, changed its state or went."""
@@ -43,6 +48,10 @@
             self.wanted = (address,)
             self.is_wanted.set()
 
+    def on_limit(self, news: LimitNews) -> None:
+        """Hear what a replica takes from all daemons together."""
+        self.on_limit_news(news)
+
     def on_leaving(self, mark: LeavingMark) -> None:
         """Give a leaving upstream no new work."""
         self.directory.mark_leaving(mark.vm_id, mark.incarnation)
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -28,6 +28,7 @@
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
 from berylcart.coordination.gateway.queue_rates import QueueRates
+from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.shedder import Shedder
 from berylcart.state.errors import BerylcartError, Code
@@ -64,6 +65,7 @@
         budget: RetryWindow,
         pool: Callable[[str], Sequence[Vm]],
         limits: Callable[[str], BatchLimits | None],
+        request_limits: RequestLimits,
         on_read: Callable[[Sequence[str], bool], None] = (
             lambda handles, is_spare: None
         ),
@@ -72,6 +74,7 @@
         self.caller = caller
         self.budget = budget
         self.limits = limits
+        self.request_limits = request_limits
         self.on_read = on_read
         self.orders = Orders()
         self.makers = Makers(caller, lambda: pool(service))
@@ -195,6 +198,9 @@
                 continue
             # A replica that fails again must not use up the retry budget.
             pieces = PROBE_PIECES if state.has_failed else limits.pieces
+            pieces = self.within_limit(vm, pieces)
+            if not pieces:
+                continue
             batch = take_batch(
                 self.orders.waiting,
                 maker,
@@ -208,6 +214,11 @@
                 self.start_call(tasks, vm, batch, limits)
                 makers[vm.vm_id] = self.makers.describe(vm, limits, now_s)
 
+    def within_limit(self, vm: Vm, pieces: int) -> int:
+        """Bound a call's pieces by what its replica takes from daemons."""
+        tokens = self.request_limits.tokens(vm, is_only_sender=True)
+        return int(min(pieces, tokens))
+
     def makes_room(
         self, tasks: TaskGroup, vm: Vm, maker: Maker, limits: BatchLimits
     ) -> bool:
@@ -233,6 +244,7 @@
         """Take pieces from the queue for a call."""
         self.orders.take(batch)
         self.orders.note_begun(batch)
+        self.request_limits.take(vm, len(batch))
         state = self.makers.state(vm)
         state.calls += 1
         state.reserved_bytes += sum(e.order.result_bytes for e in batch)
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -169,8 +169,11 @@
         """Choose the next replica; raises the last failure without one."""
         work = run.work
         preferred = work.preferred
-        is_live = preferred in self.policy.pool(work.service)
-        if preferred is not None and is_live and not run.sends:
+        if (
+            preferred is not None
+            and not run.sends
+            and self.policy.takes_now(preferred, work.service)
+        ):
             return preferred
         try:
             return self.policy.choose(
@@ -243,7 +246,7 @@
         try:
             with self.policy.in_flight(vm) as clock:
                 run.runs += 1
-                status = await self.exchange(run, request, clock)
+                status = await self.exchange(run, vm, request, clock)
             ran = Ran.YES
         except UpstreamError as error:
             ran = error.ran
@@ -255,7 +258,11 @@
         return status
 
     async def exchange(
-        self, run: ForwardRun, request: UpstreamRequest, clock: AttemptClock
+        self,
+        run: ForwardRun,
+        vm: Vm,
+        request: UpstreamRequest,
+        clock: AttemptClock,
     ) -> int:
         """Send a request and pass on its answer, up to a silence."""
         patience = Patience(run.patience_s())
@@ -267,6 +274,8 @@
         try:
             with patience.scope:
                 async with self.relay.exchange(request, note_sent) as answer:
+                    head = answer.head
+                    self.policy.limits.note_answer(vm, head.limit_per_s)
                     return await self.pass_on(run, answer, clock, patience)
         finally:
             attempt.cancel()
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.policy.ejection import Ejector
 from berylcart.coordination.policy.load_table import LoadTable
@@ -77,8 +78,10 @@
         pool: Callable[[str], Sequence[Vm]],
         budget: RetryWindow,
         random: Random,
+        limits: RequestLimits,
     ) -> None:
         self.tables = tables
+        self.limits = limits
         self.pool = pool
         self.budget = budget
         self.random = random
@@ -107,7 +110,7 @@
         is_engine = info is not None and info.engine is not None
         kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
         vm = self.router.choose(
-            self.pool(service),
+            self.limits.usable(self.pool(service)),
             service=Service(service, kind, frozenset()),
             affinity=affinity,
             exclude=frozenset(tried),
@@ -116,8 +119,13 @@
             raise no_replica(service)
         return vm
 
+    def takes_now(self, vm: Vm, service: str) -> bool:
+        """Tell whether a replica takes work, and within its limit."""
+        return vm in self.pool(service) and self.limits.allows(vm)
+
     def retain(self, vms: tuple[Vm, ...]) -> None:
         """Forget what was learnt about VMs that are gone."""
+        self.limits.retain(vms)
         self.load_table.retain(vms)
         self.ejector.retain(vms)
 
@@ -125,6 +133,7 @@
     def in_flight(self, vm: Vm) -> Iterator[AttemptClock]:
         """Account for one attempt from its start to its end."""
         clock = AttemptClock()
+        self.limits.take(vm)
         self.load_table.started(vm)
         try:
             yield clock
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -107,7 +107,13 @@
 
 
 class PieceCaller(Protocol):
-    """Call the replicas that work on pieces."""
+    """Call the replicas that work on pieces.
+
+    on_limit takes what each answer to run_pieces says of the requests that
+    its replica takes a second.
+    """
+
+    on_limit: Callable[[Vm, float | None], None]
 
     async def run_pieces(
         self, vm: Vm, pieces: Sequence[TimedPiece]
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import NamedTuple
 
 from berylcart import events
 from berylcart.clock import now_s
@@ -10,13 +11,18 @@
 from berylcart.coordination.membership.piggyback import RumourQueue
 from berylcart.coordination.membership.probe import PauseGuard
 from berylcart.coordination.membership.roster import Roster
-from berylcart.coordination.membership.settings import MembershipSettings
+from berylcart.coordination.membership.settings import (
+    MS_PER_S,
+    MembershipSettings,
+)
+from berylcart.coordination.membership.vitals import HOP_ALLOWANCE_MS
 from berylcart.state.leaving_marks import LeavingMark, LeavingMarks
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import (
     ConfigFreshness,
     Demand,
     Gossip,
+    LimitNews,
     MemberNews,
 )
 
@@ -42,6 +48,18 @@
     return heard.age_ms < own.age_ms
 
 
+class HeardLimit(NamedTuple):
+    """Hold a replica's limit and when it was named."""
+
+    news: LimitNews
+    heard_s: float
+
+    def aged(self, at_s: float) -> LimitNews:
+        """Give the news with its age then, a hop's time added."""
+        age_ms = int((at_s - self.heard_s) * MS_PER_S) + HOP_ALLOWANCE_MS
+        return self.news._replace(age_ms=age_ms)
+
+
 class Gossiper:
     """Join what this daemon knows to what it hears."""
 
@@ -67,6 +85,9 @@
         self.on_news: Callable[[], None] = lambda: None
         self.roster.rumours.on_add = self._note_news
         self._mark_rumours.on_add = self._note_news
+        self._limits: dict[str, HeardLimit] = {}
+        self._limit_rumours: RumourQueue[str] = RumourQueue()
+        self._limit_rumours.on_add = self._note_news
 
     def _note_news(self) -> None:
         self.on_news()
@@ -88,10 +109,27 @@
             self._mark_rumours.add(mark, self.roster.transmissions())
             self._hooks.on_leaving(mark)
 
+    def tell_limit(self, news: LimitNews) -> None:
+        """Pass on what a replica takes."""
+        heard_s = now_s() - news.age_ms / MS_PER_S
+        if len(self._limits) < self._settings.max_marks:
+            self._limits[news.vm_id] = HeardLimit(news, heard_s)
+            transmissions = self.roster.transmissions()
+            self._limit_rumours.add(news.vm_id, transmissions)
+
+    def _pick_limits(self) -> list[LimitNews]:
+        names = self._limit_rumours.take(self._settings.limits_per_message)
+        picked = [self._limits[name].aged(now_s()) for name in names]
+        for name in names:
+            if name not in self._limit_rumours:
+                del self._limits[name]
+        return picked
+
     def has_rumours(self) -> bool:
         """Say whether anything waits to be passed on."""
         self._note_config()
-        waiting = len(self.roster.rumours) + len(self._mark_rumours)
+        queues = (self.roster.rumours, self._mark_rumours, self._limit_rumours)
+        waiting = sum(len(queue) for queue in queues)
         return waiting > 0 or self._config_sends_left > 0
 
     def _note_config(self) -> ConfigFreshness:
@@ -129,6 +167,7 @@
                 now_s(),
             ),
             view_digest=self.roster.view_digest(),
+            limits=tuple(self._pick_limits()),
         )
 
     def compose_all(self) -> Gossip:
@@ -178,6 +217,8 @@
         roster.vitals.absorb(gossip.vitals, now)
         for mark in gossip.leaving:
             self.mark(mark)
+        for limit in gossip.limits:
+            self._hooks.on_limit(limit)
         own_id = roster.me.daemon_id
         self.demand.add(
             (item for item in gossip.demand if item.daemon_id != own_id), now
--- a/packages/berylcart/src/berylcart/coordination/membership/hooks.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/hooks.py
@@ -4,7 +4,7 @@
 
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member
-from berylcart.state.peer_messages import ConfigFreshness, Demand
+from berylcart.state.peer_messages import ConfigFreshness, Demand, LimitNews
 
 
 class MembershipHooks:
@@ -31,5 +31,8 @@
     def on_change(self, member: Member) -> None:
         """Hear that a member joined, changed its state or went."""
 
+    def on_limit(self, news: LimitNews) -> None:
+        """Hear what a replica takes from all daemons together."""
+
     def on_leaving(self, mark: LeavingMark) -> None:
         """Hear that an upstream VM is leaving."""
--- a/packages/berylcart/src/berylcart/coordination/membership/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/membership.py
@@ -27,7 +27,12 @@
 from berylcart.coordination.membership.vitals import HeardCount
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
-from berylcart.state.peer_messages import Gossip, Ping, PingRequest
+from berylcart.state.peer_messages import (
+    Gossip,
+    LimitNews,
+    Ping,
+    PingRequest,
+)
 
 MAX_FAREWELLS = 8
 MAX_GOSSIP_TASKS = 4
@@ -142,6 +147,10 @@
         """Mark an upstream VM's incarnation as leaving, everywhere."""
         self._gossiper.mark(LeavingMark(vm_id, incarnation))
 
+    def tell_limit(self, news: LimitNews) -> None:
+        """Tell every daemon what a replica takes from all of them."""
+        self._gossiper.tell_limit(news)
+
     def is_leaving(self, vm_id: str, incarnation: int) -> bool:
         """Say whether an upstream VM's incarnation is marked as leaving."""
         return self._gossiper.marks.is_leaving(vm_id, incarnation)
--- a/packages/berylcart/src/berylcart/coordination/membership/piggyback.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/piggyback.py
@@ -27,6 +27,10 @@
         """Count the rumours still to be passed on."""
         return len(self._left)
 
+    def __contains__(self, key: object) -> bool:
+        """Tell whether a rumour is still to be passed on."""
+        return key in self._left
+
     def add(self, key: Key, transmissions: int) -> None:
         """Pass a rumour on this many times from now."""
         self._left[key] = transmissions
--- a/packages/berylcart/src/berylcart/coordination/membership/settings.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/settings.py
@@ -33,6 +33,7 @@
     members_per_message: int = 16
     vitals_per_message: int = 64
     marks_per_message: int = 16
+    limits_per_message: int = 16
     marks_per_exchange: int = 512
     demand_per_message: int = 8
     demand_keep_ms: int = 10_000
--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -1,5 +1,7 @@
 """Translate peer messages to and from protobuf."""
 
+from math import inf
+
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.text_packing import pack, unpack
 from berylcart.state.leaving_marks import LeavingMark
@@ -12,6 +14,7 @@
     ConfigQuery,
     Demand,
     Gossip,
+    LimitNews,
     MemberNews,
     Ping,
     PingRequest,
@@ -99,6 +102,25 @@
     )
 
 
+def encode_limit(news: LimitNews) -> pb.LimitMessage:
+    """Encode a replica's limit."""
+    return pb.LimitMessage(
+        vm_id=news.vm_id,
+        incarnation=news.incarnation,
+        per_s=news.per_s,
+        age_ms=clamp_age(news.age_ms),
+    )
+
+
+def decode_limit(message: pb.LimitMessage) -> LimitNews:
+    """Decode a replica's limit; raises ValueError on none."""
+    if not 0 <= message.per_s < inf:
+        raise ValueError("a limit is a number from 0")
+    return LimitNews(
+        message.vm_id, message.incarnation, message.per_s, message.age_ms
+    )
+
+
 def encode_gossip(gossip: Gossip) -> pb.GossipMessage:
     """Encode a sender's view."""
     return pb.GossipMessage(
@@ -121,6 +143,7 @@
         ],
         vital_versions=[vital.config_version for vital in gossip.vitals],
         view_digest=gossip.view_digest,
+        limits=[encode_limit(news) for news in gossip.limits],
     )
 
 
@@ -141,6 +164,7 @@
         ),
         vitals=decode_vitals(message),
         view_digest=message.view_digest,
+        limits=tuple(decode_limit(item) for item in message.limits),
     )
 
 
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -36,6 +36,18 @@
     age_ms: int = 0
 
 
+class LimitNews(NamedTuple):
+    """Report the requests a second that a replica takes from all daemons.
+
+    per_s is 0 where its newest answer named no limit.
+    """
+
+    vm_id: str
+    incarnation: int
+    per_s: float
+    age_ms: int = 0
+
+
 class ConfigFreshness(NamedTuple):
     """State a configuration version and how recently the log confirmed it.
 
@@ -60,6 +72,7 @@
     config: ConfigFreshness = ConfigFreshness()
     vitals: tuple[VitalSign, ...] = ()
     view_digest: int = 0
+    limits: tuple[LimitNews, ...] = ()
 
 
 class Ping(NamedTuple):
--- a/packages/berylcart/src/berylcart/state/relayed.py
+++ b/packages/berylcart/src/berylcart/state/relayed.py
@@ -105,6 +105,9 @@
     did_not_run: bool
     is_other_instance: bool
     idle_timeout_s: float | None = None
+    # The requests a second that the upstream takes from all daemons, 0 where
+    # it names no limit, None where the answer doesn't tell.
+    limit_per_s: float | None = None
 
 
 class PieceFailure(StrEnum):
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -1,6 +1,7 @@
 """Check how pieces share calls, against replicas of a paused clock."""
 
 from collections import Counter
+from contextlib import suppress
 from functools import partial
 from math import inf
 
@@ -16,6 +17,7 @@
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm, VmRole, VmState
 
+from ..gateway_fakes import make_request_limits
 from ..serving_fakes import run
 
 LIMITS = BatchLimits(1, 2, 8, 150.0, 16.0, 1_280_000, 4.0, 10_000.0)
@@ -92,7 +94,12 @@
 def make_batcher(replicas, vms):
     budget = RetryWindow(0.2, 10.0, 54, lambda: 1)
     return Batcher(
-        "sms", replicas, budget, lambda service: vms, lambda service: LIMITS
+        "sms",
+        replicas,
+        budget,
+        lambda service: vms,
+        lambda service: LIMITS,
+        make_request_limits(),
     )
 
 
@@ -232,6 +239,35 @@
     run(check)
 
 
+def test_pieces_stay_within_what_a_replica_takes_a_second():
+    async def check():
+        replicas = FakeReplicas()
+        vm = make_vm("v1")
+        batcher = make_batcher(replicas, [vm])
+        batcher.request_limits.note_answer(vm, 4.0)
+
+        async def make(order):
+            with suppress(BerylcartError):
+                await batcher.make(order)
+
+        async def body(tasks):
+            for number in range(6):
+                order = make_order(f"r{number}", deadline_s=30.0)
+                tasks.start_soon(make, order)
+            started_s = anyio.current_time()
+            while anyio.current_time() < started_s + 4:
+                await anyio.sleep(0.1)
+                made = sum(count for _, count in replicas.calls)
+                allowed = 4.0 * (anyio.current_time() - started_s)
+                assert made <= allowed
+            assert made > 0.5 * allowed
+            tasks.cancel_scope.cancel()
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
 def test_a_replica_gets_one_call_at_a_time():
     async def check():
         replicas = FakeReplicas()
@@ -298,7 +334,14 @@
     """Make orders of one piece at a home that earns little retry budget."""
     vms = [make_vm("v1"), make_vm("v2")]
     budget = RetryWindow(0.2, 10.0, 54, lambda: 87)
-    batcher = Batcher("sms", replicas, budget, lambda _: vms, lambda _: LIMITS)
+    batcher = Batcher(
+        "sms",
+        replicas,
+        budget,
+        lambda _: vms,
+        lambda _: LIMITS,
+        make_request_limits(),
+    )
     made = []
 
     async def make(name):
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -10,6 +10,7 @@
     Work,
 )
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
+from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.state.errors import Code, Ran, UnreachableError, UpstreamError
@@ -217,11 +218,20 @@
     return keeper
 
 
+def make_request_limits(daemon_id="d1", names=("d1",)):
+    """Build what holds the limits that replicas name."""
+    return RequestLimits(daemon_id, lambda: names, random.Random(1))
+
+
 def make_policy(keeper, vms=("v1", "v2", "v3")):
     pool = tuple(make_vm(name) for name in vms)
     budget = RetryWindow(0.2, 10.0, 54, lambda: 1)
     return GatewayPolicy(
-        keeper, lambda service: pool, budget, random.Random(1)
+        keeper,
+        lambda service: pool,
+        budget,
+        random.Random(1),
+        make_request_limits(),
     )
 
 
--- a/packages/berylcart/tests/coordination/stage_fleet.py
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -38,6 +38,7 @@
     FakeWire,
     Script,
     make_request,
+    make_request_limits,
 )
 
 HOST = "host"
@@ -127,8 +128,13 @@
         self.keeper = make_table(services, loads)
         self.batchers: dict[str, Batcher] = {}
         self.budget = RetryWindow(0.2, 10.0, 54, lambda: 1)
+        self.request_limits = make_request_limits()
         policy = GatewayPolicy(
-            self.keeper, self.pool, self.budget, random.Random(1)
+            self.keeper,
+            self.pool,
+            self.budget,
+            random.Random(1),
+            self.request_limits,
         )
         self.home = StageHome("d1", None, list, self.batcher_of)
         stages = StageResults(self.home, self.spawn, lambda _: "lahore-1")
@@ -156,6 +162,7 @@
                 self.budget,
                 self.pool,
                 self.limits,
+                self.request_limits,
                 self.drop_inputs,
             )
             self.batchers[service] = batcher
