Have one daemon of a place read the replicas' changes for the others

In places of four daemons or more, rendezvous hashing among the able members chooses one that reads twice as often and keeps what came; the others ask it. An answer counts only if the reader's own read began within three quarters of an interval, so that both waits stay under two thirds of drain_ms. A daemon whose reader doesn't answer in 250 ms, knows too little or is behind reads the store at once and passes the reader by for 3 s, so a reader that is killed, frozen, cut off or refused costs calls and no bound. The reader tells when the store came back, which decides how long lapsed entries hold. A daemon that the store refuses learns through its reader.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -19,6 +19,7 @@
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.gateway.shared_tail import SharedTail
 from berylcart.coordination.gateway.stage_home import StageHome
 from berylcart.coordination.gateway.stage_results import StageResults
 from berylcart.coordination.membership.membership import Membership
@@ -28,6 +29,7 @@
 from berylcart.state.member_table import Member
 from berylcart.state.relayed import Refusal
 from berylcart.state.routes import BatchLimits, CallerLimits, RouteTable
+from berylcart.state.tail import LogPart
 from berylcart.state.vm import Vm
 from berylcart.transport.caller_connection import ConnectionRules
 from berylcart.transport.caller_server import CallerServer
@@ -100,8 +102,24 @@
             self.exchange,
         )
         self.most_members = 1
+        interval_s = self.settings.replicas_interval_ms / MS_PER_S
+        self.tail = SharedTail(
+            lambda: self.membership.me,
+            self.membership.running,
+            self.peers,
+            self.ports.replicas.read_store,
+            interval_s,
+        )
+        self.ports.replicas.read_changes = self.read_changes
         self.directory.on_leaving = self.membership.mark_leaving
 
+    async def read_changes(self, start: int) -> LogPart:
+        """Read the replicas' changes; raises BerylcartError."""
+        part = await self.tail.read(start)
+        self.ports.replicas.note_return(self.tail.returned_s)
+        self.directory.poll_interval_s = self.tail.period_s
+        return part
+
     def build_gateway(self) -> None:
         """Build what serves requests."""
         retries = self.settings.retries
@@ -175,6 +193,7 @@
             GatewayDesk(self.membership, self.keeper),
             self.settings.peer_address,
             self.home,
+            self.tail,
         )
 
     def limits(self) -> CallerLimits:
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -1,6 +1,6 @@
 """Define what a platform supplies to a gateway daemon."""
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from berylcart.coordination.gateway.ports import PieceCaller, Wire
@@ -8,6 +8,7 @@
 from berylcart.coordination.ports import VmList
 from berylcart.state.relayed import CallerHead, Refusal
 from berylcart.state.routes import RouteTable
+from berylcart.state.tail import LogPart
 
 
 class PageState(NamedTuple):
@@ -59,12 +60,29 @@
         ...
 
 
+class ReplicaList(VmList, Protocol):
+    """List the replicas, following a log of their changes.
+
+    read_changes may be set to have the changes read through another daemon.
+    """
+
+    read_changes: Callable[[int], Awaitable[LogPart]]
+
+    async def read_store(self, start: int) -> LogPart:
+        """Read the changes from an offset on; raises BerylcartError."""
+        ...
+
+    def note_return(self, returned_s: float) -> None:
+        """Learn from another daemon when the log came back."""
+        ...
+
+
 class GatewayPorts(NamedTuple):
     """Hold everything that a platform supplies."""
 
     wire: Wire
     pages: Pages
     feed: RouteFeed
-    replicas: VmList
+    replicas: ReplicaList
     pieces: PieceCaller
     book: MemberBook
--- /dev/null
+++ b/packages/berylcart/src/berylcart/state/tail.py
@@ -0,0 +1,30 @@
+"""Define what is read of the end of a log."""
+
+from typing import NamedTuple
+
+
+class StoredRecord(NamedTuple):
+    """Hold one record of a keyed topic; no value means that it is gone."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+class LogPart(NamedTuple):
+    """Hold records read from a topic and the offset after the last one."""
+
+    records: tuple[StoredRecord, ...]
+    next_offset: int
+
+
+class TailAnswer(NamedTuple):
+    """Carry what a reader knows of a log's end from some offset on.
+
+    Its last read of the log began age_ms ago; returned_ms ago the log came
+    back after reads that failed.
+    """
+
+    part: LogPart
+    age_ms: int
+    returned_ms: int
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -13,6 +13,7 @@
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol import piece_codec
+from berylcart.protocol.tail_codec import decode_tail
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import (
     AnswerQuery,
@@ -23,6 +24,7 @@
     PingRequest,
     StoredAnswer,
 )
+from berylcart.state.tail import TailAnswer
 from berylcart.transport.listening import split_address
 from berylcart.transport.peer_connection import (
     MAX_MESSAGE_BYTES,
@@ -237,6 +239,19 @@
                 Code.PEER_UNAVAILABLE, f"{address} sent an unknown code"
             ) from error
 
+    async def read_tail(
+        self, address: str, start: int, *, timeout_ms: int
+    ) -> TailAnswer | None:
+        """Ask for a log's end from an offset on, None where unknown."""
+        return await self._call(
+            address,
+            "ReadTail",
+            pb.ReadTailMessage(start=start),
+            pb.TailMessage,
+            decode_tail,
+            timeout_ms,
+        )
+
     async def free_pieces(
         self,
         address: str,
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -9,12 +9,15 @@
 
 from berylcart import events
 from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.shared_tail import TailHandlers
 from berylcart.coordination.gateway.stage_home import StageHandlers
 from berylcart.coordination.membership.peer_port import PeerHandlers
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol import piece_codec
+from berylcart.protocol.tail_codec import encode_tail
 from berylcart.state.errors import BerylcartError
+from berylcart.state.tail import TailAnswer
 from berylcart.transport.listening import address_of, bind
 from berylcart.transport.peer_connection import PeerCallError, PeerConnection
 
@@ -88,15 +91,36 @@
     }
 
 
+def tail_methods(tail: TailHandlers) -> dict[str, Method]:
+    """List the calls that a daemon answers which reads a log, by name."""
+
+    async def read(start: int) -> TailAnswer | None:
+        return tail.on_read_tail(start)
+
+    return {
+        "ReadTail": Method(
+            pb.ReadTailMessage,
+            lambda message: int(message.start),
+            read,
+            encode_tail,
+        )
+    }
+
+
 class PeerService:
     """Translate calls to the handlers' typed ones."""
 
     def __init__(
-        self, handlers: PeerHandlers, stages: StageHandlers | None = None
+        self,
+        handlers: PeerHandlers,
+        stages: StageHandlers | None = None,
+        tail: TailHandlers | None = None,
     ) -> None:
         self._methods = peer_methods(handlers)
         if stages is not None:
             self._methods |= stage_methods(stages)
+        if tail is not None:
+            self._methods |= tail_methods(tail)
         self._stages = stages
         self._calls = 0
         self._is_closing = False
@@ -159,8 +183,9 @@
         handlers: PeerHandlers,
         address: str,
         stages: StageHandlers | None = None,
+        tail: TailHandlers | None = None,
     ) -> None:
-        self._service = PeerService(handlers, stages)
+        self._service = PeerService(handlers, stages, tail)
         self._socket = bind(address)
         self._server: asyncio.Server | None = None
         self._connections: set[PeerConnection] = set()
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_shared_tail.py
@@ -0,0 +1,258 @@
+"""Check who reads a log's end, and each way in which a reader can fail."""
+
+import anyio
+import pytest
+from berylcart.coordination.gateway.shared_tail import (
+    MAX_AGE_SHARE,
+    MAX_RECORDS,
+    MIN_PLACE,
+    READER_SHARE,
+    SHUN_S,
+    SharedTail,
+)
+from berylcart.state.errors import (
+    BerylcartError,
+    Code,
+    LogGapError,
+    LogUnavailableError,
+)
+from berylcart.state.member_table import Member, MemberState
+from berylcart.state.tail import LogPart, StoredRecord
+
+from ..serving_fakes import run
+
+INTERVAL_S = 1.0
+
+
+class Log:
+    """Hold a log that may be away, and count its reads by daemon."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.reads = []
+        self.refused = set()
+
+    def append(self, key):
+        """Add a record."""
+        self.records.append(StoredRecord(key, b"v", len(self.records)))
+
+    def source(self, daemon_id):
+        """Give one daemon's way to read."""
+
+        async def read(start):
+            self.reads.append(daemon_id)
+            if daemon_id in self.refused or "all" in self.refused:
+                raise LogUnavailableError("refused")
+            if start < self.first:
+                raise LogGapError(start, self.first)
+            return LogPart(tuple(self.records[start:]), len(self.records))
+
+        return read
+
+
+class Place:
+    """Hold the daemons of a place, which ask one another."""
+
+    def __init__(self, size=6):
+        self.log = Log()
+        self.members = [
+            Member(f"d{n}", 1, f"d{n}:1", f"d{n}:2", "p1") for n in range(size)
+        ]
+        self.tails = {
+            each.peer_address: self.make(each) for each in self.members
+        }
+        self.failing = set()
+        self.hanging = set()
+
+    def make(self, member):
+        """Build one daemon's view."""
+        return SharedTail(
+            lambda: member,
+            lambda: self.members,
+            self,
+            self.log.source(member.daemon_id),
+            INTERVAL_S,
+        )
+
+    async def read_tail(self, address, start, *, timeout_ms):
+        """Ask the daemon at an address."""
+        if address in self.hanging:
+            await anyio.sleep(timeout_ms / 1000)
+        if address in self.failing | self.hanging:
+            raise BerylcartError(Code.PEER_UNAVAILABLE, "no answer")
+        return self.tails[address].on_read_tail(start)
+
+    @property
+    def reader(self):
+        """Give the reader's view."""
+        (reader,) = [t for t in self.tails.values() if t.reader() is None]
+        return reader
+
+    @property
+    def others(self):
+        """Give the views of daemons that ask the reader."""
+        return [t for t in self.tails.values() if t.reader() is not None]
+
+
+def test_one_daemon_of_a_place_reads_for_all():
+    async def check():
+        place = Place()
+        place.log.append("a")
+        await place.reader.read(0)
+        for tail in place.others:
+            part = await tail.read(0)
+            assert [each.key for each in part.records] == ["a"]
+            assert part.next_offset == 1
+        assert place.log.reads == [place.reader.me().daemon_id]
+        assert place.reader.period_s == READER_SHARE * INTERVAL_S
+
+    run(check)
+
+
+def test_small_places_and_single_daemons_read_themselves():
+    async def check():
+        place = Place(MIN_PLACE - 1)
+        for tail in place.tails.values():
+            assert tail.reader() is None
+            assert tail.period_s == INTERVAL_S
+            await tail.read(0)
+        assert len(place.log.reads) == MIN_PLACE - 1
+
+    run(check)
+
+
+@pytest.mark.parametrize("way", ["killed", "frozen", "cut off"])
+def test_daemons_whose_reader_fails_read_the_log(way):
+    async def check():
+        place = Place()
+        reader, tail = place.reader, place.others[0]
+        await reader.read(0)
+        address = reader.me().peer_address
+        if way == "killed":
+            place.failing.add(address)
+        elif way == "frozen":
+            place.hanging.add(address)
+        else:
+            place.log.refused.add(reader.me().daemon_id)
+            await anyio.sleep(MAX_AGE_SHARE * INTERVAL_S + 0.1)
+        place.log.append("a")
+        started_s = anyio.current_time()
+        part = await tail.read(0)
+        assert [each.key for each in part.records] == ["a"]
+        assert anyio.current_time() - started_s < 0.3
+        again = place.log.reads.count(tail.me().daemon_id)
+        await tail.read(1)
+        assert place.log.reads.count(tail.me().daemon_id) == again + 1
+        place.failing.clear()
+        place.hanging.clear()
+        place.log.refused.clear()
+        await anyio.sleep(SHUN_S)
+        await reader.read(1)
+        await tail.read(1)
+        assert place.log.reads.count(tail.me().daemon_id) == again + 1
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    "change", [{"state": MemberState.SUSPECT}, {"is_leaving": True}]
+)
+def test_reader_that_is_suspected_or_leaves_is_replaced(change):
+    async def check():
+        place = Place()
+        name = place.reader.me().daemon_id
+        place.members = [
+            each._replace(**change) if each.daemon_id == name else each
+            for each in place.members
+        ]
+        readers = {tail.reader().daemon_id for tail in place.others}
+        assert len(readers) == 1
+        assert name not in readers
+
+    run(check)
+
+
+def test_daemon_that_the_log_refuses_still_learns_through_its_reader():
+    async def check():
+        place = Place()
+        tail = place.others[0]
+        place.log.refused.add(tail.me().daemon_id)
+        place.log.append("a")
+        await place.reader.read(0)
+        part = await tail.read(0)
+        assert part.next_offset == 1
+
+    run(check)
+
+
+def test_log_that_is_away_is_away_for_all():
+    async def check():
+        place = Place()
+        await place.reader.read(0)
+        place.log.refused.add("all")
+        await anyio.sleep(INTERVAL_S)
+        for tail in place.tails.values():
+            with pytest.raises(LogUnavailableError):
+                await tail.read(0)
+
+    run(check)
+
+
+def test_return_that_only_the_reader_saw_is_told():
+    async def check():
+        place = Place()
+        reader, tail = place.reader, place.others[0]
+        await reader.read(0)
+        place.log.refused.add("all")
+        with pytest.raises(LogUnavailableError):
+            await reader.read(0)
+        place.log.refused.clear()
+        await reader.read(0)
+        await anyio.sleep(0.2)
+        await tail.read(0)
+        assert tail.returned_s == pytest.approx(reader.returned_s, abs=0.01)
+
+    run(check)
+
+
+def test_offsets_that_a_reader_never_read_are_not_guessed():
+    async def check():
+        place = Place()
+        for name in "abc":
+            place.log.append(name)
+        await place.reader.read(2)
+        part = await place.others[0].read(0)
+        assert [each.key for each in part.records] == ["a", "b", "c"]
+        assert place.reader.on_read_tail(9) is None
+
+    run(check)
+
+
+def test_kept_records_are_bounded_and_stay_gapless():
+    async def check():
+        place = Place()
+        reader = place.reader
+        for _ in range(3):
+            start = len(place.log.records)
+            for number in range(MAX_RECORDS // 2 + 1):
+                place.log.append(f"k{number}")
+            await reader.read(start)
+        assert len(reader.records) <= MAX_RECORDS
+        answer = reader.on_read_tail(reader.start)
+        offsets = [each.offset for each in answer.part.records]
+        assert offsets == list(range(reader.start, reader.end))
+
+    run(check)
+
+
+def test_gap_in_the_log_is_no_outage():
+    async def check():
+        place = Place()
+        place.log.append("a")
+        place.log.first = 1
+        with pytest.raises(LogGapError):
+            await place.reader.read(0)
+        assert not place.reader.is_away
+
+    run(check)
