Read no more often for a place that is too small to share a reader

The place's own size decides now, as it does for the choice of a reader. The test failed before with three places of three daemons.

--- a/packages/berylcart/src/berylcart/coordination/gateway/shared_tail.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/shared_tail.py
@@ -81,29 +81,30 @@
         self.shunned_until_s = -inf
         self.reader_id = ""
 
-    def reader(self) -> Member | None:
-        """Find the reader of this place, None where this daemon reads."""
-        me = self.me()
-        place = [
+    def sharers(self) -> list[Member]:
+        """List the daemons that share a reader here, none in small places."""
+        place = self.me().place
+        usable = [
             member
             for member in self.members()
-            if member.place == me.place
+            if member.place == place
             and member.state is MemberState.ALIVE
             and not member.is_leaving
         ]
-        if len(place) < MIN_PLACE:
-            return None
-        able = {each.daemon_id: each for each in able_members(place)}
+        return usable if len(usable) >= MIN_PLACE else []
+
+    def reader(self) -> Member | None:
+        """Find the reader of this place, None where this daemon reads."""
+        able = {each.daemon_id: each for each in able_members(self.sharers())}
         name = find_home(RENDEZVOUS_KEY, sorted(able))
-        if name is None or name == me.daemon_id:
+        if name is None or name == self.me().daemon_id:
             return None
         return able[name]
 
     @property
     def period_s(self) -> float:
         """Say how long to wait between reads; a reader's wait is shorter."""
-        is_shared = len(self.members()) >= MIN_PLACE
-        if is_shared and self.reader() is None:
+        if self.sharers() and self.reader() is None:
             return READER_SHARE * self.interval_s
         return self.interval_s
 
--- a/packages/berylcart/tests/coordination/gateway/test_shared_tail.py
+++ b/packages/berylcart/tests/coordination/gateway/test_shared_tail.py
@@ -54,10 +54,12 @@
 class Place:
     """Hold the daemons of a place, which ask one another."""
 
-    def __init__(self, size=6):
+    def __init__(self, size=6, names=("p1",)):
         self.log = Log()
         self.members = [
-            Member(f"d{n}", 1, f"d{n}:1", f"d{n}:2", "p1") for n in range(size)
+            Member(f"d{n}-{p}", 1, f"d{n}-{p}:1", f"d{n}-{p}:2", p)
+            for p in names
+            for n in range(size)
         ]
         self.tails = {
             each.peer_address: self.make(each) for each in self.members
@@ -110,14 +112,15 @@
     run(check)
 
 
-def test_small_places_and_single_daemons_read_themselves():
+@pytest.mark.parametrize("names", [("p1",), ("p1", "p2", "p3")])
+def test_daemons_of_small_places_read_no_more_often(names):
     async def check():
-        place = Place(MIN_PLACE - 1)
+        place = Place(MIN_PLACE - 1, names)
         for tail in place.tails.values():
             assert tail.reader() is None
             assert tail.period_s == INTERVAL_S
             await tail.read(0)
-        assert len(place.log.reads) == MIN_PLACE - 1
+        assert len(place.log.reads) == (MIN_PLACE - 1) * len(names)
 
     run(check)
 
