Wait for whole events of a stream that may resume, not for bytes

A stalled replica that sent a byte now and then renewed the wait for its next event each time, so that a stream which another replica could go on with ended only at its deadline. Only whole events renew it now. The new test ran into its timeout before; a slow stream of whole events is not cut.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -342,10 +342,10 @@
         while (data := await answer.read()) is not None:
             clock.note_answer()
             run.on_begun()
-            patience.renew(run.gap_patience_s())
             if run.work.route.is_resumable:
                 data = run.splitter.feed(data)
             if data:
+                patience.renew(run.gap_patience_s())
                 await self.begin(run, answer.head.headers, clock)
                 await run.exchange.send(data)
         await self.begin(run, answer.head.headers, clock)
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -1,6 +1,10 @@
 """Check what is sent again, and that answers reach callers whole."""
 
 import anyio
+from berylcart.coordination.gateway.forwarder import (
+    GAP_PATIENCE,
+    MIN_GAP_PATIENCE_S,
+)
 from berylcart.state.errors import (
     Code,
     InputsGoneError,
@@ -193,6 +197,50 @@
     run(check)
 
 
+class Trickle(Script):
+    """Send a byte now and then after the chunks."""
+
+    async def read(self):
+        """Give the next chunk or, after a while, a byte."""
+        if self.chunks:
+            return self.chunks.pop(0)
+        await anyio.sleep(0.5)
+        return b"x"
+
+
+def test_stalled_stream_that_sends_single_bytes_goes_on_elsewhere():
+    async def check():
+        one = Forwarding(
+            RESUMABLE,
+            Trickle(chunks=EVENTS[:1]),
+            Script(chunks=EVENTS[1:]),
+        )
+        started_s = anyio.current_time()
+        with anyio.fail_after(60):
+            assert await one.forward() == 200
+        assert one.exchange.data == b"".join(EVENTS)
+        gap_s = RESUMABLE.gap_ms / 1000
+        most_s = max(MIN_GAP_PATIENCE_S, GAP_PATIENCE * gap_s)
+        assert anyio.current_time() - started_s <= most_s + 0.5
+
+    run(check)
+
+
+def test_slow_stream_of_whole_events_is_not_cut():
+    async def check():
+        class Slow(Script):
+            async def read(self):
+                await anyio.sleep(MIN_GAP_PATIENCE_S - 0.1)
+                return await super().read()
+
+        one = Forwarding(RESUMABLE, Slow(chunks=EVENTS), Script())
+        assert await one.forward() == 200
+        assert one.exchange.data == b"".join(EVENTS)
+        assert len(one.relay.sent) == 1
+
+    run(check)
+
+
 def test_broken_stream_that_may_not_resume_stays_cut():
     async def check():
         one = Forwarding(
