Evacuate places at the operator's request

Cause: the operator needs a place whose replicas get no new work within 5 s, on daemons that the store refuses too, until the request is withdrawn.

Change: the feed reads the keys evacuate/PLACE of the operator's topic; Evacuations keeps the report of the highest offset for each place, from the store or from gossip, which carries all of them in each message. VmDirectory leaves the places out of pool(). Orders to drop results that were noted before, and orders that wait at a home, obey as well; requests and orders whose replicas are all evacuated are refused at once.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -3,7 +3,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence, Set
 from typing import Any
 
 import anyio
@@ -11,6 +11,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, Served
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
@@ -75,6 +76,8 @@
         self.directory = VmDirectory(
             ports.replicas, settings.replicas_interval_ms / MS_PER_S
         )
+        self.evacuations = Evacuations(self.directory.count_by_place)
+        self.evacuations.on_change = self.directory.exclude
         self.peers = RpcPeers()
         self.build_membership()
         self.build_gateway()
@@ -82,7 +85,9 @@
 
     def build_membership(self) -> None:
         """Build what knows the other daemons."""
-        self.exchange = RouteExchange(self.keeper, self.directory, self.peers)
+        self.exchange = RouteExchange(
+            self.keeper, self.evacuations, self.directory, self.peers
+        )
         me = Member(
             self.settings.daemon_id,
             time.time_ns(),
@@ -101,6 +106,7 @@
             MembershipSettings(entry_keep_ms=self.settings.entries_keep_ms),
             self.exchange,
         )
+        self.evacuations.on_news = self.membership.tell_evacuations
         self.most_members = 1
         interval_s = self.settings.replicas_interval_ms / MS_PER_S
         self.tail = SharedTail(
@@ -141,6 +147,7 @@
             self.budget,
             self.random,
             self.request_limits,
+            self.directory.is_evacuated,
         )
         self.holders: dict[str, Vm] = {}
         self.directory.on_change = self.note_replicas
@@ -228,6 +235,7 @@
                 self.batch_limits,
                 self.request_limits,
                 self.drop_inputs,
+                self.directory.is_evacuated,
             )
             self.batchers[service] = batcher
             if self.background is not None:
@@ -334,6 +342,9 @@
         self.metrics.in_flight.set(self.gateway.in_flight)
         self.metrics.config_version.set(self.keeper.version)
         self.metrics.members.set(len(self.membership.running()))
+        places = self.evacuations.places
+        self.metrics.evacuated_places.set(len(places))
+        self.metrics.evacuated_in_flight.set(self.count_in_flight(places))
         self.metrics.lost_lines.set(events.lost_lines())
         for service, batcher in self.batchers.items():
             waiting = batcher.orders.count_waiting()
@@ -341,6 +352,16 @@
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         await exchange.answer(Refusal(200, headers, self.metrics.text()))
 
+    def count_in_flight(self, places: Set[str]) -> int:
+        """Count what this daemon has running at replicas of some places."""
+        vms = [vm for vm in self.directory.page.vms if vm.place in places]
+        requests = map(self.policy.load_table.in_flight, vms)
+        calls = (
+            batcher.makers.count_calls(vms)
+            for batcher in self.batchers.values()
+        )
+        return sum(requests) + sum(calls)
+
     async def run(self, stop: anyio.Event) -> None:
         """Serve until stop is set, then drain and return."""
         await self.peer_server.start()
@@ -367,7 +388,8 @@
             tasks.start_soon(server.run)
         for batcher in self.batchers.values():
             tasks.start_soon(batcher.run)
-        tasks.start_soon(self.ports.feed.run, self.keeper)
+        feed = self.ports.feed
+        tasks.start_soon(feed.run, self.keeper, self.evacuations)
         tasks.start_soon(self.directory.run)
         tasks.start_soon(self.membership.run)
         tasks.start_soon(self.exchange.run)
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -59,6 +59,16 @@
             "Daemons that are known to run.",
             registry=self.registry,
         )
+        self.evacuated_places = Gauge(
+            "berylcart_evacuated_places",
+            "Places whose replicas get no new work, as known here.",
+            registry=self.registry,
+        )
+        self.evacuated_in_flight = Gauge(
+            "berylcart_evacuated_in_flight",
+            "Requests and calls for pieces that still run in such places.",
+            registry=self.registry,
+        )
         self.lost_lines = Gauge(
             "berylcart_gateway_lost_log_lines",
             "Log lines dropped because their reader was too slow.",
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
 
+from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.ports import PieceCaller, Wire
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.ports import VmList
@@ -37,10 +38,10 @@
 
 
 class RouteFeed(Protocol):
-    """Follow the operator's routes."""
+    """Follow the operator's routes and evacuations of places."""
 
-    async def run(self, keeper: RouteKeeper) -> None:
-        """Offer each version to the keeper until cancelled."""
+    async def run(self, keeper: RouteKeeper, evacuations: Evacuations) -> None:
+        """Pass on each version and each evacuation until cancelled."""
         ...
 
     def parse(self, text: str) -> RouteTable:
--- a/packages/berylcart-daemon/src/berylcart_daemon/route_exchange.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/route_exchange.py
@@ -1,9 +1,13 @@
-"""Learn newer routes from peers, also while the store refuses this daemon."""
+"""Learn newer routes and evacuations from peers.
+
+This also works while the store refuses this daemon.
+"""
 
 from collections.abc import Callable, Sequence
 
 import anyio
 from berylcart import events
+from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.membership.hooks import MembershipHooks
 from berylcart.coordination.membership.peer_port import Peers
@@ -14,6 +18,7 @@
 from berylcart.state.peer_messages import (
     ConfigFreshness,
     ConfigQuery,
+    EvacuationNews,
     LimitNews,
 )
 
@@ -24,9 +29,14 @@
     """Report the routes in force to peers and pull theirs when newer."""
 
     def __init__(
-        self, keeper: RouteKeeper, directory: VmDirectory, peers: Peers
+        self,
+        keeper: RouteKeeper,
+        evacuated: Evacuations,
+        directory: VmDirectory,
+        peers: Peers,
     ) -> None:
         self.keeper = keeper
+        self.evacuated = evacuated
         self.directory = directory
         self.peers = peers
         self.wanted: Sequence[str] = ()
@@ -52,6 +62,16 @@
         """Hear what a replica takes from all daemons together."""
         self.on_limit_news(news)
 
+    def evacuations(self) -> Sequence[EvacuationNews]:
+        """Give what is known here of evacuated places."""
+        return self.evacuated.news()
+
+    def on_evacuations(
+        self, sender_id: str, news: Sequence[EvacuationNews]
+    ) -> None:
+        """Take what a peer knows of evacuated places."""
+        self.evacuated.hear(sender_id, news)
+
     def on_leaving(self, mark: LeavingMark) -> None:
         """Give a leaving upstream no new work."""
         self.directory.mark_leaving(mark.vm_id, mark.incarnation)
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -69,6 +69,7 @@
         on_read: Callable[[Sequence[str], bool], None] = (
             lambda handles, is_spare: None
         ),
+        is_evacuated: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self.service = service
         self.caller = caller
@@ -83,7 +84,12 @@
         # Results to drop that were named before this began to run.
         self.early: list[str] = []
         self.shedder = Shedder(
-            service, self.orders, self.makers, self.rates, self.overloaded
+            service,
+            self.orders,
+            self.makers,
+            self.rates,
+            self.overloaded,
+            is_evacuated,
         )
 
     async def run(self) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -256,6 +256,9 @@
             work.service, work.request.prompt.affinity, run.tried
         )
         plan = self.plan(run, rank, vm)
+        for index, stage in enumerate(work.route.stages):
+            if plan.count(index):
+                self.policy.check_stage(stage.service)
         self.stages.home.backlogs.check(
             work.route,
             self.tables.require().services,
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -79,10 +79,12 @@
         budget: RetryWindow,
         random: Random,
         limits: RequestLimits,
+        is_evacuated: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self.tables = tables
         self.limits = limits
         self.pool = pool
+        self.is_evacuated = is_evacuated
         self.budget = budget
         self.random = random
         self.load_table = LoadTable()
@@ -97,6 +99,14 @@
             raise no_replica(route.name)
         return choose_service(usable, self.random)
 
+    def check_stage(self, service: str) -> None:
+        """Raise NO_UPSTREAM where no replica may make a stage's pieces.
+
+        A service without any replica may get one in time.
+        """
+        if not self.pool(service) and self.is_evacuated(service):
+            raise no_replica(service)
+
     def is_allowed(self, route: Route, service: str) -> bool:
         """Tell whether the newest table still sends a route to a service."""
         for newest in self.tables.require().routes:
--- a/packages/berylcart/src/berylcart/coordination/gateway/giving_up.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/giving_up.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 
 from berylcart.coordination.gateway.piece_queue import Order, Waiting
 from berylcart.state.routes import BatchLimits
@@ -16,6 +16,17 @@
 CROWDED_CALLS = 0.5
 
 
+def without_maker(waiting: Iterable[Waiting], places: Set[str]) -> list[Order]:
+    """List the orders that no replica may make, given the replicas' places.
+
+    >>> order = Order("r", "s", 0, 1, "k", (), 0, 9, 9, "", 40)
+    >>> queue = [Waiting(order, (0,), 0.0, 9.0)]
+    >>> len(without_maker(queue, {"hall-1"})), len(without_maker(queue, set()))
+    (0, 1)
+    """
+    return [] if places else [each.order for each in waiting]
+
+
 def hopeless(
     waiting: Iterable[Waiting], rate: float, spare: float, now_s: float
 ) -> list[Order]:
--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -40,6 +40,11 @@
             if not self.states[key].calls:
                 del self.states[key]
 
+    def count_calls(self, vms: Sequence[Vm]) -> int:
+        """Count the calls that run at some replicas."""
+        states = (self.states.get((vm.vm_id, vm.incarnation)) for vm in vms)
+        return sum(state.calls for state in states if state is not None)
+
     def describe(self, vm: Vm, limits: BatchLimits, now_s: float) -> Maker:
         """Describe a replica for a decision."""
         state = self.state(vm)
@@ -115,7 +120,9 @@
             state.is_clearing = False
 
     async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
-        """Drop results at one replica."""
+        """Drop results at one replica, unless it takes no orders any more."""
+        if vm not in self.pool():
+            return
         state = self.state(vm)
         try:
             await self.caller.free_results(vm, handles)
--- a/packages/berylcart/src/berylcart/coordination/gateway/shedder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/shedder.py
@@ -1,10 +1,15 @@
 """Shed the load of one service's queue, and log why."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from math import inf
 
 from berylcart import events
-from berylcart.coordination.gateway.giving_up import crowded_out, hopeless
+from berylcart.coordination.gateway.gateway_policy import no_replica
+from berylcart.coordination.gateway.giving_up import (
+    crowded_out,
+    hopeless,
+    without_maker,
+)
 from berylcart.coordination.gateway.makers import Makers
 from berylcart.coordination.gateway.on_time import yielding_orders
 from berylcart.coordination.gateway.orders import Orders
@@ -28,12 +33,14 @@
         makers: Makers,
         rates: QueueRates,
         overloaded: Callable[[Order], BerylcartError],
+        is_evacuated: Callable[[str], bool],
     ) -> None:
         self.service = service
         self.orders = orders
         self.makers = makers
         self.rates = rates
         self.overloaded = overloaded
+        self.is_evacuated = is_evacuated
         self.next_s = -inf
 
     def look(self, limits: BatchLimits, now_s: float) -> None:
@@ -42,6 +49,7 @@
             return
         self.next_s = now_s + PERIOD_S
         makers = self.makers.describe_all(limits, now_s)
+        self.refuse_without_maker({each.place for each in makers}, now_s)
         if not makers:
             return
         rate = pieces_per_s(makers, limits)
@@ -58,6 +66,17 @@
         ):
             self.give_up(order, "holds inputs behind work in time", now_s)
 
+    def refuse_without_maker(self, places: Set[str], now_s: float) -> None:
+        """Refuse the orders that only replicas could make that may not.
+
+        A service without any replica may get one before its orders are late.
+        """
+        if not places and not self.is_evacuated(self.service):
+            return
+        for order in without_maker(self.orders.waiting, places):
+            error = no_replica(self.service)
+            self.give_up(order, "no replica may make it", now_s, error)
+
     def note_yielding(self, rate: float, free_s: float, now_s: float) -> None:
         """Choose the orders that yield so that more are in time."""
         names = yielding_orders(self.orders.waiting, rate, free_s, now_s)
@@ -73,7 +92,13 @@
                 rate_per_s=round(rate, 1),
             )
 
-    def give_up(self, order: Order, reason: str, now_s: float) -> None:
+    def give_up(
+        self,
+        order: Order,
+        reason: str,
+        now_s: float,
+        error: BerylcartError | None = None,
+    ) -> None:
         """Refuse an order that won't be made."""
         job = self.orders.job_of(order)
         if job is None:
@@ -88,5 +113,5 @@
             slack_ms=int((order.due_s - now_s) * MS_PER_S),
             waiting=self.orders.count_waiting(),
         )
-        job.fail(self.overloaded(order))
+        job.fail(error or self.overloaded(order))
         self.orders.drop_pieces(order)
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -88,6 +88,7 @@
         self._limits: dict[str, HeardLimit] = {}
         self._limit_rumours: RumourQueue[str] = RumourQueue()
         self._limit_rumours.on_add = self._note_news
+        self._evacuation_sends_left = 0
 
     def _note_news(self) -> None:
         self.on_news()
@@ -125,12 +126,21 @@
                 del self._limits[name]
         return picked
 
+    def tell_evacuations(self) -> None:
+        """Pass on that what is known of evacuated places has changed.
+
+        Every message has all of it; this sends messages sooner.
+        """
+        self._evacuation_sends_left = self.roster.transmissions()
+        self._note_news()
+
     def has_rumours(self) -> bool:
         """Say whether anything waits to be passed on."""
         self._note_config()
         queues = (self.roster.rumours, self._mark_rumours, self._limit_rumours)
         waiting = sum(len(queue) for queue in queues)
-        return waiting > 0 or self._config_sends_left > 0
+        sends_left = self._config_sends_left + self._evacuation_sends_left
+        return waiting + sends_left > 0
 
     def _note_config(self) -> ConfigFreshness:
         """Make a risen version of the own configuration a rumour."""
@@ -153,6 +163,7 @@
         settings = self._settings
         config = self._note_config()
         self._config_sends_left = max(0, self._config_sends_left - 1)
+        self._evacuation_sends_left = max(0, self._evacuation_sends_left - 1)
         marks = self._mark_rumours.take(settings.marks_per_message)
         return Gossip(
             sender=self._report_me(config),
@@ -168,6 +179,7 @@
             ),
             view_digest=self.roster.view_digest(),
             limits=tuple(self._pick_limits()),
+            evacuations=tuple(self._hooks.evacuations()),
         )
 
     def compose_all(self) -> Gossip:
@@ -182,6 +194,7 @@
             demand=tuple(self._pick_demand()),
             config=config,
             view_digest=self.roster.view_digest(),
+            evacuations=tuple(self._hooks.evacuations()),
         )
 
     def _pick_news(self, target_id: str) -> list[MemberNews]:
@@ -219,6 +232,8 @@
             self.mark(mark)
         for limit in gossip.limits:
             self._hooks.on_limit(limit)
+        if gossip.evacuations:
+            self._hooks.on_evacuations(sender.daemon_id, gossip.evacuations)
         own_id = roster.me.daemon_id
         self.demand.add(
             (item for item in gossip.demand if item.daemon_id != own_id), now
--- a/packages/berylcart/src/berylcart/coordination/membership/hooks.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/hooks.py
@@ -4,7 +4,12 @@
 
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member
-from berylcart.state.peer_messages import ConfigFreshness, Demand, LimitNews
+from berylcart.state.peer_messages import (
+    ConfigFreshness,
+    Demand,
+    EvacuationNews,
+    LimitNews,
+)
 
 
 class MembershipHooks:
@@ -34,5 +39,14 @@
     def on_limit(self, news: LimitNews) -> None:
         """Hear what a replica takes from all daemons together."""
 
+    def evacuations(self) -> Sequence[EvacuationNews]:
+        """Give what is known of evacuated places, which every message has."""
+        return ()
+
+    def on_evacuations(
+        self, sender_id: str, news: Sequence[EvacuationNews]
+    ) -> None:
+        """Hear what a peer knows of evacuated places."""
+
     def on_leaving(self, mark: LeavingMark) -> None:
         """Hear that an upstream VM is leaving."""
--- a/packages/berylcart/src/berylcart/coordination/membership/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/membership.py
@@ -151,6 +151,10 @@
         """Tell every daemon what a replica takes from all of them."""
         self._gossiper.tell_limit(news)
 
+    def tell_evacuations(self) -> None:
+        """Tell every daemon soon what is known of evacuated places."""
+        self._gossiper.tell_evacuations()
+
     def is_leaving(self, vm_id: str, incarnation: int) -> bool:
         """Say whether an upstream VM's incarnation is marked as leaving."""
         return self._gossiper.marks.is_leaving(vm_id, incarnation)
--- a/packages/berylcart/src/berylcart/coordination/policy/vm_directory.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/vm_directory.py
@@ -1,6 +1,7 @@
 """Keep the newest VM list and which VMs are leaving."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 
 import anyio
 
@@ -22,7 +23,8 @@
     """Poll the VM list and remember leaving marks for an incarnation.
 
     A leaving mark outlives any list that still shows the VM as live, and a
-    list older than the newest one seen is ignored.
+    list older than the newest one seen is ignored. Upstreams in excluded
+    places take no new work.
     """
 
     def __init__(
@@ -32,6 +34,9 @@
         self.poll_interval_s = poll_interval_s
         self.page = VmPage(-1, ())
         self.pools: dict[str, tuple[Vm, ...]] = {}
+        self.excluded: frozenset[str] = frozenset()
+        # Services whose upstreams are all in excluded places.
+        self.evacuated: frozenset[str] = frozenset()
         self.leaving = LeavingMarks(MAX_MARKS)
         self.on_change: Callable[[tuple[Vm, ...]], None] = ignore
         self.on_leaving: Callable[[str, int], None] = ignore
@@ -66,13 +71,22 @@
     def rebuild(self) -> None:
         """Group the usable upstreams by service."""
         pools: dict[str, list[Vm]] = {}
-        for vm in self.page.vms:
-            if self.is_usable(vm):
+        left_out: set[str] = set()
+        for vm in filter(self.is_usable, self.page.vms):
+            if vm.place in self.excluded:
+                left_out.add(vm.service)
+            else:
                 pools.setdefault(vm.service, []).append(vm)
         self.pools = {name: tuple(pool) for name, pool in pools.items()}
+        self.evacuated = frozenset(left_out - self.pools.keys())
+
+    def exclude(self, places: frozenset[str]) -> None:
+        """Give upstreams in these places, and in no others, no new work."""
+        self.excluded = places
+        self.rebuild()
 
     def is_usable(self, vm: Vm) -> bool:
-        """Tell whether a VM is an upstream that takes new work."""
+        """Tell whether a VM is an upstream that would take new work."""
         if vm.role is not VmRole.UPSTREAM:
             return False
         return not self.leaving.is_leaving(vm.vm_id, vm.incarnation)
@@ -94,6 +108,14 @@
         """List the upstreams of a service that take new work."""
         return self.pools.get(service, ())
 
+    def is_evacuated(self, service: str) -> bool:
+        """Tell whether only excluded places have upstreams of a service."""
+        return service in self.evacuated
+
+    def count_by_place(self) -> Mapping[str, int]:
+        """Count the upstreams of each place, also of excluded ones."""
+        return Counter(vm.place for vm in self.page.vms if self.is_usable(vm))
+
     def entries(self) -> tuple[Vm, ...]:
         """List the live daemons that the platform shows."""
         return tuple(
--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -13,6 +13,7 @@
     ConfigOffer,
     ConfigQuery,
     Demand,
+    EvacuationNews,
     Gossip,
     LimitNews,
     MemberNews,
@@ -121,6 +122,23 @@
     )
 
 
+def encode_evacuation(news: EvacuationNews) -> pb.EvacuationMessage:
+    """Encode what is known of a place's evacuation."""
+    return pb.EvacuationMessage(
+        place=news.place,
+        is_active=news.is_active,
+        offset=news.offset,
+        age_ms=clamp_age(news.age_ms),
+    )
+
+
+def decode_evacuation(message: pb.EvacuationMessage) -> EvacuationNews:
+    """Decode what is known of a place's evacuation."""
+    return EvacuationNews(
+        message.place, message.is_active, message.offset, message.age_ms
+    )
+
+
 def encode_gossip(gossip: Gossip) -> pb.GossipMessage:
     """Encode a sender's view."""
     return pb.GossipMessage(
@@ -144,6 +162,7 @@
         vital_versions=[vital.config_version for vital in gossip.vitals],
         view_digest=gossip.view_digest,
         limits=[encode_limit(news) for news in gossip.limits],
+        evacuations=[encode_evacuation(news) for news in gossip.evacuations],
     )
 
 
@@ -165,6 +184,9 @@
         vitals=decode_vitals(message),
         view_digest=message.view_digest,
         limits=tuple(decode_limit(item) for item in message.limits),
+        evacuations=tuple(
+            decode_evacuation(item) for item in message.evacuations
+        ),
     )
 
 
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -48,6 +48,18 @@
     age_ms: int = 0
 
 
+class EvacuationNews(NamedTuple):
+    """Report whether a place is evacuated, as of a record of the store.
+
+    A withdrawal that is told has become known age_ms ago.
+    """
+
+    place: str
+    is_active: bool
+    offset: int
+    age_ms: int = 0
+
+
 class ConfigFreshness(NamedTuple):
     """State a configuration version and how recently the log confirmed it.
 
@@ -73,6 +85,7 @@
     vitals: tuple[VitalSign, ...] = ()
     view_digest: int = 0
     limits: tuple[LimitNews, ...] = ()
+    evacuations: tuple[EvacuationNews, ...] = ()
 
 
 class Ping(NamedTuple):
--- a/packages/berylcart/src/berylcart/state/tail.py
+++ b/packages/berylcart/src/berylcart/state/tail.py
@@ -12,10 +12,14 @@
 
 
 class LogPart(NamedTuple):
-    """Hold records read from a topic and the offset after the last one."""
+    """Hold records read from a topic and the offset after the last one.
+
+    is_behind tells that the log ends before the offset that was asked for.
+    """
 
     records: tuple[StoredRecord, ...]
     next_offset: int
+    is_behind: bool = False
 
 
 class TailAnswer(NamedTuple):
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -737,3 +737,56 @@
         assert all(error.retry_after_ms > 0 for error in errors)
 
     run(check)
+
+
+def test_evacuated_replica_gets_no_pieces_and_no_orders_to_drop():
+    """Guards against orders to drop results that were noted before."""
+
+    async def check():
+        replicas = FakeReplicas()
+        vms = [make_vm("v1")]
+        batcher = make_batcher(replicas, vms)
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1"))
+            batcher.drop(handles)
+            vms[:] = [make_vm("v2", "lahore-2")]
+            batcher.note_spare(handles)
+            await anyio.sleep(5)
+            assert replicas.free_calls == 0
+            handles = await batcher.make(make_order("r2"))
+            assert all(handle.startswith("v2:80/") for handle in handles)
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+@pytest.mark.parametrize("is_evacuated", [True, False])
+def test_orders_of_an_evacuated_service_are_refused_at_once(is_evacuated):
+    """Guards against requests that wait for replicas that get no work."""
+
+    async def check():
+        replicas = FakeReplicas()
+        vms = [make_vm("v1")]
+        batcher = make_batcher(replicas, vms)
+        batcher.shedder.is_evacuated = lambda service: is_evacuated
+
+        async def body(_):
+            vms.clear()
+            started_s = anyio.current_time()
+            with pytest.raises(BerylcartError) as raised:
+                await batcher.make(make_order("r1"))
+            waited_s = anyio.current_time() - started_s
+            error = raised.value
+            if not is_evacuated:
+                assert (error.code, waited_s > 3) == (Code.OVERLOADED, True)
+                return
+            assert error.code is Code.NO_UPSTREAM
+            assert error.retry_after_ms
+            assert waited_s < 0.2
+
+        await with_batcher(batcher, body)
+        assert not replicas.calls
+
+    run(check)
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_evacuations.py
@@ -0,0 +1,369 @@
+"""Check that daemons agree on evacuated places, whatever fails."""
+
+import anyio
+import pytest
+from berylcart.coordination.gateway.evacuations import (
+    KEEP_S,
+    MAX_TOLD,
+    MAX_WITHDRAWN,
+    Evacuations,
+)
+from berylcart.coordination.policy.vm_directory import VmDirectory
+from berylcart.state.peer_messages import EvacuationNews
+from berylcart.state.vm import VmPage
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ..gateway_fakes import make_vm
+from ..serving_fakes import run
+
+PLACES = ("hall-1", "hall-2", "hall-3")
+VMS = tuple(
+    make_vm(f"v{number}")._replace(place=place)
+    for number, place in enumerate(PLACES)
+)
+
+
+def active(place, offset):
+    return EvacuationNews(place, True, offset)
+
+
+def withdrawn(place, offset):
+    return EvacuationNews(place, False, offset)
+
+
+class Store:
+    """Keep a log of which the oldest records may be dropped."""
+
+    def __init__(self):
+        self.log = []
+        self.first = 0
+
+    def write(self, place, is_active):
+        """Append a record."""
+        self.log.append(EvacuationNews(place, is_active, len(self.log)))
+
+    def newest(self):
+        """Give the newest record of each key that has a value."""
+        by_place = {news.place: news for news in self.log}
+        return [by_place[p] for p in sorted(by_place) if by_place[p].is_active]
+
+    def places(self):
+        """Name the places that are evacuated."""
+        return {news.place for news in self.newest()}
+
+
+class Daemon:
+    """Follow the store and peers as a daemon does."""
+
+    def __init__(self, store):
+        self.store = store
+        self.directory = VmDirectory(None)
+        self.directory.apply(VmPage(0, VMS))
+        self.evacuations = Evacuations(self.directory.count_by_place)
+        self.evacuations.on_change = self.directory.exclude
+        self.cursor = None
+        self.begun = None
+
+    def read(self):
+        """Read once: all keys where that is due, else what is new."""
+        is_gap = self.cursor is not None and self.cursor < self.store.first
+        if self.cursor is None or is_gap or self.evacuations.is_doubted:
+            self.begin_all()
+            self.finish_all()
+            return
+        end = len(self.store.log)
+        news = self.store.log[self.cursor : end]
+        self.evacuations.take(news, end, is_all=False)
+        self.cursor = end
+
+    def begin_all(self):
+        """Read the first page of all keys."""
+        self.begun = self.store.newest()[:1], len(self.store.log)
+
+    def finish_all(self):
+        """Read the other pages, maybe after further changes."""
+        if self.begun is None:
+            return
+        page, end = self.begun
+        self.begun = None
+        after = page[-1].place if page else ""
+        rest = [each for each in self.store.newest() if each.place > after]
+        self.evacuations.take([*page, *rest], end, is_all=True)
+        self.cursor = end
+
+    def swap(self, peer):
+        """Swap gossip with a peer."""
+        peer.evacuations.hear("d1", self.evacuations.news())
+        self.evacuations.hear("d2", peer.evacuations.news())
+
+    def pool_places(self):
+        """Name the places whose replicas get work."""
+        return {vm.place for vm in self.directory.pool("model")}
+
+
+class Cluster:
+    """Play events on daemons, of which every third can't reach the store."""
+
+    def __init__(self, size):
+        self.store = Store()
+        self.daemons = [Daemon(self.store) for _ in range(size)]
+
+    async def play(self, kind, number, other):
+        """Play one event."""
+        index = number % len(self.daemons)
+        daemon = self.daemons[index]
+        place = PLACES[other % len(PLACES)]
+        match kind:
+            case "request" | "withdraw":
+                self.store.write(place, kind == "request")
+            case "swap":
+                daemon.swap(self.daemons[other % len(self.daemons)])
+            case "restart":
+                self.daemons[index] = Daemon(self.store)
+            case "drop":
+                self.store.first = len(self.store.log)
+            case "wait":
+                await anyio.sleep(KEEP_S)
+            case _ if index % 3:
+                getattr(daemon, kind)()
+
+    def settle(self):
+        """Let every daemon read, and every two neighbours talk."""
+        for index, daemon in enumerate(self.daemons):
+            if index % 3:
+                daemon.finish_all()
+                daemon.read()
+                daemon.read()
+        for left, right in zip(
+            self.daemons, [*self.daemons[1:], self.daemons[0]], strict=True
+        ):
+            left.swap(right)
+
+
+KINDS = (
+    "request",
+    "withdraw",
+    "read",
+    "begin_all",
+    "finish_all",
+    "swap",
+    "restart",
+    "drop",
+    "wait",
+)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(KINDS), st.integers(0, 299), st.integers(0, 299)
+    ),
+    max_size=60,
+)
+
+
+@pytest.mark.parametrize(("size", "examples"), [(7, 300), (65, 40), (300, 10)])
+def test_all_daemons_agree_with_the_store_in_the_end(size, examples):
+    """Guards against an order of news that reverts or loses a change."""
+
+    @settings(max_examples=examples, derandomize=True, deadline=None)
+    @given(EVENTS)
+    def play(events):
+        async def check():
+            cluster = Cluster(size)
+            for event in events:
+                await cluster.play(*event)
+            for _ in range(4):
+                cluster.settle()
+            expected = cluster.store.places()
+            for daemon in cluster.daemons:
+                assert daemon.evacuations.places == expected
+                assert daemon.pool_places() == set(PLACES) - expected
+
+        run(check)
+
+    play()
+
+
+REPORTS = st.builds(
+    EvacuationNews, st.sampled_from(PLACES), st.booleans(), st.integers(0, 9)
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(REPORTS, max_size=9), st.randoms())
+def test_order_and_repetition_of_reports_change_nothing(reports, random):
+    async def check():
+        held = []
+        for _ in range(2):
+            evacuations = Evacuations()
+            for each in [*reports, *random.sample(reports, len(reports))]:
+                evacuations.hear("d2", [each])
+            held.append({p: k.news for p, k in evacuations.known.items()})
+            random.shuffle(reports)
+        assert held[0] == held[1]
+
+    run(check)
+
+
+def test_absence_withdraws_only_what_the_reading_covers():
+    """Guards against a late copy of the store that ends an evacuation."""
+
+    async def check():
+        evacuations = Evacuations()
+        evacuations.hear("d2", [active("hall-1", 7)])
+        evacuations.take([], 7, is_all=True)
+        assert evacuations.places == {"hall-1"}
+        assert evacuations.is_doubted
+        evacuations.take([], 9, is_all=False)
+        assert evacuations.places == {"hall-1"}
+        evacuations.take([], 8, is_all=True)
+        assert not evacuations.places
+        evacuations.hear("d2", [active("hall-1", 7)])
+        assert not evacuations.places
+        evacuations.hear("d2", [active("hall-1", 8)])
+        assert evacuations.places == {"hall-1"}
+
+    run(check)
+
+
+def test_daemon_started_without_the_store_learns_withdrawals_too():
+    """Guards against an old peer that revives what was withdrawn."""
+
+    async def check():
+        old, current, fresh = Evacuations(), Evacuations(), Evacuations()
+        old.hear("store", [active("hall-1", 4)])
+        current.take(
+            [active("hall-1", 4), withdrawn("hall-1", 6)], 7, is_all=1
+        )
+        fresh.hear("current", current.news())
+        await anyio.sleep(60)
+        fresh.hear("old", old.news())
+        assert not fresh.places
+        old.hear("fresh", fresh.news())
+        assert not old.places
+
+    run(check)
+
+
+def test_peers_do_not_keep_a_withdrawal_for_ever():
+    async def check():
+        all_known = [Evacuations() for _ in range(7)]
+        all_known[0].take([withdrawn("hall-1", 6)], 7, is_all=False)
+        for number in range(int(2 * KEEP_S)):
+            await anyio.sleep(1)
+            sender = all_known[number % 7]
+            all_known[(number * 3 + 1) % 7].hear("peer", sender.news())
+        assert not any(each.news() or each.known for each in all_known)
+
+    run(check)
+
+
+def test_partitioned_daemon_keeps_what_it_knew():
+    async def check():
+        cluster = Cluster(3)
+        daemon = cluster.daemons[1]
+        cluster.store.write("hall-2", True)
+        daemon.read()
+        await anyio.sleep(10 * KEEP_S)
+        assert daemon.pool_places() == {"hall-1", "hall-3"}
+        cluster.store.write("hall-2", False)
+        cluster.daemons[2].read()
+        # This one began to read after the withdrawal and doubts the peer.
+        daemon.swap(cluster.daemons[2])
+        cluster.daemons[2].read()
+        daemon.swap(cluster.daemons[2])
+        assert daemon.pool_places() == set(PLACES)
+
+    run(check)
+
+
+def test_store_that_was_rolled_back_reverts_nothing():
+    async def check():
+        evacuations = Evacuations()
+        evacuations.take([active("hall-1", 90)], 95, is_all=True)
+        evacuations.take([active("hall-2", 80)], 81, is_all=True)
+        assert evacuations.places == {"hall-1", "hall-2"}
+        assert evacuations.is_doubted
+        evacuations.take([active("hall-2", 80)], 96, is_all=True)
+        assert evacuations.places == {"hall-2"}
+        assert not evacuations.is_doubted
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    "news",
+    [
+        active("", 3),
+        active("h" * 201, 3),
+        active("\ufffd", 3),
+        active(chr(0xD800), 3),
+        active("hall-9", -1),
+        active("hall-9", 2**64),
+    ],
+)
+def test_malformed_report_changes_nothing(news):
+    """Guards against a name that peers' messages can't carry."""
+
+    async def check():
+        evacuations = Evacuations()
+        evacuations.take([news, active("hall-1", 5)], 6, is_all=True)
+        evacuations.hear("d2", [news])
+        assert evacuations.places == {"hall-1"}
+        assert evacuations.news() == (active("hall-1", 5),)
+
+    run(check)
+
+
+def test_repeated_request_changes_nothing(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        "berylcart.events.info", lambda *args, **_: logged.append(args)
+    )
+
+    async def check():
+        daemon = Daemon(Store())
+        for offset in (3, 4, 4):
+            news = [active("hall-1", offset)]
+            daemon.evacuations.take(news, offset + 1, is_all=False)
+        assert daemon.evacuations.news() == (active("hall-1", 4),)
+
+    run(check)
+    assert logged == [("evacuation.changed",)]
+
+
+@pytest.mark.parametrize("places", [("hall-9",), PLACES])
+def test_place_without_replicas_or_the_last_one_is_a_warning(
+    monkeypatch, places
+):
+    logged = []
+    monkeypatch.setattr(
+        "berylcart.events.warning", lambda *args, **_: logged.append(args)
+    )
+
+    async def check():
+        daemon = Daemon(Store())
+        news = [active(place, n) for n, place in enumerate(places)]
+        daemon.evacuations.take(news, 9, is_all=True)
+        assert daemon.pool_places() == set(PLACES) - set(places)
+
+    run(check)
+    assert logged == [("evacuation.changed",)]
+
+
+def test_memory_and_messages_are_bounded():
+    async def check():
+        evacuations = Evacuations()
+        count = 2 * MAX_WITHDRAWN
+        for number in range(count):
+            evacuations.take(
+                [withdrawn(f"hall-{number}", number)], number, is_all=False
+            )
+            await anyio.sleep(0.01)
+        assert len(evacuations.known) == MAX_WITHDRAWN
+        news = [active(f"hall-{n}", count + n) for n in range(count)]
+        evacuations.take(news, 2 * count, is_all=True)
+        assert len(evacuations.places) == count
+        assert len(evacuations.news()) == MAX_TOLD
+        assert all(each.is_active for each in evacuations.news())
+
+    run(check)
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -23,6 +23,7 @@
     STREAM,
     Forwarding,
     Script,
+    make_vm,
 )
 from ..serving_fakes import run
 
@@ -271,3 +272,31 @@
         assert second <= first - 900
 
     run(check)
+
+
+def test_replica_chosen_before_an_evacuation_is_chosen_again():
+    async def check():
+        forwarding = Forwarding(IDEMPOTENT, Script(), Script())
+        work = forwarding.run.work
+        preferred = make_vm("v1")
+        forwarding.run.work = work._replace(preferred=preferred)
+        forwarding.policy.pool = lambda service: (make_vm("v2"),)
+        await forwarding.forward()
+        assert forwarding.header(0, b"instance") == b"v2"
+
+    run(check)
+
+
+def test_stream_does_not_go_on_in_an_evacuated_place():
+    """Guards against a second send to a place evacuated in between."""
+
+    async def check():
+        cut = Script(chunks=[b"id: 1\ndata: x\n\n"], ends=False)
+        forwarding = Forwarding(RESUMABLE, cut, Script())
+        pools = [(make_vm("v1"),), ()]
+        forwarding.policy.pool = lambda service: pools.pop(0)
+        error = await forwarding.fail()
+        assert error.detail == "reset"
+        assert len(forwarding.relay.sent) == 1
+
+    run(check)
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -344,3 +344,19 @@
         assert not rig.home.orders
 
     run(check)
+
+
+def test_request_is_refused_at_once_where_a_stage_is_evacuated():
+    async def check():
+        rig = Rig(STAGED, Script())
+        policy = rig.gateway.policy
+        pool = policy.pool
+        policy.pool = lambda name: () if name == "sms" else pool(name)
+        policy.is_evacuated = lambda service: True
+        exchange = await rig.serve()
+        assert exchange.status == Code.NO_UPSTREAM
+        assert exchange.data == b"no"
+        assert not rig.home.orders
+        assert not rig.relay.sent
+
+    run(check)
--- a/packages/berylcart/tests/coordination/membership/conftest.py
+++ b/packages/berylcart/tests/coordination/membership/conftest.py
@@ -5,11 +5,16 @@
 import anyio
 import pytest
 import trio
+from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.membership.hooks import MembershipHooks
 from berylcart.coordination.membership.membership import Membership
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.member_table import Member, MemberState
-from berylcart.state.peer_messages import ConfigFreshness
+from berylcart.state.peer_messages import (
+    ConfigFreshness,
+    Gossip,
+    MemberNews,
+)
 from trio.testing import MockClock
 
 MS_PER_S = 1000
@@ -108,6 +113,15 @@
         self.in_flight = ()
         self.load_now = 0.0
         self.states = []
+        self.evacuated = Evacuations()
+
+    def evacuations(self):
+        """Give what is known of evacuated places."""
+        return self.evacuated.news()
+
+    def on_evacuations(self, sender_id, news):
+        """Take what a peer knows of evacuated places."""
+        self.evacuated.hear(sender_id, news)
 
     def config(self):
         """Give the configuration in force."""
@@ -149,6 +163,8 @@
             self.hooks,
             Random(f"{fleet.seed}/{name}/{incarnation}"),
         )
+        tell = self.membership.tell_evacuations
+        self.hooks.evacuated.on_news = tell
 
     async def _run(self):
         with anyio.CancelScope() as self.scope:
@@ -210,6 +226,17 @@
         await self.until(lambda: self.agree(nodes), 60)
         return nodes
 
+    async def introduce(self, size):
+        """Start a fleet in which all know all, at less cost than growing."""
+        nodes = [self.add(index) for index in range(size)]
+        members = [node.membership.me for node in nodes]
+        news = tuple(MemberNews(member, 0) for member in members)
+        for node in nodes:
+            sender = members[node is nodes[0]]
+            await node.membership.on_exchange(Gossip(sender, news))
+        assert self.agree(nodes)
+        return nodes
+
     def agree(self, nodes):
         """Say whether exactly these nodes count as running on each."""
         names = {node.name for node in nodes}
--- a/packages/berylcart/tests/coordination/membership/test_membership.py
+++ b/packages/berylcart/tests/coordination/membership/test_membership.py
@@ -7,12 +7,13 @@
     suspicion_timeout_ms,
 )
 from berylcart.state.member_table import MemberState
-from berylcart.state.peer_messages import Demand, Ping
+from berylcart.state.peer_messages import Demand, EvacuationNews, Ping
 
 SEEDS = (1, 2, 3)
 SUSPICION_S = suspicion_timeout_ms(7, DEFAULT_SETTINGS) / 1000
 CONFIG_TARGET_S = 8
 LEAVING_TARGET_S = 3
+EVACUATION_TARGET_S = 5
 DETECTION_S = 15
 FORMING_S = 15
 HEALING_S = 60
@@ -418,3 +419,59 @@
         assert fleet.network.largest_message <= limit + 2
 
     run_fleet(scenario)
+
+
+def read_store(node, is_active, offset):
+    """Let a node read the newest record on a place."""
+    news = EvacuationNews("lahore-1", is_active, offset)
+    node.hooks.evacuated.take([news], offset + 1, is_all=False)
+
+
+@pytest.mark.parametrize("size", [7, 65, 300])
+def test_evacuation_reaches_daemons_that_the_store_refuses(run_fleet, size):
+    """Guards against gossip that is slower than evacuate_ms."""
+
+    async def scenario(fleet):
+        nodes = await fleet.introduce(size)
+        for is_active in (True, False):
+            expected = {"lahore-1"} if is_active else set()
+
+            def agree(expected=expected):
+                return all(
+                    node.hooks.evacuated.places == expected for node in nodes
+                )
+
+            read_store(nodes[-1], is_active, 4 + (not is_active))
+            await fleet.until(agree, EVACUATION_TARGET_S)
+
+    run_fleet(scenario)
+
+
+def test_evacuation_reaches_daemons_that_start_or_were_cut_off(run_fleet):
+    """Guards against peers that tell changes only once."""
+
+    async def scenario(fleet):
+        nodes = await fleet.grow(7)
+        fleet.network.cut_both(nodes[:1], nodes[1:])
+        read_store(nodes[3], True, 4)
+        await anyio.sleep(60)
+        assert nodes[0].hooks.evacuated.places == set()
+        new = fleet.add(7)
+        fleet.network.cut_both(nodes[:1], [new])
+        await fleet.until(
+            lambda: new.hooks.evacuated.places, EVACUATION_TARGET_S
+        )
+        read_store(nodes[3], False, 6)
+        nodes[0].hooks.evacuated.hear(
+            "old", [EvacuationNews("lahore-1", True, 4)]
+        )
+        await anyio.sleep(60)
+        fleet.network.heal()
+        await fleet.until(
+            lambda: (
+                not any(node.hooks.evacuated.places for node in fleet.nodes)
+            ),
+            HEALING_S,
+        )
+
+    run_fleet(scenario)
--- a/packages/berylcart/tests/protocol/test_peer_codec.py
+++ b/packages/berylcart/tests/protocol/test_peer_codec.py
@@ -7,7 +7,8 @@
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.json_values import MessageError
 from berylcart.state.errors import BerylcartError
-from berylcart.state.peer_messages import ConfigOffer
+from berylcart.state.member_table import Member
+from berylcart.state.peer_messages import ConfigOffer, EvacuationNews, Gossip
 from berylcart.state.records import Checkpoint, Verdict
 from google.protobuf.message import DecodeError
 from hypothesis import given, seed, settings
@@ -36,6 +37,20 @@
         codec.decode_config_offer(message)
 
 
+def test_evacuations_pass_and_an_older_daemon_tells_none():
+    sender = Member("d1", 1, "a", "b", "hall-1")
+    news = (
+        EvacuationNews("hall-1", True, 2**64 - 1),
+        EvacuationNews("h" * 200, False, 0, 599_999),
+    )
+    message = codec.encode_gossip(Gossip(sender, evacuations=news))
+    data = message.SerializeToString()
+    read = codec.decode_gossip(pb.GossipMessage.FromString(data))
+    assert read.evacuations == news
+    message.ClearField("evacuations")
+    assert codec.decode_gossip(message).evacuations == ()
+
+
 DECODERS = [
     (pb.PingMessage, codec.decode_ping),
     (pb.PingRequestMessage, codec.decode_ping_request),
