Run requests only in the regions that route and workspace permit

Cause: data of some routes and workspaces may not leave its regions, also as pieces of stages that another daemon's batcher makes.

Change: allowed_regions of routes and workspaces, with the settings' zones, give the places of a request. They go with it to each choice of a replica, and with each order to the service's home (new fields of the peer message; absent: no restriction). A request, and an order at a home, that no permitted replica can take is refused at once, which says nothing of the backlog of others. A slow replica does not wait for a faster one that may not make the work. Entry lists name daemons in the regions that a host's routes permit or in the caller's own.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -16,6 +16,7 @@
 from berylcart.coordination.gateway.gateway import Gateway, Served
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
 from berylcart.coordination.gateway.home_capacity import capacity_permille
+from berylcart.coordination.gateway.permitted import entry_places, permits
 from berylcart.coordination.gateway.ports import CallerExchange
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
@@ -148,6 +149,7 @@
             self.random,
             self.request_limits,
             self.directory.is_evacuated,
+            self.settings.regions,
         )
         self.holders: dict[str, Vm] = {}
         self.directory.on_change = self.note_replicas
@@ -325,10 +327,18 @@
         is_known = self.keeper.table is not None and self.directory.is_known
         return is_known and not self.is_draining
 
-    def entries(self, place: str) -> Sequence[str]:
-        """List the addresses that callers of a place should use."""
+    def entries(self, place: str, region: str, host: str) -> Sequence[str]:
+        """List the addresses that callers of a place and host should use."""
         others = [each for each in self.settings.places if each != place]
-        chosen = self.membership.entries_for([place, *others], MAX_ENTRIES)
+        region_of = self.settings.regions
+        table = self.keeper.table
+        permitted = entry_places(
+            table.by_host.get(host, ()) if table else (),
+            region or region_of.get(place, ""),
+            region_of,
+        )
+        places = [e for e in (place, *others) if permits(permitted, e)]
+        chosen = self.membership.entries_for(places, MAX_ENTRIES)
         return [entry.http_address for entry in chosen.entries]
 
     async def answer_page(self, exchange: CallerExchange) -> None:
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -20,10 +20,10 @@
 
 
 class Entries(Protocol):
-    """List the addresses that callers of a place should use, best first."""
+    """List the addresses that callers of a host should use, best first."""
 
-    def __call__(self, place: str) -> Sequence[str]:
-        """List them."""
+    def __call__(self, place: str, region: str, host: str) -> Sequence[str]:
+        """List them for callers in a place and region, each maybe unknown."""
         ...
 
 
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -1,5 +1,7 @@
 """Define the settings of a daemon that serves as a gateway."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 
@@ -36,3 +38,5 @@
     entries_keep_ms: int = 1000
     # Well inside the time in which a leaving replica must get no more work.
     replicas_interval_ms: int = 600
+    # The region of each place.
+    regions: Mapping[str, str] = MappingProxyType({})
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -22,9 +22,9 @@
     call_bytes,
     call_s,
     count_ahead,
-    is_worthwhile,
     read_s,
     take_batch,
+    worth_taking,
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
 from berylcart.coordination.gateway.queue_rates import QueueRates
@@ -207,16 +207,15 @@
             pieces = self.within_limit(vm, pieces)
             if not pieces:
                 continue
+            # A faster replica that is still free can't take this work.
+            busy = [each for each in makers.values() if each.free_in_s > 0]
             batch = take_batch(
-                self.orders.waiting,
+                worth_taking(self.orders.waiting, maker, busy, limits),
                 maker,
                 limits._replace(pieces=pieces),
                 now_s,
             )
-            # A faster replica that is still free can't take this work.
-            busy = [each for each in makers.values() if each.free_in_s > 0]
-            count = self.orders.count_waiting()
-            if batch and is_worthwhile(maker, busy, count, limits):
+            if batch:
                 self.start_call(tasks, vm, batch, limits)
                 makers[vm.vm_id] = self.makers.describe(vm, limits, now_s)
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -13,6 +13,7 @@
     AttemptClock,
     GatewayPolicy,
 )
+from berylcart.coordination.gateway.permitted import Places
 from berylcart.coordination.gateway.ports import (
     CallerExchange,
     Relay,
@@ -70,6 +71,7 @@
     deadline_s: float
     inputs: tuple[str, ...] = ()
     preferred: Vm | None = None
+    places: Places = None
 
     @property
     def left_s(self) -> float:
@@ -172,12 +174,15 @@
         if (
             preferred is not None
             and not run.sends
-            and self.policy.takes_now(preferred, work.service)
+            and self.policy.takes_now(preferred, work.service, work.places)
         ):
             return preferred
         try:
             return self.policy.choose(
-                work.service, work.request.prompt.affinity, run.tried
+                work.service,
+                work.request.prompt.affinity,
+                run.tried,
+                work.places,
             )
         except BerylcartError:
             if run.failure is None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -219,7 +219,8 @@
     ) -> int:
         """Run a request's stages and forward it."""
         route = target.route
-        service = self.policy.service_of(route)
+        places = self.policy.places_of(route, target.owner)
+        service = self.policy.service_of(route, places)
         self.policy.budget.note_request(service)
         work = Work(
             request,
@@ -227,6 +228,7 @@
             service,
             target.owner.workspace if target.owner else None,
             deadline_s,
+            places=places,
         )
         run = ForwardRun(work, exchange, progress)
         if not route.stages:
@@ -253,12 +255,15 @@
         """Make the results that a request reads, then forward it."""
         work = run.work
         vm = self.policy.choose(
-            work.service, work.request.prompt.affinity, run.tried
+            work.service,
+            work.request.prompt.affinity,
+            run.tried,
+            work.places,
         )
         plan = self.plan(run, rank, vm)
         for index, stage in enumerate(work.route.stages):
             if plan.count(index):
-                self.policy.check_stage(stage.service)
+                self.policy.check_stage(stage.service, work.places)
         self.stages.home.backlogs.check(
             work.route,
             self.tables.require().services,
@@ -314,9 +319,12 @@
                 route,
                 work.request.piece_counts,
                 self.tables.require().services,
-                lambda service: len(self.policy.pool(service)),
+                lambda service: len(
+                    self.policy.permitted_pool(service, work.places)
+                ),
             ),
             link_mbps=self.link_mbps(route),
+            places=work.places,
         )
 
     def link_mbps(self, route: Route) -> float:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -1,11 +1,16 @@
 """Choose the replica of each attempt of a gateway's request."""
 
-from collections.abc import Callable, Iterator, Sequence, Set
+from collections.abc import Callable, Iterator, Mapping, Sequence, Set
 from contextlib import contextmanager
 from random import Random
 from typing import Protocol
 
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.permitted import (
+    Places,
+    permits,
+    permitted_places,
+)
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.policy.ejection import Ejector
@@ -13,7 +18,7 @@
 from berylcart.coordination.policy.routing import Router
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code
-from berylcart.state.routes import Backend, Route, RouteTable
+from berylcart.state.routes import Backend, Owner, Route, RouteTable
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
@@ -70,7 +75,10 @@
 
 
 class GatewayPolicy:
-    """Combine permission, routing and the retry budget."""
+    """Combine permission, routing and the retry budget.
+
+    regions has the region of each place.
+    """
 
     def __init__(
         self,
@@ -80,31 +88,50 @@
         random: Random,
         limits: RequestLimits,
         is_evacuated: Callable[[str], bool] = lambda service: False,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.tables = tables
         self.limits = limits
         self.pool = pool
         self.is_evacuated = is_evacuated
+        self.regions = regions or {}
         self.budget = budget
         self.random = random
         self.load_table = LoadTable()
         self.ejector = Ejector()
         self.router = PrefixRouter(self.load_table, self.ejector, random)
 
-    def service_of(self, route: Route) -> str:
+    def places_of(self, route: Route, owner: Owner | None) -> Places:
+        """List where a request may run."""
+        return permitted_places(route, owner, self.regions)
+
+    def permitted_pool(self, service: str, places: Places) -> Sequence[Vm]:
+        """List the replicas that take new work in permitted places."""
+        pool = self.pool(service)
+        if places is None:
+            return pool
+        return [vm for vm in pool if permits(places, vm.place)]
+
+    def service_of(self, route: Route, places: Places) -> str:
         """Choose the service of a request; raises NO_UPSTREAM."""
-        live = [each for each in route.backends if self.pool(each.service)]
+        live = [
+            each
+            for each in route.backends
+            if self.permitted_pool(each.service, places)
+        ]
         usable = [each for each in live if each.weight > 0]
         if not usable:
             raise no_replica(route.name)
         return choose_service(usable, self.random)
 
-    def check_stage(self, service: str) -> None:
+    def check_stage(self, service: str, places: Places) -> None:
         """Raise NO_UPSTREAM where no replica may make a stage's pieces.
 
         A service without any replica may get one in time.
         """
-        if not self.pool(service) and self.is_evacuated(service):
+        if self.permitted_pool(service, places):
+            return
+        if places is not None or self.is_evacuated(service):
             raise no_replica(service)
 
     def is_allowed(self, route: Route, service: str) -> bool:
@@ -114,13 +141,15 @@
                 return any(b.service == service for b in newest.backends)
         return False
 
-    def choose(self, service: str, affinity: str, tried: Set[str]) -> Vm:
+    def choose(
+        self, service: str, affinity: str, tried: Set[str], places: Places
+    ) -> Vm:
         """Choose where an attempt runs; raises NO_UPSTREAM."""
         info = self.tables.require().services.get(service)
         is_engine = info is not None and info.engine is not None
         kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
         vm = self.router.choose(
-            self.limits.usable(self.pool(service)),
+            self.limits.usable(self.permitted_pool(service, places)),
             service=Service(service, kind, frozenset()),
             affinity=affinity,
             exclude=frozenset(tried),
@@ -129,9 +158,10 @@
             raise no_replica(service)
         return vm
 
-    def takes_now(self, vm: Vm, service: str) -> bool:
-        """Tell whether a replica takes work, and within its limit."""
-        return vm in self.pool(service) and self.limits.allows(vm)
+    def takes_now(self, vm: Vm, service: str, places: Places) -> bool:
+        """Tell whether a replica may take work, and within its limit."""
+        is_permitted = vm in self.permitted_pool(service, places)
+        return is_permitted and self.limits.allows(vm)
 
     def retain(self, vms: tuple[Vm, ...]) -> None:
         """Forget what was learnt about VMs that are gone."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/giving_up.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/giving_up.py
@@ -21,10 +21,18 @@
 
     >>> order = Order("r", "s", 0, 1, "k", (), 0, 9, 9, "", 40)
     >>> queue = [Waiting(order, (0,), 0.0, 9.0)]
-    >>> len(without_maker(queue, {"hall-1"})), len(without_maker(queue, set()))
-    (0, 1)
+    >>> [len(without_maker(queue, places)) for places in ({"hall-1"}, set())]
+    [0, 1]
+    >>> queue = [Waiting(order._replace(places=frozenset({"hall-2"})), (0,),
+    ...                  0.0, 9.0)]
+    >>> len(without_maker(queue, {"hall-1"}))
+    1
     """
-    return [] if places else [each.order for each in waiting]
+    return [
+        each.order
+        for each in waiting
+        if not any(each.order.permits(place) for place in places)
+    ]
 
 
 def hopeless(
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/permitted.py
@@ -0,0 +1,82 @@
+"""Say in which places a request may run, by the regions that it may use.
+
+A route and a workspace may each list regions; where both do, both apply.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from berylcart.state.routes import Owner, Route
+
+Regions = frozenset[str] | None
+# None permits all places, an empty set none.
+Places = frozenset[str] | None
+
+
+def both(left: Regions, right: Regions) -> Regions:
+    """Intersect two lists of regions, of which each may be missing.
+
+    >>> both(None, None) is None
+    True
+    >>> sorted(both(frozenset("ab"), None)), sorted(both(frozenset("a"),
+    ...                                                  frozenset("b")))
+    (['a', 'b'], [])
+    """
+    if left is None or right is None:
+        return right if left is None else left
+    return left & right
+
+
+def places_in(regions: Regions, region_of: Mapping[str, str]) -> Places:
+    """List the places in some regions; one of no known region is in none.
+
+    >>> places_in(frozenset({"north"}), {"hall-1": "north", "hall-2": "south"})
+    frozenset({'hall-1'})
+    """
+    if regions is None:
+        return None
+    return frozenset(
+        place for place, region in region_of.items() if region in regions
+    )
+
+
+def permitted_places(
+    route: Route, owner: Owner | None, region_of: Mapping[str, str]
+) -> Places:
+    """List where a route's requests of a workspace may run."""
+    regions = both(route.regions, None if owner is None else owner.regions)
+    return places_in(regions, region_of)
+
+
+def entry_places(
+    routes: Iterable[Route], own_region: str, region_of: Mapping[str, str]
+) -> Places:
+    """List where callers of a host with these routes may enter.
+
+    A caller may also use the entries of its own region. Where several routes
+    list regions, an entry must be in the regions of each: the request's path
+    is not known yet.
+
+    >>> from berylcart.state.routes import RouteKind
+    >>> open_ = Route("r", "h", "/", RouteKind.STREAM, (), 1, 1)
+    >>> closed = open_._replace(regions=frozenset({"north"}))
+    >>> region_of = {"hall-1": "north", "hall-2": "south", "hall-3": "west"}
+    >>> entry_places([open_], "south", region_of) is None
+    True
+    >>> sorted(entry_places([open_, closed], "south", region_of))
+    ['hall-1', 'hall-2']
+    """
+    regions: Regions = None
+    for route in routes:
+        regions = both(regions, route.regions)
+    if regions is None:
+        return None
+    return places_in(regions | {own_region}, region_of)
+
+
+def permits(places: Places, place: str) -> bool:
+    """Tell whether a place is permitted.
+
+    >>> permits(None, "hall-1"), permits(frozenset(), "hall-1")
+    (True, False)
+    """
+    return places is None or place in places
--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from berylcart.coordination.gateway.permitted import Places, permits
 from berylcart.state.relayed import Piece
 from berylcart.state.routes import BatchLimits
 
@@ -40,7 +41,8 @@
     A lower rank goes first. due_s is when the pieces' calls must begin for an
     answer on time, and deadline_s when the caller leaves, on the runtime's
     clock. A replica elsewhere than in place moves moved_bytes a piece. The
-    inputs are dropped once read where nothing else reads them.
+    inputs are dropped once read where nothing else reads them. Only replicas
+    in the permitted places may make the pieces.
     """
 
     request_id: str
@@ -56,6 +58,7 @@
     result_bytes: int
     moved_bytes: int = 0
     is_only_reader: bool = False
+    places: Places = None
 
     def is_late(self, now_s: float) -> bool:
         """Tell whether the order yields to those that can be in time.
@@ -70,6 +73,10 @@
         """Tell the order from all others."""
         return self.request_id, self.stage
 
+    def permits(self, place: str) -> bool:
+        """Tell whether replicas in a place may make the pieces."""
+        return permits(self.places, place)
+
     @property
     def holds_room(self) -> bool:
         """Tell whether large results of earlier stages wait for the order."""
@@ -181,8 +188,10 @@
 
 
 def may_take(entry: Waiting, maker: Maker, now_s: float) -> bool:
-    """Tell whether a replica is near enough to its inputs and reader."""
+    """Tell whether a replica is permitted, and near enough to the data."""
     order = entry.order
+    if not order.permits(maker.place):
+        return False
     is_near = order.place in ("", maker.place)
     if is_near or order.moved_bytes < LARGE_MOVE_BYTES:
         return True
@@ -284,6 +293,37 @@
     return next_s * maker.slowness <= end_s
 
 
+def worth_taking(
+    waiting: Sequence[Waiting],
+    maker: Maker,
+    busy: Sequence[Maker],
+    limits: BatchLimits,
+) -> Sequence[Waiting]:
+    """List the entries that end no later for using a free replica.
+
+    An entry gains nothing from a faster replica that may not make it.
+
+    >>> limits = BatchLimits(1, 2, 8, 150, 16, 1e6, 4)
+    >>> order = Order("r", "s", 0, 1, "k", (), 0, 9, 9, "", 40)
+    >>> here = order._replace(places=frozenset({"hall-1"}))
+    >>> queue = [Waiting(each, (0,), 0.0, 9.0) for each in (order, here)]
+    >>> slow = Maker("v1", "hall-1", 0.0, 1e6, 5.0)
+    >>> fast = Maker("v2", "hall-2", 0.2, 1e6, 1.0)
+    >>> worth_taking(queue, slow, [fast], limits) == queue[1:]
+    True
+    """
+    if is_worthwhile(maker, busy, count_pieces(waiting), limits):
+        return waiting
+    restricted = [each for each in waiting if each.order.places is not None]
+    count = count_pieces(restricted)
+
+    def is_bound(entry: Waiting) -> bool:
+        able = [each for each in busy if entry.order.permits(each.place)]
+        return is_worthwhile(maker, able, count, limits)
+
+    return list(filter(is_bound, restricted))
+
+
 def count_ahead(
     waiting: Iterable[Waiting], order: Order | None, now_s: float
 ) -> int:
--- a/packages/berylcart/src/berylcart/coordination/gateway/shedder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/shedder.py
@@ -71,11 +71,11 @@
 
         A service without any replica may get one before its orders are late.
         """
-        if not places and not self.is_evacuated(self.service):
-            return
+        is_evacuated = self.is_evacuated(self.service)
         for order in without_maker(self.orders.waiting, places):
-            error = no_replica(self.service)
-            self.give_up(order, "no replica may make it", now_s, error)
+            if order.places is not None or is_evacuated:
+                error = no_replica(self.service)
+                self.give_up(order, "no replica may make it", now_s, error)
 
     def note_yielding(self, rate: float, free_s: float, now_s: float) -> None:
         """Choose the orders that yield so that more are in time."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_home.py
@@ -162,8 +162,7 @@
                 return self.take(order, await call.make())
             except BerylcartError as error:
                 if error.code is not Code.PEER_UNAVAILABLE:
-                    wait_s = (error.retry_after_ms or 0) / MS_PER_S
-                    self.backlogs.note(order.service, wait_s)
+                    self.note_refused(order, error)
                     raise
                 self.note_failed(home, order, error)
             finally:
@@ -174,6 +173,16 @@
         self.backlogs.note(order.service, made.backlog_s)
         return made.handles
 
+    def note_refused(self, order: Order, error: BerylcartError) -> None:
+        """Take how far behind a service is from the refusal of an order.
+
+        A lack of replicas where an order may run says nothing of others.
+        """
+        if order.places is not None and error.code is Code.NO_UPSTREAM:
+            return
+        wait_s = (error.retry_after_ms or 0) / MS_PER_S
+        self.backlogs.note(order.service, wait_s)
+
     def note_failed(
         self, home: Member, order: Order, error: BerylcartError
     ) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -9,6 +9,7 @@
 
 from berylcart import events
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.permitted import Places
 from berylcart.coordination.gateway.piece_queue import Order, read_s
 from berylcart.coordination.gateway.stage_home import StageHome
 from berylcart.state.errors import BerylcartError, Code, InputsGoneError
@@ -47,6 +48,7 @@
         place: str,
         rests_s: Sequence[float],
         link_mbps: float = 0.0,
+        places: Places = None,
     ) -> None:
         self.request = request
         self.route = route
@@ -56,6 +58,7 @@
         self.place = place
         self.rests_s = rests_s
         self.link_mbps = link_mbps
+        self.places = places
         self.results: dict[int, tuple[str, ...]] = {}
         self.made = [anyio.Event() for _ in route.stages]
         self.unread = [
@@ -107,6 +110,7 @@
             result_bytes=stage.result_bytes,
             moved_bytes=moved_bytes,
             is_only_reader=self.is_only_reader(index),
+            places=self.places,
         )
 
     def read_s(self) -> float:
--- a/packages/berylcart/src/berylcart/protocol/piece_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/piece_codec.py
@@ -1,6 +1,7 @@
 """Translate orders of pieces between daemons to and from protobuf."""
 
 from berylcart import clock
+from berylcart.coordination.gateway.permitted import Places
 from berylcart.coordination.gateway.piece_queue import MAX_PIECES, Order
 from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_pb2 as pb
@@ -33,6 +34,8 @@
         result_bytes=min(order.result_bytes, MAX_BYTES),
         moved_bytes=min(order.moved_bytes, MAX_BYTES),
         is_only_reader=order.is_only_reader,
+        places=sorted(order.places or ()),
+        is_restricted=order.places is not None,
     )
 
 
@@ -55,9 +58,17 @@
         result_bytes=message.result_bytes,
         moved_bytes=message.moved_bytes,
         is_only_reader=message.is_only_reader,
+        places=decode_places(message),
     )
 
 
+def decode_places(message: pb.PieceOrderMessage) -> Places:
+    """Decode where an order may be made; an empty list permits no place."""
+    if not message.is_restricted and not message.places:
+        return None
+    return frozenset(message.places)
+
+
 def encode_error(error: BerylcartError) -> pb.PiecesMessage:
     """Encode why the pieces of an order were not made."""
     return pb.PiecesMessage(
--- a/packages/berylcart/src/berylcart/state/routes.py
+++ b/packages/berylcart/src/berylcart/state/routes.py
@@ -35,7 +35,7 @@
     """Describe which requests a route takes and how they may be served.
 
     A lower priority is served first. gap_ms is the longest pause of a stream
-    that is still on time.
+    that is still on time. Requests run in the regions only, None: anywhere.
     """
 
     name: str
@@ -51,6 +51,7 @@
     is_public: bool = False
     is_resumable: bool = False
     gap_ms: int = 0
+    regions: frozenset[str] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -118,10 +119,14 @@
 
 
 class Owner(NamedTuple):
-    """Name the workspace that holds a key; a lower priority goes first."""
+    """Name the workspace that holds a key; a lower priority goes first.
+
+    Its requests run in the regions only, None: anywhere.
+    """
 
     workspace: str
     priority: int | None = None
+    regions: frozenset[str] | None = None
 
 
 class RouteTable:
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -790,3 +790,83 @@
         assert not replicas.calls
 
     run(check)
+
+
+def make_restricted(request_id, *places, pieces=1):
+    order = make_order(request_id, pieces)
+    return order._replace(places=frozenset(places))
+
+
+def test_pieces_are_made_only_where_they_are_permitted():
+    async def check():
+        replicas = FakeReplicas()
+        vms = [make_vm("v1"), make_vm("v2", "lahore-2")]
+        batcher = make_batcher(replicas, vms)
+        made = {}
+
+        async def make(order):
+            made[order.request_id] = await batcher.make(order)
+            batcher.drop(made[order.request_id])
+
+        async def body(_):
+            async with anyio.create_task_group() as requests:
+                for number in range(6):
+                    order = make_restricted(f"r{number}", "lahore-2", pieces=3)
+                    requests.start_soon(make, order)
+                    requests.start_soon(make, make_order(f"o{number}", 3))
+
+        await with_batcher(batcher, body)
+        assert len(made) == 12
+        for number in range(6):
+            for handle in made[f"r{number}"]:
+                assert handle.startswith("v2:80/")
+        assert {vm_id for vm_id, _ in replicas.calls} == {"v1", "v2"}
+
+    run(check)
+
+
+def test_slow_replica_in_a_permitted_place_is_used():
+    """Guards against a wait for a faster replica that may not make it."""
+
+    async def check():
+        replicas = FakeReplicas()
+        replicas.slow["v2"] = 4
+        vms = [make_vm("v1"), make_vm("v2", "lahore-2")]
+        batcher = make_batcher(replicas, vms)
+        batcher.makers.state(vms[1]).learn(5.0, anyio.current_time())
+
+        async def keep_busy(name):
+            for number in range(20):
+                order = make_order(f"{name}{number}", 8, due_s=0.5)
+                batcher.drop(await batcher.make(order))
+
+        async def body(tasks):
+            for name in "ab":
+                tasks.start_soon(keep_busy, name)
+            await anyio.sleep(0.01)
+            started_s = anyio.current_time()
+            handles = await batcher.make(make_restricted("r1", "lahore-2"))
+            assert handles == ("v2:80/r1-0",)
+            assert anyio.current_time() - started_s < 0.7
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+@pytest.mark.parametrize("places", [(), ("lahore-3",)])
+def test_order_that_no_permitted_replica_can_make_is_refused(places):
+    async def check():
+        batcher = make_batcher(FakeReplicas(), [make_vm("v1")])
+
+        async def body(_):
+            started_s = anyio.current_time()
+            with pytest.raises(BerylcartError) as raised:
+                await batcher.make(make_restricted("r1", *places))
+            assert raised.value.code is Code.NO_UPSTREAM
+            assert anyio.current_time() - started_s < 0.2
+
+        await with_batcher(batcher, body)
+        assert not batcher.orders.jobs
+
+    run(check)
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -300,3 +300,20 @@
         assert len(forwarding.relay.sent) == 1
 
     run(check)
+
+
+def test_second_send_stays_in_permitted_places():
+    async def check():
+        forwarding = Forwarding(IDEMPOTENT, Script(REFUSED), Script())
+        vms = [make_vm("v1")._replace(place="south-1"), make_vm("v2")]
+        forwarding.policy.pool = lambda service: vms
+        places = frozenset({"lahore-1"})
+        forwarding.run.work = forwarding.run.work._replace(
+            preferred=vms[0], places=places
+        )
+        error = await forwarding.fail()
+        assert error.retry_after_ms
+        (sent,) = forwarding.relay.sent
+        assert sent.address == "v2:80"
+
+    run(check)
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -29,6 +29,7 @@
     make_keeper,
     make_policy,
     make_request,
+    make_vm,
 )
 from ..serving_fakes import run
 
@@ -360,3 +361,71 @@
         assert not rig.relay.sent
 
     run(check)
+
+
+REGIONS = {"lahore-1": "north", "south-1": "south"}
+
+
+def as_regions(names):
+    return None if names is None else frozenset(names)
+
+
+@pytest.mark.parametrize(
+    ("route_regions", "owner_regions", "place"),
+    [
+        (None, None, "any"),
+        ({"south"}, None, "south-1"),
+        (None, {"north"}, "lahore-1"),
+        ({"south", "north"}, {"south"}, "south-1"),
+        ({"north"}, {"south"}, ""),
+        (set(), None, ""),
+        ({"west"}, None, ""),
+    ],
+)
+def test_request_and_its_pieces_run_where_both_lists_permit(
+    route_regions, owner_regions, place
+):
+    """Guards against data that leaves the regions it may be in."""
+
+    async def check():
+        rig = Rig(STAGED._replace(regions=as_regions(route_regions)), Script())
+        owner = rig.keeper.table.owners["k1"]
+        rig.keeper.table.owners["k1"] = owner._replace(
+            regions=as_regions(owner_regions)
+        )
+        vms = [
+            make_vm("v1"),
+            make_vm("v2")._replace(place="south-1"),
+            make_vm("v3")._replace(place="west-1"),
+        ]
+        policy = rig.gateway.policy
+        policy.regions = REGIONS
+        policy.pool = lambda service: vms
+        exchange = await rig.serve()
+        if not place:
+            assert exchange.status == Code.NO_UPSTREAM
+            assert exchange.data == b"no"
+            assert not rig.home.orders
+            return
+        assert exchange.status == 200
+        places = {vm.address: vm.place for vm in vms}
+        used = places[rig.relay.sent[0].address]
+        assert place in ("any", used)
+        permitted = None if place == "any" else frozenset({place})
+        assert rig.home.orders[0].places == permitted
+
+    run(check)
+
+
+def test_stage_without_a_permitted_replica_refuses_the_request():
+    async def check():
+        rig = Rig(STAGED._replace(regions=frozenset({"north"})), Script())
+        policy = rig.gateway.policy
+        policy.regions = REGIONS
+        south = make_vm("v2")._replace(place="south-1")
+        policy.pool = lambda name: [south if name == "sms" else make_vm("v1")]
+        exchange = await rig.serve()
+        assert exchange.status == Code.NO_UPSTREAM
+        assert not rig.home.orders
+
+    run(check)
--- a/packages/berylcart/tests/coordination/gateway/test_stage_home.py
+++ b/packages/berylcart/tests/coordination/gateway/test_stage_home.py
@@ -205,3 +205,20 @@
         assert rig.home.backlogs.of("sms") == 0.0
 
     run(check)
+
+
+def test_lack_of_permitted_replicas_is_no_backlog_for_others():
+    async def check():
+        rig = Rig()
+        rig.peers.error = BerylcartError(
+            Code.NO_UPSTREAM, "none", retry_after_ms=900
+        )
+        order = make_order()
+        with pytest.raises(BerylcartError):
+            await rig.home.make(order._replace(places=frozenset({"a"})))
+        assert rig.home.backlogs.of("sms") == 0
+        with pytest.raises(BerylcartError):
+            await rig.home.make(order)
+        assert rig.home.backlogs.of("sms") > 0
+
+    run(check)
--- a/packages/berylcart/tests/protocol/test_piece_codec.py
+++ b/packages/berylcart/tests/protocol/test_piece_codec.py
@@ -36,6 +36,7 @@
     result_bytes=st.integers(0, 2**32 - 1),
     moved_bytes=st.integers(0, 2**32 - 1),
     is_only_reader=st.booleans(),
+    places=st.none() | st.frozensets(NAMES, max_size=5),
 )
 
 
@@ -101,3 +102,14 @@
     assert raised.value.code is code
     assert raised.value.detail == detail
     assert raised.value.retry_after_ms == retry_after_ms
+
+
+def test_an_older_daemon_restricts_no_order():
+    async def check():
+        order = Order("r1", "s", 0, 1, "k", (), 0, 1.0, 2.0, "", 10)
+        message = encode_order(order._replace(places=frozenset()))
+        assert decode_order(message).places == frozenset()
+        message.ClearField("is_restricted")
+        assert decode_order(message).places is None
+
+    run(check)
