--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -737,3 +737,136 @@
         assert all(error.retry_after_ms > 0 for error in errors)
 
     run(check)
+
+
+def test_evacuated_replica_gets_no_pieces_and_no_orders_to_drop():
+    """Guards against orders to drop results that were noted before."""
+
+    async def check():
+        replicas = FakeReplicas()
+        vms = [make_vm("v1")]
+        batcher = make_batcher(replicas, vms)
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1"))
+            batcher.drop(handles)
+            vms[:] = [make_vm("v2", "lahore-2")]
+            batcher.note_spare(handles)
+            await anyio.sleep(5)
+            assert replicas.free_calls == 0
+            handles = await batcher.make(make_order("r2"))
+            assert all(handle.startswith("v2:80/") for handle in handles)
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+@pytest.mark.parametrize("is_evacuated", [True, False])
+def test_orders_of_an_evacuated_service_are_refused_at_once(is_evacuated):
+    """Guards against requests that wait for replicas that get no work."""
+
+    async def check():
+        replicas = FakeReplicas()
+        vms = [make_vm("v1")]
+        batcher = make_batcher(replicas, vms)
+        batcher.shedder.is_evacuated = lambda service: is_evacuated
+
+        async def body(_):
+            vms.clear()
+            started_s = anyio.current_time()
+            with pytest.raises(BerylcartError) as raised:
+                await batcher.make(make_order("r1"))
+            waited_s = anyio.current_time() - started_s
+            error = raised.value
+            if not is_evacuated:
+                assert (error.code, waited_s > 3) == (Code.OVERLOADED, True)
+                return
+            assert error.code is Code.NO_UPSTREAM
+            assert error.retry_after_ms
+            assert waited_s < 0.2
+
+        await with_batcher(batcher, body)
+        assert not replicas.calls
+
+    run(check)
+
+
+def make_restricted(request_id, *places, pieces=1):
+    order = make_order(request_id, pieces)
+    return order._replace(places=frozenset(places))
+
+
+def test_pieces_are_made_only_where_they_are_permitted():
+    async def check():
+        replicas = FakeReplicas()
+        vms = [make_vm("v1"), make_vm("v2", "lahore-2")]
+        batcher = make_batcher(replicas, vms)
+        made = {}
+
+        async def make(order):
+            made[order.request_id] = await batcher.make(order)
+            batcher.drop(made[order.request_id])
+
+        async def body(_):
+            async with anyio.create_task_group() as requests:
+                for number in range(6):
+                    order = make_restricted(f"r{number}", "lahore-2", pieces=3)
+                    requests.start_soon(make, order)
+                    requests.start_soon(make, make_order(f"o{number}", 3))
+
+        await with_batcher(batcher, body)
+        assert len(made) == 12
+        for number in range(6):
+            for handle in made[f"r{number}"]:
+                assert handle.startswith("v2:80/")
+        assert {vm_id for vm_id, _ in replicas.calls} == {"v1", "v2"}
+
+    run(check)
+
+
+def test_slow_replica_in_a_permitted_place_is_used():
+    """Guards against a wait for a faster replica that may not make it."""
+
+    async def check():
+        replicas = FakeReplicas()
+        replicas.slow["v2"] = 4
+        vms = [make_vm("v1"), make_vm("v2", "lahore-2")]
+        batcher = make_batcher(replicas, vms)
+        batcher.makers.state(vms[1]).learn(5.0, anyio.current_time())
+
+        async def keep_busy(name):
+            for number in range(20):
+                order = make_order(f"{name}{number}", 8, due_s=0.5)
+                batcher.drop(await batcher.make(order))
+
+        async def body(tasks):
+            for name in "ab":
+                tasks.start_soon(keep_busy, name)
+            await anyio.sleep(0.01)
+            started_s = anyio.current_time()
+            handles = await batcher.make(make_restricted("r1", "lahore-2"))
+            assert handles == ("v2:80/r1-0",)
+            assert anyio.current_time() - started_s < 0.7
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+@pytest.mark.parametrize("places", [(), ("lahore-3",)])
+def test_order_that_no_permitted_replica_can_make_is_refused(places):
+    async def check():
+        batcher = make_batcher(FakeReplicas(), [make_vm("v1")])
+
+        async def body(_):
+            started_s = anyio.current_time()
+            with pytest.raises(BerylcartError) as raised:
+                await batcher.make(make_restricted("r1", *places))
+            assert raised.value.code is Code.NO_UPSTREAM
+            assert anyio.current_time() - started_s < 0.2
+
+        await with_batcher(batcher, body)
+        assert not batcher.orders.jobs
+
+    run(check)
