Place requests on engine replicas through the home of their service

Cause: with 91 daemons and 45 engine replicas a daemon has mostly none or one request at each replica, so its own requests in flight tell nothing. Replicas that hashing gave many shared prompts, or that are slow, kept queues of 2 to 3.5 s for ten seconds beside replicas that answered within 0.1 s.

Change: one daemon a service chooses the replica of every streaming request of fleets of 16 daemons or more, by expected time to the first token (unread tokens, speed, shared parts held, place). Without its answer within 100 ms a daemon chooses as before.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -11,6 +11,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.engine_home import EngineHome
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, Served
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
@@ -28,7 +29,12 @@
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.member_table import Member
 from berylcart.state.relayed import Refusal
-from berylcart.state.routes import BatchLimits, CallerLimits, RouteTable
+from berylcart.state.routes import (
+    BatchLimits,
+    CallerLimits,
+    GatewayService,
+    RouteTable,
+)
 from berylcart.state.tail import LogPart
 from berylcart.state.vm import Vm
 from berylcart.transport.caller_connection import ConnectionRules
@@ -152,11 +158,19 @@
             self.membership.running,
             self.batcher_of,
         )
+        self.engines = EngineHome(
+            self.peers,
+            self.home.home_of,
+            lambda: len(self.membership.running()),
+            self.directory.pool,
+            self.service_info,
+        )
+        self.engines.on_placed = self.metrics.note_placed
         self.gateway = Gateway(
             self.keeper,
             self.ports.wire,
             self.policy,
-            Forwarder(self.relay, self.policy, self.ports.wire),
+            Forwarder(self.relay, self.policy, self.ports.wire, self.engines),
             StageResults(self.home, self.spawn, self.place_of),
         )
         self.gateway.on_served = self.note_served
@@ -194,6 +208,7 @@
             self.settings.peer_address,
             self.home,
             self.tail,
+            self.engines,
         )
 
     def limits(self) -> CallerLimits:
@@ -210,10 +225,14 @@
         known = [*self.settings.seeds, *self.found_seeds]
         return [each for each in known if each != self.settings.peer_address]
 
+    def service_info(self, service: str) -> GatewayService | None:
+        """Find what the newest routes say of a service."""
+        table = self.keeper.table
+        return table.services.get(service) if table else None
+
     def batch_limits(self, service: str) -> BatchLimits | None:
         """Find the limits of a service that works on pieces."""
-        table = self.keeper.table
-        info = table.services.get(service) if table else None
+        info = self.service_info(service)
         return None if info is None else info.batches
 
     def batcher_of(self, service: str) -> Batcher:
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -48,6 +48,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.placements = Counter(
+            "berylcart_gateway_placements",
+            "Requests by who chose their engine replica: home, alone.",
+            ["service", "chosen_by"],
+            registry=self.registry,
+        )
         self.loop_lag_seconds = Histogram(
             "berylcart_gateway_loop_lag_seconds",
             "By how much a timer of the event loop ran late.",
@@ -77,6 +83,11 @@
         seconds = served.latency_ms / MS_PER_S
         self.request_seconds.labels(served.route).observe(seconds)
 
+    def note_placed(self, service: str, is_home: bool) -> None:
+        """Count a request by who chose its replica."""
+        chosen_by = "home" if is_home else "alone"
+        self.placements.labels(service, chosen_by).inc()
+
     def text(self) -> bytes:
         """Write all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_home.py
@@ -0,0 +1,185 @@
+"""Ask the home of an engine service where a request should run."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from berylcart import clock, events
+from berylcart.coordination.gateway.engine_placement import EnginePlacement
+from berylcart.state.errors import BerylcartError
+from berylcart.state.member_table import Member
+from berylcart.state.peer_messages import (
+    AttemptNews,
+    Placement,
+    PlacementQuery,
+)
+from berylcart.state.routes import GatewayService
+from berylcart.state.vm import Vm
+
+MS_PER_S = 1000
+# A daemon of a smaller fleet sees enough of each replica's requests itself.
+MIN_DAEMONS = 16
+# A few times what a call between daemons takes; a request waits no longer.
+PLACE_TIMEOUT_MS = 100
+TELL_TIMEOUT_MS = 500
+# A home that did not answer is asked again after this.
+SHUN_S = 1.0
+
+
+class EnginePeers(Protocol):
+    """Call the daemon at an address; each call raises BerylcartError."""
+
+    async def place_request(
+        self, address: str, query: PlacementQuery, *, timeout_ms: int
+    ) -> Placement | None:
+        """Have a replica chosen, None where the daemon knows of none."""
+        ...
+
+    async def tell_attempt(
+        self, address: str, news: AttemptNews, *, timeout_ms: int
+    ) -> None:
+        """Tell how a request that was placed went on; nothing answers."""
+        ...
+
+
+class EngineHandlers(Protocol):
+    """Answer the questions of other daemons."""
+
+    async def on_place_request(self, query: PlacementQuery) -> Placement:
+        """Choose a replica; its vm_id is empty where there is none."""
+        ...
+
+    def on_attempt(self, news: AttemptNews) -> None:
+        """Hear how a request that was placed went on."""
+        ...
+
+
+class Placed:
+    """Hold where a request was placed, and by which home, None this one."""
+
+    def __init__(
+        self, service: str, placement: Placement, home: Member | None
+    ) -> None:
+        self.service = service
+        self.placement = placement
+        self.home = home
+        self.sent_s = clock.now_s()
+        self.is_told = False
+
+
+class EngineHome:
+    """Choose engine replicas together with the other daemons.
+
+    One daemon a service chooses for all of them; without its answer a daemon
+    chooses by itself. Two daemons that disagree for a moment on which one it
+    is both know a part of the load; that costs time and no promise.
+    """
+
+    def __init__(
+        self,
+        peers: EnginePeers,
+        home_of: Callable[[str], Member | None],
+        count_daemons: Callable[[], int],
+        pool: Callable[[str], Sequence[Vm]],
+        service_of: Callable[[str], GatewayService | None],
+    ) -> None:
+        self.peers = peers
+        self.home_of = home_of
+        self.count_daemons = count_daemons
+        self.pool = pool
+        self.service_of = service_of
+        self.placements: dict[str, EnginePlacement] = {}
+        self.shunned_until_s = 0.0
+        # Called with the service and whether its home chose the replica.
+        self.on_placed: Callable[[str, bool], None] = lambda name, is_home: (
+            None
+        )
+
+    def is_asked(self, service: str) -> bool:
+        """Tell whether requests of a service are placed by its home."""
+        if self.count_daemons() < MIN_DAEMONS:
+            return False
+        info = self.service_of(service)
+        return info is not None and info.engine is not None
+
+    def kv_tokens(self, service: str) -> int:
+        """Give the memory of a service's replicas in tokens."""
+        info = self.service_of(service)
+        return info.engine.kv_tokens if info and info.engine else 0
+
+    def placement_of(self, service: str) -> EnginePlacement:
+        """Find what this daemon knows as the home of a service."""
+        placement = self.placements.get(service)
+        if placement is None:
+            placement = EnginePlacement(
+                service,
+                lambda: self.pool(service),
+                lambda: self.kv_tokens(service),
+            )
+            self.placements[service] = placement
+        return placement
+
+    async def place(self, query: PlacementQuery) -> Placed | None:
+        """Choose a replica together, None where that is not possible."""
+        placed = await self.ask(query)
+        self.on_placed(query.service, placed is not None)
+        return placed
+
+    async def ask(self, query: PlacementQuery) -> Placed | None:
+        """Have the home of a service choose a replica, be it this daemon."""
+        home = self.home_of(query.service)
+        if home is None:
+            placement = self.placement_of(query.service).place(query)
+        else:
+            if clock.now_s() < self.shunned_until_s:
+                return None
+            try:
+                placement = await self.peers.place_request(
+                    home.peer_address, query, timeout_ms=PLACE_TIMEOUT_MS
+                )
+            except BerylcartError as error:
+                self.shunned_until_s = clock.now_s() + SHUN_S
+                events.warning(
+                    "placement.failed",
+                    service=query.service,
+                    home=home.daemon_id,
+                    detail=error.detail,
+                )
+                return None
+        if placement is None:
+            return None
+        return Placed(query.service, placement, home)
+
+    async def tell(self, placed: Placed, *, is_begun: bool) -> None:
+        """Tell the home once how a placed request went on."""
+        if placed.is_told:
+            return
+        placed.is_told = True
+        latency_ms = int(MS_PER_S * (clock.now_s() - placed.sent_s))
+        news = AttemptNews(
+            placed.service, placed.placement.number, is_begun, latency_ms
+        )
+        if placed.home is None:
+            self.on_attempt(news)
+            return
+        try:
+            await self.peers.tell_attempt(
+                placed.home.peer_address, news, timeout_ms=TELL_TIMEOUT_MS
+            )
+        except BerylcartError as error:
+            # The home forgets the request at its deadline.
+            events.info(
+                "attempt.not_told",
+                home=placed.home.daemon_id,
+                detail=error.detail,
+            )
+
+    async def on_place_request(self, query: PlacementQuery) -> Placement:
+        """Choose a replica for another daemon's request."""
+        placement = self.placement_of(query.service).place(query)
+        return placement or Placement("", 0, 0)
+
+    def on_attempt(self, news: AttemptNews) -> None:
+        """Take how a request went on that was placed here."""
+        placement = self.placements.get(news.service)
+        if placement is not None:
+            placement.note(news)
--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_placement.py
@@ -0,0 +1,124 @@
+"""Choose the engine replica of each request of a whole fleet of daemons.
+
+The load is many daemons that each send few requests to each replica, prompts
+that share long parts, and replicas of unequal speed: by its own requests no
+daemon can tell which replica is behind.
+"""
+
+from collections.abc import Callable, Sequence
+from itertools import count
+
+from berylcart import clock, events
+from berylcart.coordination.gateway.engine_load import EngineLoad, FleetSpeed
+from berylcart.coordination.gateway.piece_queue import LARGE_MOVE_BYTES
+from berylcart.state.peer_messages import (
+    AttemptNews,
+    Placement,
+    PlacementQuery,
+)
+from berylcart.state.vm import Vm
+
+MS_PER_S = 1000
+# Reading a shared part that another replica holds delays the request itself
+# and, for as long again, the requests that come after it.
+READ_AGAIN_FACTOR = 2
+# What it is worth that large results stay in their place.
+PLACE_COST_S = 0.03
+# Callers of longer requests leave before.
+MAX_LEFT_MS = 600_000
+
+Key = tuple[str, int]
+
+
+class EnginePlacement:
+    """Choose by expected time to the first token, for one service.
+
+    Its state is a few seconds of requests: a daemon that takes over begins
+    with none and knows the load again once the running requests have ended.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        pool: Callable[[], Sequence[Vm]],
+        kv_tokens: Callable[[], int],
+    ) -> None:
+        self.service = service
+        self.pool = pool
+        self.kv_tokens = kv_tokens
+        self.fleet = FleetSpeed()
+        self.loads: dict[Key, EngineLoad] = {}
+        self.numbers = count(1)
+        self.sent: dict[int, Key] = {}
+
+    def load(self, vm: Vm) -> EngineLoad:
+        """Find what is known of a replica."""
+        key = (vm.vm_id, vm.incarnation)
+        load = self.loads.get(key)
+        if load is None:
+            load = EngineLoad(self.fleet, self.kv_tokens())
+            self.loads[key] = load
+        return load
+
+    def place(self, query: PlacementQuery) -> Placement | None:
+        """Choose a replica and count the request there, None without any."""
+        pool = self.pool()
+        if not pool:
+            return None
+        now_s = clock.now_s()
+        vm = min(pool, key=lambda each: self.cost_s(each, query, now_s))
+        load = self.load(vm)
+        number = next(self.numbers)
+        tokens = query.own_tokens + load.missing(query.parts)
+        left_s = min(MAX_LEFT_MS, query.left_ms) / MS_PER_S
+        expected_s = load.expected_s(tokens, now_s)
+        load.send(
+            number,
+            tokens,
+            query.output_tokens,
+            now_s=now_s,
+            until_s=now_s + left_s,
+        )
+        load.keep(query.parts)
+        self.sent[number] = (vm.vm_id, vm.incarnation)
+        self.retain(pool)
+        expected_ms = int(expected_s * MS_PER_S)
+        return Placement(vm.vm_id, vm.incarnation, number, expected_ms)
+
+    def cost_s(self, vm: Vm, query: PlacementQuery, now_s: float) -> float:
+        """Estimate the time to the first token, and what it costs others."""
+        load = self.load(vm)
+        missing = READ_AGAIN_FACTOR * load.missing(query.parts)
+        cost_s = load.expected_s(query.own_tokens + missing, now_s)
+        is_near = query.place in ("", vm.place)
+        if not is_near and query.moved_bytes >= LARGE_MOVE_BYTES:
+            cost_s += PLACE_COST_S
+        return cost_s
+
+    def note(self, news: AttemptNews) -> None:
+        """Take that a request has begun or has ended before."""
+        key = self.sent.pop(news.number, None)
+        load = self.loads.get(key) if key is not None else None
+        if load is None:
+            return
+        if not news.is_begun:
+            load.end(news.number)
+            return
+        latency_s = news.latency_ms / MS_PER_S
+        load.begin(news.number, latency_s, now_s=clock.now_s())
+
+    def retain(self, pool: Sequence[Vm]) -> None:
+        """Forget replicas that are gone, and requests without news."""
+        if len(self.loads) > len(pool):
+            kept = {(vm.vm_id, vm.incarnation) for vm in pool}
+            for key in self.loads.keys() - kept:
+                del self.loads[key]
+        unread = sum(len(load.readings) for load in self.loads.values())
+        if len(self.sent) > 2 * unread + len(pool):
+            numbers = {n for e in self.loads.values() for n in e.readings}
+            lost = self.sent.keys() - numbers
+            events.info(
+                "placements.expired", service=self.service, requests=len(lost)
+            )
+            for number in lost:
+                del self.sent[number]
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -8,6 +8,7 @@
 
 from berylcart import events
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.engine_home import EngineHome, Placed
 from berylcart.coordination.gateway.event_splitter import EventSplitter
 from berylcart.coordination.gateway.gateway_policy import (
     AttemptClock,
@@ -28,6 +29,7 @@
     UnreachableError,
     UpstreamError,
 )
+from berylcart.state.peer_messages import PlacementQuery
 from berylcart.state.relayed import (
     AnswerHead,
     Headers,
@@ -70,6 +72,8 @@
     deadline_s: float
     inputs: tuple[str, ...] = ()
     preferred: Vm | None = None
+    inputs_place: str = ""
+    input_bytes: int = 0
 
     @property
     def left_s(self) -> float:
@@ -116,6 +120,7 @@
         self.splitter = EventSplitter()
         self.failure: UpstreamError | None = None
         self.kept: KeptAnswer | None = None
+        self.placed: Placed | None = None
 
     @property
     def may_run_once_more(self) -> bool:
@@ -144,11 +149,16 @@
     """Send requests to replicas, again where that is allowed."""
 
     def __init__(
-        self, relay: Relay, policy: GatewayPolicy, wire: Wire
+        self,
+        relay: Relay,
+        policy: GatewayPolicy,
+        wire: Wire,
+        engines: EngineHome | None = None,
     ) -> None:
         self.relay = relay
         self.policy = policy
         self.wire = wire
+        self.engines = engines
 
     async def forward(self, run: ForwardRun) -> int:
         """Answer a request from a replica and give the answer's status.
@@ -156,7 +166,7 @@
         Raises UpstreamError with the last failure.
         """
         while True:
-            vm = self.choose(run)
+            vm = await self.place(run) or self.choose(run)
             try:
                 return await self.attempt(run, vm)
             except UpstreamError as error:
@@ -165,6 +175,49 @@
                 if not self.may_send_again(run, error):
                     return await self.give_up(run, error)
 
+    async def place(self, run: ForwardRun) -> Vm | None:
+        """Have the home of an engine service choose the first replica."""
+        work = run.work
+        is_first = not run.sends and work.route.kind is RouteKind.STREAM
+        if self.engines is None or not is_first:
+            return None
+        if not self.engines.is_asked(work.service):
+            return None
+        prompt = work.request.prompt
+        shared = prompt.parts[:-1]
+        run.placed = await self.engines.place(
+            PlacementQuery(
+                work.service,
+                shared,
+                max(0, prompt.input_tokens - sum(e.tokens for e in shared)),
+                prompt.output_tokens,
+                max(1, int(work.left_s * MS_PER_S)),
+                work.inputs_place,
+                work.input_bytes,
+            )
+        )
+        if run.placed is None:
+            return None
+        placement, home = run.placed.placement, run.placed.home
+        vm = self.policy.find(placement, work.service)
+        events.info(
+            "request.placed",
+            request_id=work.request.request_id,
+            service=work.service,
+            vm_id=placement.vm_id,
+            home="" if home is None else home.daemon_id,
+            expected_ms=placement.expected_ms,
+            is_usable=vm is not None,
+        )
+        if vm is None:
+            await self.engines.tell(run.placed, is_begun=False)
+        return vm
+
+    async def note_placed(self, run: ForwardRun, *, is_begun: bool) -> None:
+        """Tell the home that placed a request how it went on."""
+        if run.placed is not None and self.engines is not None:
+            await self.engines.tell(run.placed, is_begun=is_begun)
+
     def choose(self, run: ForwardRun) -> Vm:
         """Choose the next replica; raises the last failure without one."""
         work = run.work
@@ -255,6 +308,8 @@
             raise
         finally:
             run.progress.end(ran)
+            with anyio.CancelScope(shield=True):
+                await self.note_placed(run, is_begun=False)
         return status
 
     async def exchange(
@@ -342,6 +397,7 @@
         while (data := await answer.read()) is not None:
             clock.note_answer()
             run.on_begun()
+            await self.note_placed(run, is_begun=True)
             if run.work.route.is_resumable:
                 data = run.splitter.feed(data)
             if data:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -263,7 +263,12 @@
         )
         try:
             inputs = await self.stages.make_all(plan)
-            run.work = work._replace(inputs=inputs, preferred=vm)
+            run.work = work._replace(
+                inputs=inputs,
+                preferred=vm,
+                inputs_place=self.stages.place_of_all(inputs),
+                input_bytes=plan.last_bytes(),
+            )
             # The replica has read its inputs at the latest once its answer
             # begins.
             run.on_begun = lambda: self.stages.drop_all(plan)
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -13,6 +13,7 @@
 from berylcart.coordination.policy.routing import Router
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.peer_messages import Placement
 from berylcart.state.routes import Backend, Route, RouteTable
 from berylcart.state.vm import Vm
 
@@ -119,6 +120,14 @@
             raise no_replica(service)
         return vm
 
+    def find(self, placement: Placement, service: str) -> Vm | None:
+        """Find the replica of a placement, None where it takes no work."""
+        for vm in self.pool(service):
+            key = (vm.vm_id, vm.incarnation)
+            if key == (placement.vm_id, placement.incarnation):
+                return vm if self.limits.allows(vm) else None
+        return None
+
     def takes_now(self, vm: Vm, service: str) -> bool:
         """Tell whether a replica takes work, and within its limit."""
         return vm in self.pool(service) and self.limits.allows(vm)
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -109,13 +109,16 @@
             is_only_reader=self.is_only_reader(index),
         )
 
-    def read_s(self) -> float:
-        """Bound the time in which the request's replica reads its inputs."""
-        size_bytes = sum(
+    def last_bytes(self) -> int:
+        """Estimate what the request's replica reads."""
+        return sum(
             self.count(each) * self.route.stages[each].result_bytes
             for each in self.route.last_stages
         )
-        return read_s(size_bytes, self.link_mbps)
+
+    def read_s(self) -> float:
+        """Bound the time in which the request's replica reads its inputs."""
+        return read_s(self.last_bytes(), self.link_mbps)
 
     def inputs(self) -> tuple[str, ...]:
         """List the results that the request itself reads."""
@@ -158,6 +161,12 @@
         self.spawn = spawn
         self.place_of = place_of
 
+    def place_of_all(self, handles: Sequence[str]) -> str:
+        """Find the place of most results, nothing without any."""
+        if not handles:
+            return ""
+        return most_common(self.place_of(handle) for handle in handles)
+
     async def make_all(self, plan: StagePlan) -> tuple[str, ...]:
         """Make every stage and give what the request reads.
 
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -6,6 +6,7 @@
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member
 from berylcart.state.records import Checkpoint
+from berylcart.state.relayed import PromptPart
 
 
 class MemberNews(NamedTuple):
@@ -48,6 +49,43 @@
     age_ms: int = 0
 
 
+class PlacementQuery(NamedTuple):
+    """Ask where a request to an engine service should run.
+
+    parts are those that other requests share, own_tokens the rest of the
+    prompt. moved_bytes are read from place.
+    """
+
+    service: str
+    parts: tuple[PromptPart, ...]
+    own_tokens: int
+    output_tokens: int
+    left_ms: int
+    place: str = ""
+    moved_bytes: int = 0
+
+
+class Placement(NamedTuple):
+    """Name a replica, and the request by a number of its home.
+
+    expected_ms is the estimate of the time to the first token.
+    """
+
+    vm_id: str
+    incarnation: int
+    number: int
+    expected_ms: int = 0
+
+
+class AttemptNews(NamedTuple):
+    """Tell that a placed request has begun, or has ended before."""
+
+    service: str
+    number: int
+    is_begun: bool
+    latency_ms: int
+
+
 class ConfigFreshness(NamedTuple):
     """State a configuration version and how recently the log confirmed it.
 
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -12,16 +12,19 @@
 from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
-from berylcart.protocol import piece_codec
+from berylcart.protocol import piece_codec, placement_codec
 from berylcart.protocol.tail_codec import decode_tail
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import (
     AnswerQuery,
+    AttemptNews,
     ConfigOffer,
     ConfigQuery,
     Gossip,
     Ping,
     PingRequest,
+    Placement,
+    PlacementQuery,
     StoredAnswer,
 )
 from berylcart.state.tail import TailAnswer
@@ -265,16 +268,39 @@
         message = pb.FreePiecesMessage(
             service=service, handles=handles, is_spare=is_spare
         )
+        await self._tell(address, "FreePieces", message, timeout_ms)
+
+    async def place_request(
+        self, address: str, query: PlacementQuery, *, timeout_ms: int
+    ) -> Placement | None:
+        """Have the home of an engine service choose a replica."""
+        return await self._call(
+            address,
+            "PlaceRequest",
+            placement_codec.encode_query(query),
+            pb.PlacementMessage,
+            placement_codec.decode_placement,
+            timeout_ms,
+        )
+
+    async def tell_attempt(
+        self, address: str, news: AttemptNews, *, timeout_ms: int
+    ) -> None:
+        """Tell how a request that was placed went on."""
+        message = placement_codec.encode_attempt(news)
+        await self._tell(address, "TellAttempt", message, timeout_ms)
+
+    async def _tell(
+        self, address: str, method: str, message: Message, timeout_ms: int
+    ) -> None:
         channel = self._channel(address)
         try:
             await channel.tell(
-                "FreePieces",
-                message.SerializeToString(),
-                timeout_ms / MS_PER_S,
+                method, message.SerializeToString(), timeout_ms / MS_PER_S
             )
         except CALL_ERRORS as error:
             self._retire(address, channel)
             raise BerylcartError(
                 Code.PEER_UNAVAILABLE,
-                f"FreePieces to {address} failed: {type(error).__name__}",
+                f"{method} to {address} failed: {type(error).__name__}",
             ) from error
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -8,13 +8,14 @@
 from google.protobuf.message import DecodeError, Message
 
 from berylcart import events
+from berylcart.coordination.gateway.engine_home import EngineHandlers
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.shared_tail import TailHandlers
 from berylcart.coordination.gateway.stage_home import StageHandlers
 from berylcart.coordination.membership.peer_port import PeerHandlers
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
-from berylcart.protocol import piece_codec
+from berylcart.protocol import piece_codec, placement_codec
 from berylcart.protocol.tail_codec import encode_tail
 from berylcart.state.errors import BerylcartError
 from berylcart.state.tail import TailAnswer
@@ -23,6 +24,7 @@
 
 CLOSE_GRACE_S = 5.0
 FREE_PIECES = "FreePieces"
+TELL_ATTEMPT = "TellAttempt"
 
 
 class Method(NamedTuple):
@@ -91,6 +93,45 @@
     }
 
 
+class NoticeMethod(NamedTuple):
+    """Describe what needs no answer: its message and its handler."""
+
+    message: type[Message]
+    handle: Callable[[Any], None]
+
+
+def stage_notices(stages: StageHandlers) -> dict[str, NoticeMethod]:
+    """List the notices that a daemon takes which makes pieces, by name."""
+
+    def free(message: pb.FreePiecesMessage) -> None:
+        stages.on_free_pieces(
+            message.service, tuple(message.handles), message.is_spare
+        )
+
+    return {FREE_PIECES: NoticeMethod(pb.FreePiecesMessage, free)}
+
+
+def engine_methods(engines: EngineHandlers) -> dict[str, Method]:
+    """List the calls that a daemon answers which places requests."""
+    return {
+        "PlaceRequest": Method(
+            pb.PlaceRequestMessage,
+            placement_codec.decode_query,
+            engines.on_place_request,
+            placement_codec.encode_placement,
+        ),
+    }
+
+
+def engine_notices(engines: EngineHandlers) -> dict[str, NoticeMethod]:
+    """List the notices that a daemon takes which places requests."""
+
+    def hear(message: pb.AttemptMessage) -> None:
+        engines.on_attempt(placement_codec.decode_attempt(message))
+
+    return {TELL_ATTEMPT: NoticeMethod(pb.AttemptMessage, hear)}
+
+
 def tail_methods(tail: TailHandlers) -> dict[str, Method]:
     """List the calls that a daemon answers which reads a log, by name."""
 
@@ -115,13 +156,18 @@
         handlers: PeerHandlers,
         stages: StageHandlers | None = None,
         tail: TailHandlers | None = None,
+        engines: EngineHandlers | None = None,
     ) -> None:
         self._methods = peer_methods(handlers)
+        self._notices: dict[str, NoticeMethod] = {}
+        if engines is not None:
+            self._methods |= engine_methods(engines)
+            self._notices |= engine_notices(engines)
         if stages is not None:
             self._methods |= stage_methods(stages)
+            self._notices |= stage_notices(stages)
         if tail is not None:
             self._methods |= tail_methods(tail)
-        self._stages = stages
         self._calls = 0
         self._is_closing = False
         self._idle = anyio.Event()
@@ -150,17 +196,16 @@
 
     def heed(self, name: str, body: bytes) -> None:
         """Take what needs no answer."""
-        if name != FREE_PIECES or self._stages is None:
+        notice = self._notices.get(name)
+        if notice is None:
             events.warning("peer.unknown_notice", method=name)
             return
         try:
-            message = pb.FreePiecesMessage.FromString(body)
+            message = notice.message.FromString(body)
         except DecodeError as error:
             events.warning("peer.malformed", method=name, detail=str(error))
             return
-        self._stages.on_free_pieces(
-            message.service, tuple(message.handles), message.is_spare
-        )
+        notice.handle(message)
 
     async def _handle(self, method: Method, body: bytes) -> bytes:
         """Have a call handled; raises PeerCallError."""
@@ -184,8 +229,9 @@
         address: str,
         stages: StageHandlers | None = None,
         tail: TailHandlers | None = None,
+        engines: EngineHandlers | None = None,
     ) -> None:
-        self._service = PeerService(handlers, stages, tail)
+        self._service = PeerService(handlers, stages, tail, engines)
         self._socket = bind(address)
         self._server: asyncio.Server | None = None
         self._connections: set[PeerConnection] = set()
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_engine_home.py
@@ -0,0 +1,138 @@
+"""Check how daemons place requests together, and when one of them fails."""
+
+import anyio
+from berylcart.coordination.gateway.engine_home import (
+    MIN_DAEMONS,
+    SHUN_S,
+    EngineHome,
+)
+from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.member_table import Member
+from berylcart.state.peer_messages import (
+    AttemptNews,
+    Placement,
+    PlacementQuery,
+)
+from berylcart.state.routes import EngineLimits, GatewayService
+
+from ..gateway_fakes import make_vm
+from ..serving_fakes import outcome
+
+HOME = Member("d1", 1, "d1:1", "d1:2", "lahore-1")
+QUERY = PlacementQuery("model", (), 100, 10, 9000)
+
+
+class FakePeers:
+    """Place requests for another daemon, or fail."""
+
+    def __init__(self):
+        self.asked = 0
+        self.told = []
+        self.error = None
+
+    async def place_request(self, address, query, *, timeout_ms):
+        """Answer with one replica."""
+        self.asked += 1
+        if self.error is not None:
+            raise self.error
+        return Placement("v1", 1, 5)
+
+    async def tell_attempt(self, address, news, *, timeout_ms):
+        """Take a notice."""
+        if self.error is not None:
+            raise self.error
+        self.told.append(news)
+
+
+def make_home(peers, home=HOME, daemons=MIN_DAEMONS):
+    services = {
+        "model": GatewayService("model", 0, engine=EngineLimits(8, 1000)),
+        "plain": GatewayService("plain", 0),
+    }
+    vms = {"model": [make_vm("v1"), make_vm("v2")]}
+    return EngineHome(
+        peers,
+        lambda service: home,
+        lambda: daemons,
+        lambda service: vms.get(service, []),
+        services.get,
+    )
+
+
+def test_only_engines_of_large_fleets_are_placed_together():
+    home = make_home(FakePeers())
+    assert home.is_asked("model")
+    assert not home.is_asked("plain")
+    assert not home.is_asked("unknown")
+    small = make_home(FakePeers(), daemons=MIN_DAEMONS - 1)
+    assert not small.is_asked("model")
+
+
+async def place_at_failing_home():
+    peers = FakePeers()
+    home = make_home(peers)
+    peers.error = BerylcartError(Code.PEER_UNAVAILABLE, "timeout")
+    results = [await home.place(QUERY), await home.place(QUERY)]
+    asked = peers.asked
+    peers.error = None
+    await anyio.sleep(SHUN_S)
+    results.append(await home.place(QUERY))
+    return results, asked
+
+
+def test_home_that_fails_is_passed_by_for_a_while():
+    results, asked = outcome(place_at_failing_home)
+    assert results[:2] == [None, None]
+    assert asked == 1
+    assert results[2].placement.vm_id == "v1"
+
+
+async def tell_twice():
+    peers = FakePeers()
+    home = make_home(peers)
+    placed = await home.place(QUERY)
+    await anyio.sleep(0.25)
+    await home.tell(placed, is_begun=True)
+    await home.tell(placed, is_begun=False)
+    return peers.told
+
+
+def test_home_hears_once_how_a_request_went_on():
+    told = outcome(tell_twice)
+    assert [(each.is_begun, each.latency_ms) for each in told] == [(True, 250)]
+
+
+async def tell_home_that_is_gone():
+    peers = FakePeers()
+    home = make_home(peers)
+    placed = await home.place(QUERY)
+    peers.error = BerylcartError(Code.PEER_UNAVAILABLE, "reset")
+    await home.tell(placed, is_begun=True)
+
+
+def test_lost_news_fails_no_request():
+    outcome(tell_home_that_is_gone)
+
+
+async def place_at_own_home():
+    home = make_home(FakePeers(), home=None)
+    chosen = []
+    for _ in range(4):
+        placed = await home.place(QUERY)
+        chosen.append(placed.placement.vm_id)
+    for_peer = await home.on_place_request(QUERY)
+    await home.tell(placed, is_begun=False)
+    home.on_attempt(home_news(for_peer.number))
+    return chosen, home.placement_of("model")
+
+
+def home_news(number):
+    """Tell that a request was cancelled."""
+    return AttemptNews("model", number, False, 10)
+
+
+def test_home_spreads_requests_of_all_daemons():
+    chosen, placement = outcome(place_at_own_home)
+    assert sorted(chosen) == ["v1", "v1", "v2", "v2"]
+    waiting = sum(len(e.readings) for e in placement.loads.values())
+    assert waiting == 3
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_engine_placement.py
@@ -0,0 +1,236 @@
+"""Play a fleet's requests to engines of unequal speed."""
+
+import random
+from heapq import heappop, heappush
+
+import anyio
+from berylcart import clock
+from berylcart.coordination.gateway.engine_load import EngineLoad, FleetSpeed
+from berylcart.coordination.gateway.engine_placement import EnginePlacement
+from berylcart.coordination.gateway.gateway_policy import PrefixRouter
+from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.load_table import LoadTable
+from berylcart.state.config import Service, ServiceKind
+from berylcart.state.peer_messages import AttemptNews, PlacementQuery
+from berylcart.state.relayed import PromptPart
+
+from ..gateway_fakes import make_vm
+from ..serving_fakes import outcome
+
+ENGINES = 45
+DAEMONS = 91
+PROMPTS = 141
+SHARED_TOKENS = 13_300
+OWN_TOKENS = 3720
+OUTPUT_TOKENS = 120
+TOKENS_PER_S = 61_000
+# What the output of a request takes from the reading of the next ones.
+OUTPUT_S = 0.12
+SPEEDS = (0.6, 1.0, 1.0, 1.6)
+REQUESTS_PER_S = 110
+LOAD_S = 12.0
+NEWS_S = 0.01
+# A caller's target less what its stages take.
+LATE_S = 0.8
+MODEL = Service("model", ServiceKind.ENGINE, frozenset())
+
+
+class Engines:
+    """Read prompts one after the other, each at the engine's speed."""
+
+    def __init__(self):
+        self.vms = [make_vm(f"v{number}") for number in range(ENGINES)]
+        self.speeds = {
+            vm.vm_id: SPEEDS[number % len(SPEEDS)]
+            for number, vm in enumerate(self.vms)
+        }
+        self.free_s = dict.fromkeys(self.speeds, 0.0)
+        self.parts = {vm_id: set() for vm_id in self.speeds}
+        self.read_again = 0
+        self.read = set()
+
+    def begin_s(self, vm, part, now_s):
+        """Say when a request that arrives now begins."""
+        tokens = OWN_TOKENS
+        if part not in self.parts[vm.vm_id]:
+            tokens += SHARED_TOKENS
+            self.read_again += part in self.read
+            self.parts[vm.vm_id].add(part)
+            self.read.add(part)
+        start_s = max(now_s, self.free_s[vm.vm_id])
+        speed = self.speeds[vm.vm_id] * TOKENS_PER_S
+        begin_s = start_s + tokens / speed
+        output_s = OUTPUT_S / self.speeds[vm.vm_id]
+        self.free_s[vm.vm_id] = begin_s + output_s
+        return begin_s
+
+
+def play_load(engines, choose, note):
+    """Send requests at a steady rate and list how long each waits."""
+    rng = random.Random(7)
+    waits_s = []
+    begun = []
+    for number in range(int(LOAD_S * REQUESTS_PER_S)):
+        now_s = number / REQUESTS_PER_S
+        while begun and begun[0][0] <= now_s:
+            at_s, _, news = heappop(begun)
+            clock.now_s.at_s = at_s
+            note(news)
+        clock.now_s.at_s = now_s
+        part = f"p{rng.randrange(PROMPTS)}"
+        vm, name = choose(part, rng.randrange(DAEMONS))
+        begin_s = engines.begin_s(vm, part, now_s)
+        waits_s.append(begin_s - now_s)
+        latency_ms = int(1000 * (begin_s - now_s))
+        news = AttemptNews("model", name, True, latency_ms)
+        heappush(begun, (begin_s + NEWS_S, number, news))
+    return waits_s
+
+
+class FakeClock:
+    """Give the time that a test sets."""
+
+    def __init__(self):
+        self.at_s = 0.0
+
+    def __call__(self):
+        """Give the time."""
+        return self.at_s
+
+
+def late_share(waits_s):
+    """Give the share of requests that begin late, but for the first ones."""
+    counted = waits_s[len(waits_s) // 3 :]
+    return sum(each > LATE_S for each in counted) / len(counted)
+
+
+def test_fleet_does_not_queue_at_slow_engines_beside_idle_ones(monkeypatch):
+    fake_clock = FakeClock()
+    monkeypatch.setattr(clock, "now_s", fake_clock)
+    alone = Engines()
+    routers = []
+    for number in range(DAEMONS):
+        table = LoadTable(fake_clock)
+        rng = random.Random(number)
+        routers.append(PrefixRouter(table, Ejector(fake_clock), rng))
+    waits_alone_s = play_load(
+        alone,
+        lambda part, daemon: (
+            routers[daemon].choose(alone.vms, service=MODEL, affinity=part),
+            0,
+        ),
+        lambda news: None,
+    )
+    together = Engines()
+    placement = EnginePlacement("model", lambda: together.vms, lambda: 597_751)
+    vms = {vm.vm_id: vm for vm in together.vms}
+
+    def place(part, daemon):
+        shared = (PromptPart(part, SHARED_TOKENS),)
+        placed = placement.place(
+            PlacementQuery("model", shared, OWN_TOKENS, OUTPUT_TOKENS, 8000)
+        )
+        return vms[placed.vm_id], placed.number
+
+    waits_together_s = play_load(together, place, placement.note)
+    assert late_share(waits_alone_s) > 0.1
+    assert late_share(waits_together_s) < late_share(waits_alone_s) / 2
+    # Each shared prompt is read by few engines all the same.
+    assert together.read_again < 2 * PROMPTS
+
+
+async def place_beside_silent_engine():
+    vms = [make_vm("v1"), make_vm("v2")]
+    placement = EnginePlacement("model", lambda: vms, lambda: 100_000)
+    query = PlacementQuery("model", (), 1000, 10, 60_000)
+    chosen = []
+    for _ in range(20):
+        placed = placement.place(query)
+        chosen.append(placed.vm_id)
+        if placed.vm_id == "v2":
+            placement.note(AttemptNews("model", placed.number, True, 40))
+    return chosen
+
+
+def test_silent_engine_gets_no_more_requests():
+    chosen = outcome(place_beside_silent_engine)
+    assert chosen.count("v1") <= 3
+
+
+async def place_where_inputs_are():
+    near = make_vm("v1")
+    far = make_vm("v2")._replace(place="lahore-2")
+    placement = EnginePlacement("model", lambda: [far, near], lambda: 100_000)
+    query = PlacementQuery(
+        "model", (), 100, 10, 9000, near.place, moved_bytes=3_000_000
+    )
+    return placement.place(query).vm_id
+
+
+def test_large_results_draw_their_reader():
+    assert outcome(place_where_inputs_are) == "v1"
+
+
+async def place_after_lost_news():
+    vms = [make_vm("v1")]
+    placement = EnginePlacement("model", lambda: vms, lambda: 100_000)
+    query = PlacementQuery("model", (), 1000, 10, left_ms=1)
+    for _ in range(200):
+        placement.place(query)
+        await anyio.sleep(0.01)
+    return len(placement.sent)
+
+
+def test_requests_without_news_are_forgotten():
+    assert outcome(place_after_lost_news) < 10
+
+
+async def place_without_replicas():
+    placement = EnginePlacement("model", list, lambda: 100_000)
+    placement.note(AttemptNews("model", 77, True, 10))
+    return placement.place(PlacementQuery("model", (), 1, 1, 1000))
+
+
+def test_no_replica_and_unknown_news_are_no_error():
+    assert outcome(place_without_replicas) is None
+
+
+def test_restarted_engine_holds_no_parts():
+    async def play():
+        vms = [make_vm("v1")]
+        placement = EnginePlacement("model", lambda: vms, lambda: 100_000)
+        shared = (PromptPart("a", 5000),)
+        query = PlacementQuery("model", shared, 100, 10, 9000)
+        placement.place(query)
+        assert placement.load(vms[0]).missing(shared) == 0
+        vms[0] = vms[0]._replace(incarnation=2)
+        assert placement.load(vms[0]).missing(shared) == 5000
+        placement.place(query)
+        return len(placement.loads)
+
+    assert outcome(play) == 1
+
+
+def test_parts_unused_longest_give_way():
+    load = EngineLoad(FleetSpeed(), kv_tokens=10_000)
+    for name in ("a", "b", "c"):
+        load.keep((PromptPart(name, 2500),))
+    assert load.missing((PromptPart("a", 2500),)) == 2500
+    assert load.missing((PromptPart("c", 2500),)) == 0
+    # A part counts only behind the parts before it.
+    chain = (PromptPart("a", 2500), PromptPart("c", 2500))
+    assert load.missing(chain) == 5000
+
+
+def test_slow_engine_is_known_and_tried_again():
+    load = EngineLoad(FleetSpeed(), kv_tokens=10_000)
+    now_s = 0.0
+    for number in range(20):
+        expected_s = load.expected_s(1000, now_s)
+        load.send(number, 1000, 0, now_s=now_s, until_s=now_s + 9)
+        load.begin(number, 4 * expected_s, now_s=now_s + 4 * expected_s)
+        now_s += 1.0
+    fast_s = EngineLoad(FleetSpeed(), 1).expected_s(1000, now_s)
+    assert load.expected_s(1000, now_s) > 3 * fast_s
+    later_s = now_s + 120.0
+    assert load.expected_s(1000, later_s) < 3 * fast_s
--- a/packages/berylcart/tests/coordination/serving_fakes.py
+++ b/packages/berylcart/tests/coordination/serving_fakes.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 import trio
@@ -50,12 +51,25 @@
 FLUSH_TIMEOUT_S = 10
 TOKENS = ("a", "b", "c", "d")
 
+Result = TypeVar("Result")
+
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
     """Run a scenario on a clock that jumps over every sleep."""
     trio.run(scenario, clock=MockClock(autojump_threshold=0))
 
 
+def outcome(scenario: Callable[[], Awaitable[Result]]) -> Result:
+    """Run a scenario on a paused clock and give what it returns."""
+    results: list[Result] = []
+
+    async def collect() -> None:
+        results.append(await scenario())
+
+    run(collect)
+    return results[0]
+
+
 def upstream(vm_id: str, service: str, place: str = "p1") -> Vm:
     """Describe a live upstream."""
     return Vm(
--- /dev/null
+++ b/packages/berylcart/tests/protocol/test_placement_codec.py
@@ -0,0 +1,43 @@
+"""Check that the placing of requests survives the wire."""
+
+import pytest
+from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol.placement_codec import (
+    MAX_PARTS,
+    decode_attempt,
+    decode_placement,
+    decode_query,
+    encode_attempt,
+    encode_placement,
+    encode_query,
+)
+from berylcart.state.peer_messages import (
+    AttemptNews,
+    Placement,
+    PlacementQuery,
+)
+from berylcart.state.relayed import PromptPart
+
+PARTS = (PromptPart("a1", 2520), PromptPart("b2", 3780))
+
+
+def test_query_survives():
+    query = PlacementQuery("model", PARTS, 2890, 54, 8000, "p1", 3_000_000)
+    assert decode_query(encode_query(query)) == query
+
+
+def test_placement_survives_and_none_is_told():
+    placement = Placement("v1", 1_772_938_892_253, 2**40, 120)
+    assert decode_placement(encode_placement(placement)) == placement
+    assert decode_placement(pb.PlacementMessage()) is None
+
+
+def test_attempt_survives():
+    news = AttemptNews("model", 7, True, 250)
+    assert decode_attempt(encode_attempt(news)) == news
+
+
+def test_query_with_endless_parts_is_refused():
+    parts = [pb.PromptPartMessage(part_id="a")] * (MAX_PARTS + 1)
+    with pytest.raises(ValueError, match="shared parts"):
+        decode_query(pb.PlaceRequestMessage(service="m", parts=parts))
