--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -18,6 +18,7 @@
 from berylcart.coordination.policy.routing import Router
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.peer_messages import Placement
 from berylcart.state.routes import Backend, Owner, Route, RouteTable
 from berylcart.state.vm import Vm
 
@@ -163,6 +164,16 @@
         is_permitted = vm in self.permitted_pool(service, places)
         return is_permitted and self.limits.allows(vm)
 
+    def find(
+        self, placement: Placement, service: str, places: Places
+    ) -> Vm | None:
+        """Find the replica of a placement, None where it takes no work."""
+        for vm in self.permitted_pool(service, places):
+            key = (vm.vm_id, vm.incarnation)
+            if key == (placement.vm_id, placement.incarnation):
+                return vm if self.limits.allows(vm) else None
+        return None
+
     def retain(self, vms: tuple[Vm, ...]) -> None:
         """Forget what was learnt about VMs that are gone."""
         self.limits.retain(vms)
