Follow Server-Leaving and Retry-After of a replica's own answers

Cause: a replica that says in an answer that it is leaving got work until its entry in the store said so, and a replica that answered 503 with Retry-After got the next request at once.

Change: one hook takes what an answer says of its replica (ReplicaNotice), of requests, piece calls and orders to drop results. A leaving notice marks the incarnation in VmDirectory, which tells the other daemons. With all replicas paused, a request is refused at once with the shortest time left.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -134,7 +134,6 @@
         )
         self.request_limits.on_news = self.membership.tell_limit
         self.exchange.on_limit_news = self.request_limits.hear
-        self.ports.pieces.on_limit = self.request_limits.note_answer
         self.policy = GatewayPolicy(
             self.keeper,
             self.directory.pool,
@@ -142,6 +141,8 @@
             self.random,
             self.request_limits,
         )
+        self.policy.on_leaving = self.note_leaving
+        self.ports.pieces.on_notice = self.policy.note_notice
         self.holders: dict[str, Vm] = {}
         self.directory.on_change = self.note_replicas
         self.relay = RelayClient(self.ports.wire.read_answer)
@@ -227,6 +228,7 @@
                 self.directory.pool,
                 self.batch_limits,
                 self.request_limits,
+                self.policy.pauses,
                 self.drop_inputs,
             )
             self.batchers[service] = batcher
@@ -262,6 +264,18 @@
         self.policy.retain(vms)
         self.note_readiness()
 
+    def note_leaving(self, vm: Vm) -> None:
+        """Learn from a replica's own answer that it is leaving."""
+        if self.directory.leaving.is_leaving(vm.vm_id, vm.incarnation):
+            return
+        events.info(
+            "replica.leaving_notice",
+            vm_id=vm.vm_id,
+            incarnation=vm.incarnation,
+            service=vm.service,
+        )
+        self.directory.mark_leaving(vm.vm_id, vm.incarnation)
+
     def note_routes(self, table: RouteTable) -> None:
         """Learn new routes."""
         self.note_readiness()
@@ -335,6 +349,7 @@
         self.metrics.config_version.set(self.keeper.version)
         self.metrics.members.set(len(self.membership.running()))
         self.metrics.lost_lines.set(events.lost_lines())
+        self.metrics.paused_replicas.set(self.policy.pauses.count())
         for service, batcher in self.batchers.items():
             waiting = batcher.orders.count_waiting()
             self.metrics.backlog_pieces.labels(service).set(waiting)
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -59,6 +59,11 @@
             "Daemons that are known to run.",
             registry=self.registry,
         )
+        self.paused_replicas = Gauge(
+            "berylcart_paused_replicas",
+            "Replicas that asked this daemon to wait.",
+            registry=self.registry,
+        )
         self.lost_lines = Gauge(
             "berylcart_gateway_lost_log_lines",
             "Log lines dropped because their reader was too slow.",
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -28,6 +28,7 @@
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
 from berylcart.coordination.gateway.queue_rates import QueueRates
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.shedder import Shedder
@@ -66,6 +67,7 @@
         pool: Callable[[str], Sequence[Vm]],
         limits: Callable[[str], BatchLimits | None],
         request_limits: RequestLimits,
+        pauses: ReplicaPauses,
         on_read: Callable[[Sequence[str], bool], None] = (
             lambda handles, is_spare: None
         ),
@@ -77,7 +79,8 @@
         self.request_limits = request_limits
         self.on_read = on_read
         self.orders = Orders()
-        self.makers = Makers(caller, lambda: pool(service))
+        self.pauses = pauses
+        self.makers = Makers(caller, lambda: pool(service), pauses)
         self.rates = QueueRates()
         self.tasks: TaskGroup | None = None
         # Results to drop that were named before this began to run.
@@ -192,7 +195,7 @@
             state = self.makers.state(vm)
             if state.calls >= limits.slots or state.paused_until_s > now_s:
                 continue
-            if state.is_clearing:
+            if state.is_clearing or self.pauses.left_s(vm):
                 continue
             if self.makes_room(tasks, vm, maker, limits):
                 continue
@@ -292,7 +295,8 @@
             state.learn(PATIENCE, clock.now_s())
             self.note_failed(vm, batch, "no answer in time")
         except BerylcartError as error:
-            self.note_failed(vm, batch, error.detail)
+            is_busy = error.retry_after_ms is not None
+            self.note_failed(vm, batch, error.detail, is_busy=is_busy)
         else:
             now_s = clock.now_s()
             made = sum(bool(result.handle) for result in results)
@@ -320,9 +324,17 @@
             self.orders.changed.set()
 
     def note_failed(
-        self, vm: Vm, batch: Sequence[TakenPiece], detail: str
+        self,
+        vm: Vm,
+        batch: Sequence[TakenPiece],
+        detail: str,
+        *,
+        is_busy: bool = False,
     ) -> None:
-        """Queue the pieces of a failed call again."""
+        """Queue the pieces of a failed call again.
+
+        A replica that asked to wait has not failed them.
+        """
         events.warning(
             "pieces.failed",
             service=self.service,
@@ -333,7 +345,10 @@
         )
         self.makers.state(vm).pause(clock.now_s())
         for piece in batch:
-            self.retry(piece, PieceFailure.ERROR)
+            if not is_busy:
+                self.retry(piece, PieceFailure.ERROR)
+            elif self.orders.job_of(piece.order) is not None:
+                self.wait_again(piece)
 
     def hand_out(
         self,
@@ -369,7 +384,10 @@
         if self.tasks is None:
             self.early.extend(handles)
             return
-        for vm in self.makers.note_unread(handles):
+        limits = self.limits(self.service)
+        keep_s = inf if limits is None else limits.keep_s
+        until_s = clock.now_s() + keep_s
+        for vm in self.makers.note_unread(handles, until_s):
             self.tasks.start_soon(self.free_soon, vm)
 
     def note_refused(
@@ -402,7 +420,7 @@
             self.retry(piece, failure)
 
     def wait_again(self, piece: TakenPiece) -> None:
-        """Queue a piece that a replica had no room for."""
+        """Queue a piece that a replica had no room or no time for."""
         self.budget.try_take(self.service)
         self.orders.put_back(piece, piece.entry.failures)
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -179,9 +179,12 @@
             return self.policy.choose(
                 work.service, work.request.prompt.affinity, run.tried
             )
-        except BerylcartError:
+        except BerylcartError as error:
             if run.failure is None:
                 raise
+            if run.failure.retry_after_ms and error.retry_after_ms:
+                # All replicas may be paused, which lasts longer.
+                run.failure.retry_after_ms = error.retry_after_ms
             raise run.failure from None
 
     def note_failure(
@@ -275,7 +278,7 @@
             with patience.scope:
                 async with self.relay.exchange(request, note_sent) as answer:
                     head = answer.head
-                    self.policy.limits.note_answer(vm, head.limit_per_s)
+                    self.policy.note_notice(vm, head.notice)
                     return await self.pass_on(run, answer, clock, patience)
         finally:
             attempt.cancel()
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable, Iterator, Sequence, Set
 from contextlib import contextmanager
+from math import ceil
 from random import Random
 from typing import Protocol
 
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.policy.ejection import Ejector
@@ -13,6 +15,7 @@
 from berylcart.coordination.policy.routing import Router
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.relayed import ReplicaNotice
 from berylcart.state.routes import Backend, Route, RouteTable
 from berylcart.state.vm import Vm
 
@@ -82,6 +85,9 @@
     ) -> None:
         self.tables = tables
         self.limits = limits
+        self.pauses = ReplicaPauses()
+        # Called with a replica whose answer says that it is leaving.
+        self.on_leaving: Callable[[Vm], None] = lambda vm: None
         self.pool = pool
         self.budget = budget
         self.random = random
@@ -109,23 +115,35 @@
         info = self.tables.require().services.get(service)
         is_engine = info is not None and info.engine is not None
         kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
+        pool = self.pool(service)
         vm = self.router.choose(
-            self.limits.usable(self.pool(service)),
+            self.limits.usable(self.pauses.usable(pool)),
             service=Service(service, kind, frozenset()),
             affinity=affinity,
             exclude=frozenset(tried),
         )
         if vm is None:
-            raise no_replica(service)
+            raise no_replica(service, self.pauses.shortest_s(pool))
         return vm
 
     def takes_now(self, vm: Vm, service: str) -> bool:
         """Tell whether a replica takes work, and within its limit."""
-        return vm in self.pool(service) and self.limits.allows(vm)
+        if vm not in self.pool(service) or self.pauses.left_s(vm):
+            return False
+        return self.limits.allows(vm)
+
+    def note_notice(self, vm: Vm, notice: ReplicaNotice) -> None:
+        """Take what an answer said of its replica."""
+        self.limits.note_answer(vm, notice.limit_per_s)
+        if notice.retry_after_s is not None:
+            self.pauses.note(vm, notice.retry_after_s)
+        if notice.is_leaving:
+            self.on_leaving(vm)
 
     def retain(self, vms: tuple[Vm, ...]) -> None:
         """Forget what was learnt about VMs that are gone."""
         self.limits.retain(vms)
+        self.pauses.retain(vms)
         self.load_table.retain(vms)
         self.ejector.retain(vms)
 
@@ -154,10 +172,17 @@
         self.ejector.note(vm, clock.latency_ms, True)
 
 
-def no_replica(name: str) -> BerylcartError:
-    """Describe a service without a replica that takes work."""
+def no_replica(name: str, pause_s: float = 0.0) -> BerylcartError:
+    """Describe a service without a replica that takes work.
+
+    pause_s is set where all of them asked to wait.
+
+    >>> no_replica("model", 2.5).retry_after_ms
+    2500
+    """
+    wait_ms = ceil(pause_s * MS_PER_S) or NO_REPLICA_RETRY_AFTER_MS
     return BerylcartError(
         Code.NO_UPSTREAM,
         f"no replica of {name} takes new work",
-        retry_after_ms=NO_REPLICA_RETRY_AFTER_MS,
+        retry_after_ms=wait_ms,
     )
--- a/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
@@ -39,8 +39,9 @@
         self.held_bytes = 0
         # Those that were read, and are read again only if a piece fails.
         self.spare: set[str] = set()
-        # Those that nobody reads any more, until the replica is told.
-        self.unread: list[str] = []
+        # Those that nobody reads any more, until the replica is told, and
+        # when they expire by themselves.
+        self.unread: dict[str, float] = {}
         self.is_room_wanted = anyio.Event()
         self.is_clearing = False
         self.reserved_bytes = 0
@@ -102,6 +103,17 @@
             self.held_bytes -= held.size_bytes
         return held
 
+    def note_unread(self, handle: str, until_s: float) -> None:
+        """Note a result to drop, which expires at the latest then."""
+        held = self.results.get(handle)
+        end_s = until_s if held is None else min(held.until_s, until_s)
+        self.unread[handle] = end_s
+
+    def take_unread(self, now_s: float) -> list[str]:
+        """List the results to drop that have not expired, once."""
+        unread, self.unread = self.unread, {}
+        return [each for each, end_s in unread.items() if end_s > now_s]
+
     def note_spare(self, handle: str) -> None:
         """Note that a result may give way to others."""
         if handle in self.results:
--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -8,6 +8,7 @@
 from berylcart.coordination.gateway.maker_state import MakerState
 from berylcart.coordination.gateway.piece_queue import Maker
 from berylcart.coordination.gateway.ports import PieceCaller
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.state.errors import UpstreamError
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm
@@ -19,10 +20,14 @@
     """Hold what is known of one service's replicas."""
 
     def __init__(
-        self, caller: PieceCaller, pool: Callable[[], Sequence[Vm]]
+        self,
+        caller: PieceCaller,
+        pool: Callable[[], Sequence[Vm]],
+        pauses: ReplicaPauses,
     ) -> None:
         self.caller = caller
         self.pool = pool
+        self.pauses = pauses
         self.states: dict[tuple[str, int], MakerState] = {}
 
     def state(self, vm: Vm) -> MakerState:
@@ -43,7 +48,8 @@
     def describe(self, vm: Vm, limits: BatchLimits, now_s: float) -> Maker:
         """Describe a replica for a decision."""
         state = self.state(vm)
-        busy_until_s = state.paused_until_s
+        pause_end_s = now_s + self.pauses.left_s(vm)
+        busy_until_s = max(state.paused_until_s, pause_end_s)
         if state.calls >= limits.slots:
             busy_until_s = max(busy_until_s, state.busy_until_s)
         return Maker(
@@ -58,23 +64,32 @@
         """Describe all replicas for a decision."""
         return [self.describe(vm, limits, now_s) for vm in self.pool()]
 
-    def note_unread(self, handles: Sequence[str]) -> list[Vm]:
+    def note_unread(self, handles: Sequence[str], until_s: float) -> list[Vm]:
         """Note results to drop, and list replicas that had none before.
 
-        Another daemon may have had them made.
+        Another daemon may have had them made. They expire until then.
         """
         new: list[Vm] = []
         for vm, group in self.by_holder(handles):
             state = self.state(vm)
             if not state.unread:
                 new.append(vm)
-            state.unread.extend(group)
+            for handle in group:
+                state.note_unread(handle, until_s)
         return new
 
     async def free_unread(self, vm: Vm) -> None:
-        """Drop a replica's results that nobody reads any more."""
+        """Drop a replica's results that nobody reads any more.
+
+        Waits until the replica is not paused; what expires before is left.
+        """
+        left_s = self.pauses.left_s(vm)
+        if left_s:
+            await anyio.sleep(left_s)
+            await self.free_unread(vm)
+            return
         state = self.state(vm)
-        handles, state.unread = state.unread, []
+        handles = state.take_unread(clock.now_s())
         was_wanted = state.is_room_wanted.is_set()
         state.is_room_wanted = anyio.Event()
         state.is_clearing = state.is_clearing or was_wanted
@@ -115,7 +130,9 @@
             state.is_clearing = False
 
     async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
-        """Drop results at one replica."""
+        """Drop results at one replica, none where it takes no new work."""
+        if not handles or vm not in self.pool():
+            return
         state = self.state(vm)
         try:
             await self.caller.free_results(vm, handles)
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -13,6 +13,7 @@
     PieceResult,
     Refusal,
     RelayRequest,
+    ReplicaNotice,
     UpstreamRequest,
 )
 from berylcart.state.vm import Vm
@@ -109,16 +110,18 @@
 class PieceCaller(Protocol):
     """Call the replicas that work on pieces.
 
-    on_limit takes what each answer to run_pieces says of the requests that
-    its replica takes a second.
+    on_notice takes what each answer says of its replica.
     """
 
-    on_limit: Callable[[Vm, float | None], None]
+    on_notice: Callable[[Vm, ReplicaNotice], None]
 
     async def run_pieces(
         self, vm: Vm, pieces: Sequence[TimedPiece]
     ) -> Sequence[PieceResult]:
-        """Make pieces; raises UpstreamError."""
+        """Make pieces; raises UpstreamError.
+
+        Its retry_after_ms is set where the replica asked to wait.
+        """
         ...
 
     def holder(self, handle: str) -> str:
--- a/packages/berylcart/src/berylcart/state/relayed.py
+++ b/packages/berylcart/src/berylcart/state/relayed.py
@@ -91,6 +91,32 @@
     request_id: str
 
 
+class ReplicaLoad(NamedTuple):
+    """Hold what a replica says of its work.
+
+    percent is how long work takes there now, 100 where it is as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    percent: int = 100
+
+
+class ReplicaNotice(NamedTuple):
+    """Hold what one answer says of its replica.
+
+    limit_per_s is 0 where it names no limit, None where the answer doesn't
+    tell. cold_ms is for how long the replica stays cold.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
+    load: ReplicaLoad | None = None
+    cold_ms: int | None = None
+
+
 class AnswerHead(NamedTuple):
     """Hold the head of an upstream's answer and what it says.
 
@@ -108,6 +134,22 @@
     # The requests a second that the upstream takes from all daemons, 0 where
     # it names no limit, None where the answer doesn't tell.
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    # For how long a replica that answered 503 wants nothing.
+    retry_after_s: float | None = None
+    load: ReplicaLoad | None = None
+    cold_ms: int | None = None
+
+    @property
+    def notice(self) -> ReplicaNotice:
+        """Give what the answer says of its replica."""
+        return ReplicaNotice(
+            self.limit_per_s,
+            self.is_leaving,
+            self.retry_after_s,
+            self.load,
+            self.cold_ms,
+        )
 
 
 class PieceFailure(StrEnum):
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -5,11 +5,13 @@
 from math import inf
 
 import anyio
+import anyio.lowlevel
 import pytest
 from berylcart import events
 from berylcart.coordination.gateway.batcher import Batcher
 from berylcart.coordination.gateway.maker_state import Held
 from berylcart.coordination.gateway.piece_queue import Order
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
 from berylcart.state.relayed import PieceFailure, PieceResult
@@ -90,7 +92,7 @@
         self.held[vm.address] -= RESULT_BYTES * len(handles)
 
 
-def make_batcher(replicas, vms):
+def make_batcher(replicas, vms, pauses=None):
     budget = RetryWindow(0.2, 10.0, 54, lambda: 1)
     return Batcher(
         "sms",
@@ -99,6 +101,7 @@
         lambda service: vms,
         lambda service: LIMITS,
         make_request_limits(),
+        pauses or ReplicaPauses(),
     )
 
 
@@ -338,6 +341,7 @@
         lambda _: vms,
         lambda _: LIMITS,
         make_request_limits(),
+        ReplicaPauses(),
     )
     made = []
 
@@ -737,3 +741,125 @@
         assert all(error.retry_after_ms > 0 for error in errors)
 
     run(check)
+
+
+class BusyReplicas(FakeReplicas):
+    """Refuse calls with a time to wait, as told, and note when calls came."""
+
+    def __init__(self, pauses, busy):
+        super().__init__()
+        self.pauses = pauses
+        self.busy_s = dict(busy)
+        self.came = []
+
+    async def run_pieces(self, vm, pieces):
+        """Make pieces, or refuse once."""
+        self.came.append((vm.vm_id, anyio.current_time()))
+        wait_s = self.busy_s.pop(vm.vm_id, None)
+        if wait_s is None:
+            return await super().run_pieces(vm, pieces)
+        self.pauses.note(vm, wait_s)
+        raise UpstreamError(
+            Code.NO_UPSTREAM,
+            "busy",
+            ran=Ran.NO,
+            retry_after_ms=int(wait_s * 1000),
+        )
+
+
+def test_order_waits_for_replicas_that_asked_to_wait():
+    """Back pressure must cost an order time only, and no budget."""
+
+    async def check():
+        pauses = ReplicaPauses()
+        replicas = BusyReplicas(pauses, {"v1": 1.5, "v2": 3.0})
+        batcher = make_batcher(
+            replicas, [make_vm("v1"), make_vm("v2")], pauses
+        )
+        batcher.budget.slack = 0
+        started_s = anyio.current_time()
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1", 4))
+            assert len(handles) == 4
+
+        await with_batcher(batcher, body)
+        later = [
+            (vm_id, at_s - started_s)
+            for vm_id, at_s in replicas.came
+            if at_s > started_s
+        ]
+        assert later
+        assert all(at_s >= 1.5 for _, at_s in later)
+        assert all(at_s >= 3 for vm_id, at_s in later if vm_id == "v2")
+
+    run(check)
+
+
+def test_orders_to_drop_results_wait_until_the_pause_ends():
+    """A replica that asked to wait must get no orders of any kind."""
+
+    async def check():
+        pauses = ReplicaPauses()
+        replicas = FakeReplicas()
+        vm = make_vm("v1")
+        batcher = make_batcher(replicas, [vm], pauses)
+
+        async def body(_):
+            await anyio.lowlevel.checkpoint()
+            pauses.note(vm, 2.0)
+            batcher.drop(["v1:80/a"])
+            await anyio.sleep(1.0)
+            batcher.drop(["v1:80/b"])
+            await anyio.sleep(0.9)
+            assert replicas.free_calls == 0
+            await anyio.sleep(0.2)
+            assert replicas.freed == ["v1:80/a", "v1:80/b"]
+            assert replicas.free_calls == 1
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_results_that_expire_in_a_pause_are_not_dropped():
+    async def check():
+        pauses = ReplicaPauses()
+        replicas = FakeReplicas()
+        vm = make_vm("v1")
+        batcher = make_batcher(replicas, [vm], pauses)
+
+        async def body(_):
+            await anyio.lowlevel.checkpoint()
+            pauses.note(vm, LIMITS.keep_s + 1)
+            batcher.drop(["v1:80/a"])
+            await anyio.sleep(2)
+            batcher.drop(["v1:80/b"])
+            await anyio.sleep(LIMITS.keep_s)
+            assert replicas.freed == ["v1:80/b"]
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_nothing_is_dropped_at_a_replica_that_left_in_the_pause():
+    """A leaving replica must get no orders once it said so."""
+
+    async def check():
+        pauses = ReplicaPauses()
+        replicas = FakeReplicas()
+        pool = [make_vm("v1")]
+        batcher = make_batcher(replicas, pool, pauses)
+
+        async def body(_):
+            await anyio.lowlevel.checkpoint()
+            pauses.note(pool[0], 1.0)
+            batcher.drop(["v1:80/a"])
+            pool.clear()
+            await anyio.sleep(3)
+            assert replicas.free_calls == 0
+
+        await with_batcher(batcher, body)
+
+    run(check)
--- a/packages/berylcart/tests/coordination/stage_fleet.py
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -17,6 +17,7 @@
 from berylcart.coordination.gateway.gateway import Gateway
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
 from berylcart.coordination.gateway.piece_queue import call_s
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
 from berylcart.coordination.gateway.stage_home import StageHome
@@ -163,6 +164,7 @@
                 self.pool,
                 self.limits,
                 self.request_limits,
+                ReplicaPauses(),
                 self.drop_inputs,
             )
             self.batchers[service] = batcher
