Send cold replicas no more than all daemons together may

Cause: a replica that has just started, or says that it is cold again, got the same work as a warm one and breaks under it.

Change: RequestLimits keeps beside the limits that replicas name until when each is cold (entry, answer or peer), and the smaller limit is in force. The bound is divided for two parts of a network that each choose senders of their own. Senders are chosen among all daemons ever seen, each with a share that depends on no number of daemons; a daemon sends none in its first 5 s, nor while it has seen no other though it was told of some. The home of a service sends pieces while it sees more than half of all daemons. LimitNews carries the time left in a field that older daemons ignore.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -11,6 +11,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.cold_shares import ColdBounds
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, Served
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
@@ -130,8 +131,14 @@
             lambda: self.most_members,
         )
         self.request_limits = RequestLimits(
-            self.settings.daemon_id, self.member_ids, self.random
+            self.settings.daemon_id,
+            self.member_ids,
+            self.random,
+            ColdBounds(self.settings.cold_overshoot, self.settings.cold_slack),
         )
+        self.request_limits.cold_per_s = self.cold_per_s
+        self.request_limits.expects_others = lambda: bool(self.seeds())
+        self.ports.replicas.on_cold = self.note_cold
         self.request_limits.on_news = self.membership.tell_limit
         self.exchange.on_limit_news = self.request_limits.hear
         self.policy = GatewayPolicy(
@@ -264,6 +271,16 @@
         self.policy.retain(vms)
         self.note_readiness()
 
+    def cold_per_s(self, service: str) -> float:
+        """Find what a cold replica of a service takes a second."""
+        table = self.keeper.table
+        info = table.services.get(service) if table else None
+        return 0.0 if info is None else info.cold_per_s
+
+    def note_cold(self, vm: Vm, cold_ms: int, is_fresh: bool) -> None:
+        """Learn from a replica's entry that it is cold."""
+        self.request_limits.note_cold(vm, cold_ms, "entry", is_fresh=is_fresh)
+
     def note_leaving(self, vm: Vm) -> None:
         """Learn from a replica's own answer that it is leaving."""
         if self.directory.leaving.is_leaving(vm.vm_id, vm.incarnation):
@@ -284,6 +301,7 @@
         """Learn that a daemon came, went or changed its state."""
         live = len(self.membership.running())
         self.most_members = max(self.most_members, live)
+        self.request_limits.note_members()
         self.home.note_members()
 
     def note_readiness(self) -> None:
@@ -350,6 +368,7 @@
         self.metrics.members.set(len(self.membership.running()))
         self.metrics.lost_lines.set(events.lost_lines())
         self.metrics.paused_replicas.set(self.policy.pauses.count())
+        self.metrics.cold_replicas.set(self.request_limits.count_cold())
         for service, batcher in self.batchers.items():
             waiting = batcher.orders.count_waiting()
             self.metrics.backlog_pieces.labels(service).set(waiting)
@@ -362,6 +381,7 @@
         async with anyio.create_task_group() as tasks:
             self.background = tasks
             self.start_tasks(tasks)
+            self.request_limits.note_members()
             events.info(
                 "daemon.started",
                 daemon_id=self.settings.daemon_id,
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -64,6 +64,11 @@
             "Replicas that asked this daemon to wait.",
             registry=self.registry,
         )
+        self.cold_replicas = Gauge(
+            "berylcart_cold_replicas",
+            "Replicas that are cold, as far as this daemon knows.",
+            registry=self.registry,
+        )
         self.lost_lines = Gauge(
             "berylcart_gateway_lost_log_lines",
             "Log lines dropped because their reader was too slow.",
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -9,6 +9,7 @@
 from berylcart.state.relayed import CallerHead, Refusal
 from berylcart.state.routes import RouteTable
 from berylcart.state.tail import LogPart
+from berylcart.state.vm import Vm
 
 
 class PageState(NamedTuple):
@@ -64,9 +65,12 @@
     """List the replicas, following a log of their changes.
 
     read_changes may be set to have the changes read through another daemon.
+    on_cold takes a replica, for how many ms it says that it stays cold, and
+    whether it has just said so.
     """
 
     read_changes: Callable[[int], Awaitable[LogPart]]
+    on_cold: Callable[[Vm, int, bool], None]
 
     async def read_store(self, start: int) -> LogPart:
         """Read the changes from an offset on; raises BerylcartError."""
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -36,3 +36,7 @@
     entries_keep_ms: int = 1000
     # Well inside the time in which a leaving replica must get no more work.
     replicas_interval_ms: int = 600
+    # What may reach a cold replica in a second: overshoot times what it takes,
+    # and slack.
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -1,6 +1,6 @@
 """Work on the pieces of one service in shared calls."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from math import inf
 
 import anyio
@@ -190,12 +190,12 @@
         makers = {
             vm.vm_id: self.makers.describe(vm, limits, now_s) for vm in pool
         }
-        for vm in sorted(pool, key=lambda each: makers[each.vm_id].slowness):
+        for vm in self.in_order(pool, makers):
             maker = makers[vm.vm_id]
             state = self.makers.state(vm)
-            if state.calls >= limits.slots or state.paused_until_s > now_s:
+            if state.calls >= limits.slots or self.is_paused(vm, now_s):
                 continue
-            if state.is_clearing or self.pauses.left_s(vm):
+            if state.is_clearing:
                 continue
             if self.makes_room(tasks, vm, maker, limits):
                 continue
@@ -217,6 +217,21 @@
                 self.start_call(tasks, vm, batch, limits)
                 makers[vm.vm_id] = self.makers.describe(vm, limits, now_s)
 
+    def in_order(
+        self, pool: Sequence[Vm], makers: Mapping[str, Maker]
+    ) -> list[Vm]:
+        """Order replicas: those that are cold last, then by speed."""
+        is_cold = self.request_limits.is_cold
+        return sorted(
+            pool, key=lambda vm: (is_cold(vm), makers[vm.vm_id].slowness)
+        )
+
+    def is_paused(self, vm: Vm, now_s: float) -> bool:
+        """Tell whether a replica failed or asked to wait just before."""
+        if self.makers.state(vm).paused_until_s > now_s:
+            return True
+        return self.pauses.left_s(vm) > 0
+
     def within_limit(self, vm: Vm, pieces: int) -> int:
         """Bound a call's pieces by what its replica takes from daemons."""
         tokens = self.request_limits.tokens(vm, is_only_sender=True)
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -117,7 +117,7 @@
         kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
         pool = self.pool(service)
         vm = self.router.choose(
-            self.limits.usable(self.pauses.usable(pool)),
+            self.ready(pool, tried),
             service=Service(service, kind, frozenset()),
             affinity=affinity,
             exclude=frozenset(tried),
@@ -126,17 +126,34 @@
             raise no_replica(service, self.pauses.shortest_s(pool))
         return vm
 
+    def ready(self, pool: Sequence[Vm], tried: Set[str]) -> Sequence[Vm]:
+        """List the replicas that may be sent a request now.
+
+        Cold ones are left out while a warm one has capacity.
+        """
+        usable = self.limits.usable(self.pauses.usable(pool))
+        if not self.limits.cold_ends_s:
+            return usable
+        warm = [vm for vm in usable if not self.limits.is_cold(vm)]
+        has_capacity = any(
+            vm.vm_id not in tried and self.load_table.occupancy(vm) < 1
+            for vm in warm
+        )
+        return warm if has_capacity else usable
+
     def takes_now(self, vm: Vm, service: str) -> bool:
-        """Tell whether a replica takes work, and within its limit."""
+        """Tell whether a warm replica takes work, and within its limit."""
         if vm not in self.pool(service) or self.pauses.left_s(vm):
             return False
-        return self.limits.allows(vm)
+        return self.limits.allows(vm) and not self.limits.is_cold(vm)
 
     def note_notice(self, vm: Vm, notice: ReplicaNotice) -> None:
         """Take what an answer said of its replica."""
         self.limits.note_answer(vm, notice.limit_per_s)
         if notice.retry_after_s is not None:
             self.pauses.note(vm, notice.retry_after_s)
+        if notice.cold_ms is not None:
+            self.limits.note_cold(vm, notice.cold_ms, "answer")
         if notice.is_leaving:
             self.on_leaving(vm)
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/request_limits.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/request_limits.py
@@ -1,17 +1,26 @@
 """Keep all daemons together within the requests that a replica asks for.
 
 The load is requests, and pieces of stages, for a replica that names how many
-a second it takes from all daemons together.
+a second it takes from all daemons together, or that is cold: it takes few
+until it has run for a while, and breaks under more.
 """
 
 from collections.abc import Callable, Iterable, Sequence
 from heapq import nlargest
-from math import inf
+from math import ceil, inf
 from random import Random
 from typing import NamedTuple
 
 from berylcart import clock, events
 from berylcart.coordination.claims.homes import weight
+from berylcart.coordination.gateway.cold_shares import (
+    MAX_SENDERS,
+    ColdBounds,
+    Share,
+    cold_share,
+    sole_share,
+)
+from berylcart.coordination.gateway.seen_members import SeenMembers
 from berylcart.state.peer_messages import LimitNews
 from berylcart.state.vm import Vm
 
@@ -20,13 +29,20 @@
 RATE_SHARE = 0.75
 # What may go at once, as the requests of this time.
 BURST_S = 1.0
-MAX_SENDERS = 64
 # Without news for this long, or up to twice that, a limit is forgotten; the
 # daemons forget it at different times, so that one that tries tells the rest.
 KEEP_S = 30.0
 # News is told again once it is older than this share of what keeps it.
 TELL_SHARE = 0.1
 MAX_LIMITS = 4096
+# News of a replica that was never heard to name a limit; nobody keeps a limit
+# for so long.
+NEVER_MS = 3_600_000
+# A replica that stays cold this much longer than was told is news.
+COLD_NEWS_S = 0.5
+# A wrong figure must not hold a replica back for long; the longest start that
+# operators know of takes some minutes.
+MAX_COLD_S = 600.0
 
 Key = tuple[str, int]
 
@@ -56,6 +72,19 @@
     )
 
 
+def named_share(per_s: float, senders: int) -> Share:
+    """Divide a limit that a replica named.
+
+    >>> named_share(4.0, 2)
+    Share(senders=2, rate_per_s=1.5, most=2.0)
+    """
+    rate_per_s = RATE_SHARE * per_s / senders
+    return Share(senders, rate_per_s, max(1.0, BURST_S * per_s / senders))
+
+
+NOTHING = Share(0, 0.0, 0.0)
+
+
 class Bucket:
     """Allow a rate of requests and a few at once, none at the start.
 
@@ -95,15 +124,27 @@
 
 
 class RequestLimits:
-    """Decide what this daemon may send to replicas that named a limit."""
+    """Decide what this daemon may send to replicas that take little.
+
+    A limit that a replica named ends when it names none; that of a cold
+    replica ends by itself. The smaller of both is in force.
+    """
 
     def __init__(
         self,
         daemon_id: str,
         member_ids: Callable[[], Sequence[str]],
         random: Random,
+        cold_bounds: ColdBounds | None = None,
     ) -> None:
         self.daemon_id = daemon_id
+        self.cold_bounds = cold_bounds or ColdBounds()
+        self.seen = SeenMembers(daemon_id)
+        # What a cold replica of a service takes a second, 0 without a limit.
+        self.cold_per_s: Callable[[str], float] = lambda service: 0.0
+        # Whether this daemon was told of others.
+        self.expects_others: Callable[[], bool] = lambda: False
+        self.cold_ends_s: dict[Key, float] = {}
         self.member_ids = member_ids
         self.keep_s = KEEP_S * (1 + random.random())
         self.limits: dict[Key, Limit] = {}
@@ -120,8 +161,11 @@
 
     def hear(self, news: LimitNews) -> None:
         """Take what another daemon heard."""
-        heard_s = clock.now_s() - news.age_ms / MS_PER_S
+        now_s = clock.now_s()
+        heard_s = now_s - news.age_ms / MS_PER_S
         key = (news.vm_id, news.incarnation)
+        if news.cold_ms:
+            self.learn_cold(key, now_s + news.cold_ms / MS_PER_S, "peer")
         self.learn(key, Limit(news.per_s, heard_s), is_own=False)
 
     def learn(self, key: Key, limit: Limit, *, is_own: bool) -> None:
@@ -130,12 +174,12 @@
         is_old = known is not None and limit.heard_s <= known.heard_s
         if is_old and not is_own:
             return
-        if known is None and len(self.limits) >= MAX_LIMITS:
-            events.warning("limit.not_kept", vm_id=key[0], limits=MAX_LIMITS)
-            return
         now_s = clock.now_s()
         if now_s - limit.heard_s >= self.keep_s:
             return
+        if known is None and len(self.limits) >= MAX_LIMITS:
+            events.warning("limit.not_kept", vm_id=key[0], limits=MAX_LIMITS)
+            return
         self.limits[key] = limit
         is_changed = known is None or known.per_s != limit.per_s
         if is_changed:
@@ -149,8 +193,80 @@
             self.set_rate(key, limit, now_s)
         age_s = inf if known is None else limit.heard_s - known.heard_s
         if is_changed or age_s > TELL_SHARE * KEEP_S:
+            self.on_news(self.news_of(key, now_s))
+
+    def news_of(self, key: Key, now_s: float) -> LimitNews:
+        """Describe all that holds for a replica."""
+        limit = self.limits.get(key)
+        per_s, age_ms = 0.0, NEVER_MS
+        if limit is not None:
+            per_s = limit.per_s
             age_ms = int((now_s - limit.heard_s) * MS_PER_S)
-            self.on_news(LimitNews(*key, limit.per_s, age_ms))
+        left_s = self.cold_ends_s.get(key, now_s) - now_s
+        cold_ms = ceil(max(0.0, left_s) * MS_PER_S)
+        return LimitNews(*key, per_s, age_ms, cold_ms)
+
+    def note_cold(
+        self, vm: Vm, cold_ms: int, source: str, *, is_fresh: bool = True
+    ) -> None:
+        """Take from an entry or an answer how long a replica stays cold.
+
+        An entry that is read late makes that longer than it is. One that may
+        be old is not passed on: a daemon that starts would make replicas seem
+        cold to all others.
+        """
+        end_s = clock.now_s() + cold_ms / MS_PER_S
+        key = (vm.vm_id, vm.incarnation)
+        self.learn_cold(key, end_s, source, is_fresh=is_fresh)
+
+    def learn_cold(
+        self, key: Key, end_s: float, source: str, *, is_fresh: bool = True
+    ) -> None:
+        """Keep the latest end that was heard, and tell it if it is news."""
+        now_s = clock.now_s()
+        end_s = min(end_s, now_s + MAX_COLD_S)
+        known_s = self.cold_ends_s.get(key, -inf)
+        if end_s <= max(now_s, known_s):
+            return
+        if key not in self.cold_ends_s and len(self.cold_ends_s) >= MAX_LIMITS:
+            events.warning("limit.not_kept", vm_id=key[0], limits=MAX_LIMITS)
+            return
+        self.cold_ends_s[key] = end_s
+        if known_s <= now_s:
+            # What was gained before is more than a cold replica takes.
+            self.buckets.pop(key, None)
+        if end_s - known_s <= COLD_NEWS_S:
+            return
+        events.info(
+            "replica.cold",
+            vm_id=key[0],
+            incarnation=key[1],
+            cold_ms=int((end_s - now_s) * MS_PER_S),
+            source=source,
+        )
+        if is_fresh:
+            self.on_news(self.news_of(key, now_s))
+
+    def is_cold(self, vm: Vm) -> bool:
+        """Tell whether a replica takes little as it is cold."""
+        key = (vm.vm_id, vm.incarnation)
+        end_s = self.cold_ends_s.get(key)
+        if end_s is None:
+            return False
+        if end_s <= clock.now_s():
+            del self.cold_ends_s[key]
+            self.buckets.pop(key, None)
+            return False
+        return self.cold_per_s(vm.service) > 0
+
+    def count_cold(self) -> int:
+        """Count the replicas that are cold now."""
+        now_s = clock.now_s()
+        return sum(end_s > now_s for end_s in self.cold_ends_s.values())
+
+    def note_members(self) -> None:
+        """Remember the daemons that are in sight."""
+        self.seen.note(self.member_ids())
 
     def set_rate(self, key: Key, limit: Limit, now_s: float) -> None:
         """Follow a limit that changed."""
@@ -159,12 +275,8 @@
             return
         bucket = self.buckets.get(key)
         if bucket is not None:
-            bucket.set_rate(*self.shares(limit, 1), now_s)
-
-    def shares(self, limit: Limit, senders: int) -> tuple[float, float]:
-        """Give one sender's rate and what it may send at once."""
-        rate = RATE_SHARE * limit.per_s / senders
-        return rate, max(1.0, BURST_S * limit.per_s / senders)
+            _, rate_per_s, most = named_share(limit.per_s, 1)
+            bucket.set_rate(rate_per_s, most, now_s)
 
     def limit_of(self, vm: Vm) -> Limit | None:
         """Give the limit in force at a replica."""
@@ -184,17 +296,13 @@
 
         The home of a service is the only sender of its pieces.
         """
-        limit = self.limit_of(vm)
-        if limit is None:
+        share = self.share_of(vm, is_only_sender=is_only_sender)
+        if share is None:
             return inf
-        senders = 1
-        if not is_only_sender:
-            names = choose_senders(vm.vm_id, limit.per_s, self.member_ids())
-            if self.daemon_id not in names:
-                self.buckets.pop((vm.vm_id, vm.incarnation), None)
-                return 0.0
-            senders = len(names)
-        rate, most = self.shares(limit, senders)
+        if not share.senders:
+            self.buckets.pop((vm.vm_id, vm.incarnation), None)
+            return 0.0
+        _, rate, most = share
         now_s = clock.now_s()
         bucket = self.buckets.get((vm.vm_id, vm.incarnation))
         if bucket is None:
@@ -205,6 +313,44 @@
             bucket.set_rate(rate, most, now_s)
         return bucket.tokens(now_s)
 
+    def share_of(self, vm: Vm, *, is_only_sender: bool) -> Share | None:
+        """Give this daemon's share of what a replica takes, None of all."""
+        limit = self.limit_of(vm)
+        if self.is_cold(vm):
+            per_s = self.cold_per_s(vm.service)
+            if limit is not None:
+                per_s = min(per_s, limit.per_s)
+            return self.cold_share_of(vm, per_s, is_only_sender=is_only_sender)
+        if limit is None:
+            return None
+        if is_only_sender:
+            return named_share(limit.per_s, 1)
+        names = choose_senders(vm.vm_id, limit.per_s, self.member_ids())
+        if self.daemon_id not in names:
+            return NOTHING
+        return named_share(limit.per_s, len(names))
+
+    def cold_share_of(
+        self, vm: Vm, per_s: float, *, is_only_sender: bool
+    ) -> Share:
+        """Give this daemon's share of what a cold replica takes.
+
+        The senders are chosen among all daemons that were ever seen, so that
+        those of a divided network don't all choose their own. The home of a
+        service sends while it sees more than half of them, as each part of
+        the network has its home.
+        """
+        member_ids = self.member_ids()
+        self.seen.note(member_ids)
+        if not self.seen.is_settled(expects_others=self.expects_others()):
+            return NOTHING
+        if is_only_sender:
+            is_home = self.seen.is_majority(len(member_ids))
+            return sole_share(per_s, self.cold_bounds) if is_home else NOTHING
+        share = cold_share(per_s, self.cold_bounds)
+        is_sender = self.seen.rank(vm.vm_id) < share.senders
+        return share if is_sender else NOTHING
+
     def allows(self, vm: Vm) -> bool:
         """Tell whether a request may go to a replica now."""
         return self.tokens(vm) >= 1
@@ -217,13 +363,14 @@
 
     def usable(self, pool: Sequence[Vm]) -> Sequence[Vm]:
         """List the replicas that a request may go to now."""
-        if not self.limits:
+        if not self.limits and not self.cold_ends_s:
             return pool
         return [vm for vm in pool if self.allows(vm)]
 
     def retain(self, vms: Iterable[Vm]) -> None:
         """Forget replicas that are gone."""
         kept = {(vm.vm_id, vm.incarnation) for vm in vms}
-        for key in self.limits.keys() - kept:
-            del self.limits[key]
+        for key in (self.limits.keys() | self.cold_ends_s.keys()) - kept:
+            self.limits.pop(key, None)
+            self.cold_ends_s.pop(key, None)
             self.buckets.pop(key, None)
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -49,15 +49,26 @@
 
 
 class HeardLimit(NamedTuple):
-    """Hold a replica's limit and when it was named."""
+    """Hold a replica's limit, when it was named and when it was told."""
 
     news: LimitNews
     heard_s: float
+    told_s: float
 
     def aged(self, at_s: float) -> LimitNews:
-        """Give the news with its age then, a hop's time added."""
+        """Give the news with its age then, a hop's time added.
+
+        The replica stays cold for what is left, without a hop's time: it must
+        not count as warm too early.
+
+        >>> heard = HeardLimit(LimitNews("v1", 1, 2.0, 500, 3000), 9.5, 10.0)
+        >>> heard.aged(11.0).cold_ms, heard.aged(11.0).age_ms >= 1500
+        (2000, True)
+        """
         age_ms = int((at_s - self.heard_s) * MS_PER_S) + HOP_ALLOWANCE_MS
-        return self.news._replace(age_ms=age_ms)
+        passed_ms = int((at_s - self.told_s) * MS_PER_S)
+        cold_ms = max(0, self.news.cold_ms - passed_ms)
+        return self.news._replace(age_ms=age_ms, cold_ms=cold_ms)
 
 
 class Gossiper:
@@ -111,9 +122,10 @@
 
     def tell_limit(self, news: LimitNews) -> None:
         """Pass on what a replica takes."""
-        heard_s = now_s() - news.age_ms / MS_PER_S
+        told_s = now_s()
+        heard_s = told_s - news.age_ms / MS_PER_S
         if len(self._limits) < self._settings.max_marks:
-            self._limits[news.vm_id] = HeardLimit(news, heard_s)
+            self._limits[news.vm_id] = HeardLimit(news, heard_s, told_s)
             transmissions = self.roster.transmissions()
             self._limit_rumours.add(news.vm_id, transmissions)
 
--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -109,6 +109,7 @@
         incarnation=news.incarnation,
         per_s=news.per_s,
         age_ms=clamp_age(news.age_ms),
+        cold_ms=clamp_age(news.cold_ms),
     )
 
 
@@ -117,7 +118,11 @@
     if not 0 <= message.per_s < inf:
         raise ValueError("a limit is a number from 0")
     return LimitNews(
-        message.vm_id, message.incarnation, message.per_s, message.age_ms
+        message.vm_id,
+        message.incarnation,
+        message.per_s,
+        message.age_ms,
+        message.cold_ms,
     )
 
 
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -39,13 +39,15 @@
 class LimitNews(NamedTuple):
     """Report the requests a second that a replica takes from all daemons.
 
-    per_s is 0 where its newest answer named no limit.
+    per_s is 0 where its newest answer named no limit. cold_ms is for how long
+    the replica stays cold, 0 where it isn't.
     """
 
     vm_id: str
     incarnation: int
     per_s: float
     age_ms: int = 0
+    cold_ms: int = 0
 
 
 class ConfigFreshness(NamedTuple):
--- a/packages/berylcart/src/berylcart/state/routes.py
+++ b/packages/berylcart/src/berylcart/state/routes.py
@@ -106,6 +106,8 @@
     max_connections: int
     batches: BatchLimits | None = None
     engine: EngineLimits | None = None
+    # The requests a second that a cold replica takes, 0 without a limit.
+    cold_per_s: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/packages/berylcart/tests/coordination/gateway/test_batcher.py
+++ b/packages/berylcart/tests/coordination/gateway/test_batcher.py
@@ -13,6 +13,7 @@
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.coordination.gateway.retry_window import RetryWindow
+from berylcart.coordination.gateway.seen_members import SETTLE_S
 from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
 from berylcart.state.relayed import PieceFailure, PieceResult
 from berylcart.state.routes import BatchLimits
@@ -863,3 +864,29 @@
         await with_batcher(batcher, body)
 
     run(check)
+
+
+def test_cold_replica_makes_pieces_only_where_the_warm_one_is_busy():
+    """A cold replica breaks under calls that a warm one could take."""
+
+    async def check():
+        replicas = FakeReplicas()
+        cold, warm = make_vm("v1"), make_vm("v2")
+        batcher = make_batcher(replicas, [cold, warm])
+        limits = batcher.request_limits
+        limits.cold_per_s = lambda service: 5.9
+        limits.note_members()
+        await anyio.sleep(SETTLE_S)
+        limits.note_cold(cold, 60_000, "entry")
+        limits.tokens(cold, is_only_sender=True)
+        await anyio.sleep(2)
+
+        async def body(_):
+            await batcher.make(make_order("r1", 8))
+            assert replicas.calls == [("v2", 8)]
+            await batcher.make(make_order("r2", 10))
+            assert replicas.calls[1:] == [("v2", 8), ("v1", 2)]
+
+        await with_batcher(batcher, body)
+
+    run(check)
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_cold_limits.py
@@ -0,0 +1,387 @@
+"""Play many daemons, in touch or not, before cold replicas."""
+
+import random
+from math import inf
+
+import pytest
+from berylcart import clock
+from berylcart.coordination.gateway.cold_shares import (
+    ARRIVAL_S,
+    ColdBounds,
+    cold_share,
+    sole_share,
+)
+from berylcart.coordination.gateway.request_limits import (
+    NEVER_MS,
+    RequestLimits,
+)
+from berylcart.coordination.gateway.seen_members import SETTLE_S
+from berylcart.state.peer_messages import LimitNews
+from berylcart.state.relayed import ReplicaNotice
+
+from ..gateway_fakes import (
+    BOOKING,
+    SERVICE,
+    make_keeper,
+    make_policy,
+    make_vm,
+)
+from ..serving_fakes import run
+from .test_request_limits import ANSWER_S, SPREAD_S, STEP_S, Fleet, Sent
+
+COLD_PER_S = 5.9
+ALLOWED = 1.5 * COLD_PER_S + 5
+# An entry reaches the daemons within one reading of the store.
+ENTRY_S = 0.6
+CONNECT_S = 0.4
+SIZES = [7, 65, 300]
+
+
+class ColdFleet(Fleet):
+    """Send to replicas that say in their entry that they are cold."""
+
+    def __init__(self, size, monkeypatch):
+        super().__init__(size, 0.0, max(150.0, 5.0 * size))
+        self.monkeypatch = monkeypatch
+        self.arrived = {"v1": [], "v2": []}
+        self.known = set()
+        self.entries = {}
+        self.groups = [set(self.names)]
+        self.frozen = set()
+        self.pass_time(0.1)
+        for daemon in self.daemons:
+            daemon.note_members()
+        self.pass_time(SETTLE_S)
+
+    def make_daemon(self, name):
+        """Build one daemon."""
+        limits = super().make_daemon(name)
+        limits.cold_per_s = lambda service: COLD_PER_S
+        limits.expects_others = lambda: len(self.names) > 1
+        limits.on_news = lambda news: self.tell(name, news)
+        return limits
+
+    def tell(self, sender, news):
+        """Tell the daemons that a sender can reach."""
+        told_s = self.now_s
+        group = next(each for each in self.groups if sender in each)
+        for number, name in enumerate(self.names):
+            if name not in group:
+                continue
+
+            def hear(number=number):
+                passed_ms = int((self.now_s - told_s) * 1000)
+                aged = news._replace(
+                    age_ms=news.age_ms + passed_ms,
+                    cold_ms=max(0, news.cold_ms - passed_ms),
+                )
+                self.daemons[number].hear(aged)
+
+            self.after(self.random.uniform(0.05, SPREAD_S), hear)
+
+    def part(self, count):
+        """Divide the network into groups that don't see one another."""
+        self.groups = [set(self.names[n::count]) for n in range(count)]
+        for group in self.groups:
+            for name in group:
+                self.views[name] = sorted(group)
+                self.daemons[self.names.index(name)].note_members()
+
+    def restart(self, number):
+        """Start a daemon again, which knows nothing."""
+        name = self.names[number]
+        self.daemons[number] = self.make_daemon(name)
+        self.daemons[number].note_members()
+        self.known = {each for each in self.known if each[0] != number}
+        for vm_id, cold_ms in self.entries.items():
+            self.read_entry(number, vm_id, cold_ms, is_fresh=False)
+
+    def read_entry(self, number, vm_id, cold_ms, *, is_fresh=True):
+        """Let one daemon read a replica's entry soon."""
+        daemon = self.daemons[number]
+
+        def read():
+            daemon.note_cold(
+                make_vm(vm_id), cold_ms, "entry", is_fresh=is_fresh
+            )
+            if self.daemons[number] is daemon:
+                self.known.add((number, vm_id))
+
+        self.after(self.random.uniform(0, ENTRY_S), read)
+
+    def write_entry(self, vm_id, cold_ms=60_000):
+        """Let all daemons read a replica's entry."""
+        self.entries[vm_id] = cold_ms
+        for number in range(len(self.names)):
+            self.read_entry(number, vm_id, cold_ms)
+
+    def send(self, number):
+        """Send a request to each replica that this daemon may send to."""
+        if number in self.frozen:
+            return
+        for vm_id in self.arrived:
+            if (number, vm_id) in self.known:
+                self.send_to(number, make_vm(vm_id))
+
+    def send_to(self, number, vm):
+        """Send one request, which may wait for its connection."""
+        daemon = self.daemons[number]
+        if not daemon.allows(vm):
+            return
+        daemon.take(vm)
+        self.sent.append(Sent(self.now_s, number, inf))
+        at_s = self.now_s + self.random.choice([0.0, CONNECT_S])
+        self.arrived[vm.vm_id].append(at_s)
+        per_s = self.per_s
+        self.after(ANSWER_S, lambda: daemon.note_answer(vm, per_s))
+
+    def pass_time(self, length_s):
+        """Let time pass."""
+        self.play(length_s, self.monkeypatch)
+
+    def most_in(self, window_s, vm_id="v1", start_s=0.0):
+        """Count what a replica got in the fullest window."""
+        times = sorted(at_s for at_s in self.arrived[vm_id] if at_s >= start_s)
+        return max(
+            (
+                sum(at_s <= each < at_s + window_s for each in times)
+                for at_s in times
+            ),
+            default=0,
+        )
+
+
+@pytest.fixture(params=SIZES)
+def fleet(request, monkeypatch):
+    """Build a fleet of each size, all of whose daemons know one another."""
+    return ColdFleet(request.param, monkeypatch)
+
+
+def test_cold_replica_gets_little_but_something(fleet):
+    fleet.write_entry("v1")
+    fleet.pass_time(15)
+    assert fleet.most_in(1.0) <= ALLOWED
+    # Two senders that keep up half of what it takes.
+    assert len(fleet.arrived["v1"]) >= 20
+
+
+def test_two_replicas_that_are_cold_at_once_are_bounded_each(fleet):
+    fleet.write_entry("v1")
+    fleet.write_entry("v2")
+    fleet.pass_time(10)
+    for vm_id in ("v1", "v2"):
+        assert 0 < fleet.most_in(1.0, vm_id) <= ALLOWED
+
+
+def test_parts_of_a_network_that_started_anew_stay_within_the_bound(fleet):
+    """Each part chooses senders of its own: the worst case worked out."""
+    fleet.part(2)
+    fleet.write_entry("v1")
+    for number in range(len(fleet.names)):
+        fleet.restart(number)
+    fleet.pass_time(SETTLE_S + 15)
+    assert 0 < fleet.most_in(1.0) <= ALLOWED
+
+
+def test_daemons_all_cut_off_from_one_another_stay_within_the_bound(fleet):
+    """A daemon alone must not take the share of those it can't see."""
+    fleet.part(len(fleet.names))
+    fleet.write_entry("v1")
+    fleet.pass_time(10)
+    assert 0 < fleet.most_in(1.0) <= ALLOWED
+
+
+def test_daemons_cut_off_and_started_again_send_nothing(fleet):
+    """Without a view of the others, nobody knows what they send."""
+    fleet.part(len(fleet.names))
+    fleet.write_entry("v1")
+    fleet.pass_time(0.02)
+    for number in range(len(fleet.names)):
+        fleet.restart(number)
+    fleet.pass_time(SETTLE_S + 5)
+    assert fleet.most_in(1.0, start_s=fleet.now_s - 5) == 0
+
+
+def test_daemons_that_start_again_in_turn_stay_within_the_bound(fleet):
+    """A bucket that starts again must not start full."""
+    fleet.write_entry("v1")
+    for _ in range(40):
+        fleet.pass_time(0.25)
+        fleet.restart(fleet.random.randrange(len(fleet.names)))
+    assert fleet.most_in(1.0) <= ALLOWED
+
+
+def test_daemons_that_start_together_send_nothing_before_they_meet(fleet):
+    """Each must not take itself and its seed for the only daemons."""
+    fleet.write_entry("v1")
+    fleet.pass_time(0.1)
+    for number, name in enumerate(fleet.names):
+        fleet.views[name] = [name, fleet.names[number - 1]]
+        fleet.restart(number)
+    fleet.pass_time(3)
+    for name in fleet.names:
+        fleet.views[name] = list(fleet.names)
+    fleet.pass_time(10)
+    assert 0 < fleet.most_in(1.0) <= ALLOWED
+
+
+def test_daemons_that_freeze_and_wake_together_send_no_burst(fleet):
+    fleet.write_entry("v1")
+    fleet.pass_time(3)
+    fleet.frozen = set(range(len(fleet.names)))
+    fleet.pass_time(6)
+    fleet.frozen = set()
+    for number in list(range(len(fleet.names))) * 5:
+        fleet.send(number)
+    fleet.pass_time(3)
+    assert fleet.most_in(1.0) <= ALLOWED
+
+
+def test_cold_replica_that_names_a_limit_keeps_to_the_smaller(fleet):
+    fleet.per_s = 2.0
+    fleet.write_entry("v1")
+    fleet.pass_time(15)
+    assert 0 < fleet.most_in(4.0) <= 1.5 * 2.0 * 4 + 5
+    assert len(fleet.arrived["v1"]) <= 2.0 * 15
+
+
+def test_replica_that_becomes_cold_again_is_spared_by_all(fleet):
+    """Only one answer says so; the news must reach the other daemons."""
+    fleet.write_entry("v1", cold_ms=1)
+    fleet.pass_time(1)
+    assert fleet.most_in(1.0) > ALLOWED
+    fleet.daemons[0].note_cold(make_vm("v1"), 60_000, "answer")
+    fleet.pass_time(10)
+    start_s = fleet.now_s - 10 + SPREAD_S + CONNECT_S + STEP_S
+    assert 0 < fleet.most_in(1.0, start_s=start_s) <= ALLOWED
+
+
+def test_limit_of_a_cold_replica_ends_by_itself(fleet):
+    fleet.write_entry("v1", cold_ms=3000)
+    fleet.pass_time(3000 / 1000 + ENTRY_S + STEP_S)
+    assert all(each.allows(make_vm("v1")) for each in fleet.daemons)
+
+
+@pytest.mark.parametrize("per_s", [0.2, 1.0, 5.9, 40.0, 300.0])
+@pytest.mark.parametrize(
+    "bounds", [ColdBounds(), ColdBounds(1.0, 1.0), ColdBounds(1.2, 20.0)]
+)
+def test_two_parts_together_keep_any_bound(per_s, bounds):
+    """What all send at once and in a window is under half of the bound."""
+    allowed = bounds.overshoot * per_s + bounds.slack
+    for share in (cold_share(per_s, bounds), sole_share(per_s, bounds)):
+        most = share.senders * (share.most + ARRIVAL_S * share.rate_per_s)
+        assert 2 * most <= allowed + 1e-9
+
+
+def make_limits(monkeypatch, names=("d1", "d2", "d3")):
+    """Build one daemon's limits whose view has settled, and its clock."""
+    time = [0.0]
+    monkeypatch.setattr(clock, "now_s", lambda: time[0])
+    views = [list(names)]
+    limits = RequestLimits("d1", lambda: views[0], random.Random(1))
+    limits.cold_per_s = lambda service: COLD_PER_S
+    limits.note_members()
+    time[0] = SETTLE_S
+    return limits, time, views
+
+
+def test_entry_that_may_be_old_is_not_passed_on(monkeypatch):
+    """A daemon that starts must not make replicas cold for all others."""
+    limits, _, _ = make_limits(monkeypatch)
+    told = []
+    limits.on_news = told.append
+    limits.note_cold(make_vm("v1"), 3000, "entry", is_fresh=False)
+    assert limits.is_cold(make_vm("v1"))
+    assert not told
+
+
+def test_earlier_end_does_not_shorten_and_an_old_entry_does_not_end(
+    monkeypatch,
+):
+    limits, time, _ = make_limits(monkeypatch)
+    vm = make_vm("v1")
+    limits.note_cold(vm, 3000, "entry")
+    limits.note_cold(vm, 1000, "answer")
+    limits.note_cold(vm, 0, "answer")
+    time[0] += 2.9
+    assert limits.is_cold(vm)
+    assert limits.count_cold() == 1
+    time[0] += 0.1
+    assert not limits.is_cold(vm)
+    assert limits.tokens(vm) == inf
+
+
+def test_service_without_a_figure_has_no_cold_replicas(monkeypatch):
+    limits, _, _ = make_limits(monkeypatch)
+    limits.cold_per_s = lambda service: 0.0
+    limits.note_cold(make_vm("v1"), 3000, "entry")
+    assert limits.tokens(make_vm("v1")) == inf
+
+
+def test_started_again_replica_is_cold_only_by_its_own_word(monkeypatch):
+    limits, _, _ = make_limits(monkeypatch)
+    vm = make_vm("v1")
+    limits.note_cold(vm, 3000, "entry")
+    again = vm._replace(incarnation=2)
+    assert not limits.is_cold(again)
+    limits.retain([again])
+    assert not limits.cold_ends_s
+
+
+def test_home_in_a_small_part_sends_no_pieces_to_a_cold_replica(monkeypatch):
+    """Each part of the network has a home for a service."""
+    limits, time, views = make_limits(monkeypatch)
+    vm = make_vm("v1")
+    limits.note_cold(vm, 60_000, "entry")
+    assert limits.tokens(vm, is_only_sender=True) == 0
+    time[0] += 1
+    assert limits.tokens(vm, is_only_sender=True) >= 1
+    views[0] = ["d1"]
+    time[0] += 5
+    assert limits.tokens(vm, is_only_sender=True) == 0
+
+
+def test_news_tell_of_both_and_an_older_daemon_learns_no_limit(monkeypatch):
+    """Older daemons read per_s only, and would take 0 for its end."""
+    limits, _, _ = make_limits(monkeypatch)
+    told = []
+    limits.on_news = told.append
+    vm = make_vm("v1")
+    limits.note_cold(vm, 3000, "entry")
+    limits.note_cold(vm, 3100, "answer")
+    limits.note_answer(vm, 2.0)
+    assert told == [
+        LimitNews("v1", 1, 0.0, NEVER_MS, 3000),
+        LimitNews("v1", 1, 2.0, 0, 3100),
+    ]
+    other, _, _ = make_limits(monkeypatch)
+    other.note_answer(vm, 4.0)
+    other.hear(told[0])
+    assert other.limit_of(vm).per_s == 4.0
+    assert other.is_cold(vm)
+
+
+def test_cold_replica_is_skipped_while_a_warm_one_has_capacity():
+    async def check():
+        policy = make_policy(make_keeper(BOOKING), ("v1", "v2"))
+        cold, warm = make_vm("v1"), make_vm("v2")
+        policy.limits.cold_per_s = lambda service: COLD_PER_S
+        policy.note_notice(cold, ReplicaNotice(cold_ms=30_000))
+        policy.limits.note_members()
+        assert not policy.takes_now(cold, SERVICE)
+
+        def chosen(tried=frozenset()):
+            return {policy.choose(SERVICE, "", tried).vm_id for _ in range(30)}
+
+        assert chosen() == {"v2"}
+        policy.limits.seen.started_s -= SETTLE_S
+        assert not policy.limits.allows(cold)
+        policy.limits.buckets["v1", 1].left = 1.0
+        assert chosen() == {"v2"}
+        assert chosen({"v2"}) == {"v1"}
+        for _ in range(policy.load_table.capacity(warm)):
+            policy.load_table.started(warm)
+        assert "v1" in chosen()
+
+    run(check)
--- a/packages/berylcart/tests/protocol/test_peer_codec.py
+++ b/packages/berylcart/tests/protocol/test_peer_codec.py
@@ -7,7 +7,7 @@
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.json_values import MessageError
 from berylcart.state.errors import BerylcartError
-from berylcart.state.peer_messages import ConfigOffer
+from berylcart.state.peer_messages import ConfigOffer, LimitNews
 from berylcart.state.records import Checkpoint, Verdict
 from google.protobuf.message import DecodeError
 from hypothesis import given, seed, settings
@@ -36,6 +36,16 @@
         codec.decode_config_offer(message)
 
 
+def test_limit_keeps_the_time_for_which_its_replica_is_cold():
+    news = LimitNews("v1", 7, 2.5, 400, 3000)
+    assert codec.decode_limit(codec.encode_limit(news)) == news
+
+
+def test_limit_of_an_older_daemon_is_of_no_cold_replica():
+    message = pb.LimitMessage(vm_id="v1", incarnation=7, per_s=2.5)
+    assert codec.decode_limit(message).cold_ms == 0
+
+
 DECODERS = [
     (pb.PingMessage, codec.decode_ping),
     (pb.PingRequestMessage, codec.decode_ping_request),
