--- a/packages/berylcart/tests/coordination/gateway/test_cold_limits.py
+++ b/packages/berylcart/tests/coordination/gateway/test_cold_limits.py
@@ -183,6 +183,14 @@
     assert 0 < fleet.most_in(1.0) <= ALLOWED
 
 
+def test_many_parts_whose_daemons_met_before_stay_within_the_bound(fleet):
+    """Each part would choose senders among the daemons in sight."""
+    fleet.part(max(3, len(fleet.names) // 4))
+    fleet.write_entry("v1")
+    fleet.pass_time(10)
+    assert 0 < fleet.most_in(1.0) <= ALLOWED
+
+
 def test_daemons_all_cut_off_from_one_another_stay_within_the_bound(fleet):
     """A daemon alone must not take the share of those it can't see."""
     fleet.part(len(fleet.names))
