Use Replica-Load, and treat a restart under the same id as a new replica

Cause: Replica-Load was dropped unread. LoadTable and Ejector told replicas apart by id and instance, which stay the same for one that starts again with a later born; orders to drop results of the former process reached the new one.

Change: waiting and slots of a plain service's replica go to LoadTable.reported; the percent of a stage replica counts as a measurement of its slowness with 0.3 of a call's weight. VmKey has the incarnation.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -28,7 +28,7 @@
 from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.member_table import Member
-from berylcart.state.relayed import Refusal
+from berylcart.state.relayed import Refusal, ReplicaNotice
 from berylcart.state.routes import BatchLimits, CallerLimits, RouteTable
 from berylcart.state.tail import LogPart
 from berylcart.state.vm import Vm
@@ -149,7 +149,7 @@
             self.request_limits,
         )
         self.policy.on_leaving = self.note_leaving
-        self.ports.pieces.on_notice = self.policy.note_notice
+        self.ports.pieces.on_notice = self.note_piece_notice
         self.holders: dict[str, Vm] = {}
         self.directory.on_change = self.note_replicas
         self.relay = RelayClient(self.ports.wire.read_answer)
@@ -281,6 +281,13 @@
         """Learn from a replica's entry that it is cold."""
         self.request_limits.note_cold(vm, cold_ms, "entry", is_fresh=is_fresh)
 
+    def note_piece_notice(self, vm: Vm, notice: ReplicaNotice) -> None:
+        """Learn what an answer to a piece call says of its replica."""
+        self.policy.note_notice(vm, notice)
+        batcher = self.batchers.get(vm.service)
+        if batcher is not None and notice.load is not None:
+            batcher.note_load(vm, notice.load)
+
     def note_leaving(self, vm: Vm) -> None:
         """Learn from a replica's own answer that it is leaving."""
         if self.directory.leaving.is_leaving(vm.vm_id, vm.incarnation):
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -10,6 +10,7 @@
 from berylcart.coordination.gateway.maker_state import (
     FIRST_PAUSE_S,
     MAX_PAUSE_S,
+    REPORT_SHARE,
     Held,
 )
 from berylcart.coordination.gateway.makers import Makers
@@ -33,11 +34,12 @@
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.shedder import Shedder
 from berylcart.state.errors import BerylcartError, Code
-from berylcart.state.relayed import PieceFailure, PieceResult
+from berylcart.state.relayed import PieceFailure, PieceResult, ReplicaLoad
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
+PERCENT = 100
 # An answer of the gateway's own must reach the caller before it leaves.
 GIVE_UP_S = 0.1
 # A call that takes this many times the expected time hangs.
@@ -394,6 +396,12 @@
             )
             self.drop(unwanted)
 
+    def note_load(self, vm: Vm, load: ReplicaLoad) -> None:
+        """Take what a replica says of its speed."""
+        ratio = load.percent / PERCENT
+        state = self.makers.state(vm)
+        state.learn(ratio, clock.now_s(), REPORT_SHARE)
+
     def drop(self, handles: Sequence[str]) -> None:
         """Drop results soon, those of one replica together."""
         if self.tasks is None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -112,13 +112,10 @@
 
     def choose(self, service: str, affinity: str, tried: Set[str]) -> Vm:
         """Choose where an attempt runs; raises NO_UPSTREAM."""
-        info = self.tables.require().services.get(service)
-        is_engine = info is not None and info.engine is not None
-        kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
         pool = self.pool(service)
         vm = self.router.choose(
             self.ready(pool, tried),
-            service=Service(service, kind, frozenset()),
+            service=Service(service, self.kind_of(service), frozenset()),
             affinity=affinity,
             exclude=frozenset(tried),
         )
@@ -126,6 +123,12 @@
             raise no_replica(service, self.pauses.shortest_s(pool))
         return vm
 
+    def kind_of(self, service: str) -> ServiceKind:
+        """Tell services of engines from all others."""
+        info = self.tables.require().services.get(service)
+        is_engine = info is not None and info.engine is not None
+        return ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
+
     def ready(self, pool: Sequence[Vm], tried: Set[str]) -> Sequence[Vm]:
         """List the replicas that may be sent a request now.
 
@@ -150,6 +153,12 @@
     def note_notice(self, vm: Vm, notice: ReplicaNotice) -> None:
         """Take what an answer said of its replica."""
         self.limits.note_answer(vm, notice.limit_per_s)
+        if (
+            notice.load is not None
+            and self.kind_of(vm.service) is ServiceKind.PLAIN
+        ):
+            running, waiting, slots, _ = notice.load
+            self.load_table.reported(vm, running, waiting, slots, age_ms=0)
         if notice.retry_after_s is not None:
             self.pauses.note(vm, notice.retry_after_s)
         if notice.cold_ms is not None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/maker_state.py
@@ -10,6 +10,9 @@
 # A slow call costs more than a fast one gains, so it counts for more.
 SLOWING = 0.7
 RECOVERING = 0.4
+# What a replica says of its speed is of one instant and changes many times a
+# second, so it counts for less than a call that was measured.
+REPORT_SHARE = 0.3
 # A replica that was slow is tried again: what is known of it grows old.
 SLOWNESS_HALF_LIFE_S = 6.0
 # How long the memory of a full replica holds.
@@ -57,10 +60,13 @@
         weight: float = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
         return 1.0 + max(0.0, self.slowness - 1.0) * weight
 
-    def learn(self, ratio: float, now_s: float) -> None:
-        """Take in how long a call took against what was expected."""
+    def learn(self, ratio: float, now_s: float, share: float = 1.0) -> None:
+        """Take in how long a call took against what was expected.
+
+        share is how much that counts beside a measured call.
+        """
         old = self.slowness_at(now_s)
-        weight = SLOWING if ratio > old else RECOVERING
+        weight = share * (SLOWING if ratio > old else RECOVERING)
         self.slowness = old + weight * (ratio - old)
         self.judged_at_s = now_s
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -1,6 +1,7 @@
 """Know the replicas that make pieces, and what they hold."""
 
 from collections.abc import Callable, Iterator, Sequence
+from typing import NamedTuple
 
 import anyio
 
@@ -16,6 +17,13 @@
 MS_PER_S = 1000
 
 
+class Former(NamedTuple):
+    """Tell which start of a replica made a result, and until when it lasts."""
+
+    key: tuple[str, int]
+    until_s: float
+
+
 class Makers:
     """Hold what is known of one service's replicas."""
 
@@ -29,6 +37,8 @@
         self.pool = pool
         self.pauses = pauses
         self.states: dict[tuple[str, int], MakerState] = {}
+        # Results of replicas that are not in use any more, by handle.
+        self.former: dict[str, Former] = {}
 
     def state(self, vm: Vm) -> MakerState:
         """Find what is known of a replica."""
@@ -42,9 +52,20 @@
         """Forget replicas that are gone and have no call."""
         kept = {(vm.vm_id, vm.incarnation) for vm in pool}
         for key in self.states.keys() - kept:
-            if not self.states[key].calls:
+            state = self.states[key]
+            self.note_former(key, state)
+            if not state.calls:
                 del self.states[key]
 
+    def note_former(self, key: tuple[str, int], state: MakerState) -> None:
+        """Remember whose the results of a replica were while they last."""
+        now_s = clock.now_s()
+        for handle, former in list(self.former.items()):
+            if former.until_s <= now_s:
+                del self.former[handle]
+        for handle, held in state.results.items():
+            self.former[handle] = Former(key, held.until_s)
+
     def describe(self, vm: Vm, limits: BatchLimits, now_s: float) -> Maker:
         """Describe a replica for a decision."""
         state = self.state(vm)
@@ -102,15 +123,25 @@
     def by_holder(
         self, handles: Sequence[str]
     ) -> Iterator[tuple[Vm, list[str]]]:
-        """Group results by the replica that holds them."""
-        holders = {vm.address: vm for vm in self.pool()}
+        """Group results by the replica that holds them.
+
+        Another start of a replica at the same address holds none of them.
+        """
+        pool = self.pool()
+        self.retain(pool)
+        holders = {vm.address: vm for vm in pool}
         held: dict[str, list[str]] = {}
         for handle in handles:
-            held.setdefault(self.caller.holder(handle), []).append(handle)
+            vm = holders.get(self.caller.holder(handle))
+            if vm is not None and not self.is_former(handle, vm):
+                held.setdefault(vm.address, []).append(handle)
         for address, group in held.items():
-            vm = holders.get(address)
-            if vm is not None:
-                yield vm, group
+            yield holders[address], group
+
+    def is_former(self, handle: str, vm: Vm) -> bool:
+        """Tell whether a result went with another start of its replica."""
+        former = self.former.get(handle)
+        return former is not None and former.key != (vm.vm_id, vm.incarnation)
 
     def note_spare(self, handles: Sequence[str]) -> None:
         """Note results that may give way to others."""
--- a/packages/berylcart/src/berylcart/coordination/policy/load_table.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/load_table.py
@@ -8,7 +8,7 @@
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.vm import Vm
 
-VmKey = tuple[str, str]
+VmKey = tuple[str, str, int]
 
 REPORT_HALF_LIFE_S = 5.0
 REPORT_SMOOTHING = 0.1
@@ -26,8 +26,11 @@
 
 
 def key_of(vm: Vm) -> VmKey:
-    """Identify one instance behind a VM's address."""
-    return (vm.vm_id, vm.instance)
+    """Identify one start of one instance behind a VM's address.
+
+    An upstream may start again under the same names.
+    """
+    return (vm.vm_id, vm.instance, vm.incarnation)
 
 
 def decay(age_s: float, half_life_s: float) -> float:
--- /dev/null
+++ b/packages/berylcart/tests/coordination/gateway/test_replica_restart.py
@@ -0,0 +1,161 @@
+"""Check that nothing learnt of a replica outlives its restart."""
+
+import anyio
+from berylcart.coordination.policy.ejection import MAX_FAILURES_IN_ROW
+from berylcart.state.relayed import ReplicaLoad, ReplicaNotice
+
+from ..gateway_fakes import (
+    BOOKING,
+    RESUMABLE,
+    SERVICE,
+    make_keeper,
+    make_policy,
+    make_vm,
+)
+from ..serving_fakes import run
+from .test_batcher import (
+    FakeReplicas,
+    make_batcher,
+    make_order,
+    with_batcher,
+)
+from .test_batcher import make_vm as make_maker
+
+OLD = make_vm("v1")
+NEW = OLD._replace(incarnation=2)
+
+
+def test_failures_and_load_are_those_of_one_start():
+    """A new process must not be left out for what the former one did."""
+
+    async def check():
+        policy = make_policy(make_keeper(BOOKING))
+        others = [make_vm("v2"), make_vm("v3")]
+        for vm in others:
+            policy.ejector.note(vm, 10.0, is_ok=True)
+        for _ in range(MAX_FAILURES_IN_ROW):
+            policy.load_table.started(OLD)
+            policy.ejector.note(OLD, 10.0, is_ok=False)
+        assert OLD not in policy.ejector.usable([OLD, *others])
+        assert NEW in policy.ejector.usable([NEW, *others])
+        assert policy.load_table.in_flight(OLD)
+        assert not policy.load_table.in_flight(NEW)
+        assert policy.load_table.occupancy(NEW) == 0
+
+    run(check)
+
+
+def test_limits_pauses_and_the_cold_state_are_those_of_one_start():
+    async def check():
+        policy = make_policy(make_keeper(BOOKING))
+        policy.limits.cold_per_s = lambda service: 5.9
+        notice = ReplicaNotice(
+            limit_per_s=0.5, retry_after_s=9.0, cold_ms=9000
+        )
+        policy.note_notice(OLD, notice)
+        assert not policy.ready([OLD], frozenset())
+        assert policy.ready([NEW], frozenset()) == [NEW]
+        policy.retain((NEW,))
+        assert not policy.limits.limits
+        assert not policy.limits.cold_ends_s
+        assert not policy.pauses.ends_s
+
+    run(check)
+
+
+def test_results_of_a_former_start_are_forgotten():
+    """Orders to drop them would reach a process that never made them."""
+
+    async def check():
+        replicas = FakeReplicas()
+        pool = [make_maker("v1")]
+        batcher = make_batcher(replicas, pool)
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1", 3))
+            old = pool[0]
+            assert batcher.makers.state(old).held_bytes
+            pool[0] = old._replace(incarnation=2)
+            batcher.drop(handles[:2])
+            await anyio.sleep(1)
+            assert not replicas.freed
+            assert not batcher.makers.state(pool[0]).held_bytes
+            batcher.drop(["v1:80/of-another-home"])
+            await anyio.sleep(1)
+            assert replicas.freed == ["v1:80/of-another-home"]
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_results_waiting_to_be_dropped_are_forgotten_with_their_replica():
+    async def check():
+        replicas = FakeReplicas()
+        pool = [make_maker("v1")]
+        batcher = make_batcher(replicas, pool)
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1", 3))
+            batcher.drop(handles)
+            pool[0] = pool[0]._replace(incarnation=2)
+            await anyio.sleep(1)
+            assert not replicas.freed
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_results_of_a_replica_that_is_back_are_dropped():
+    """An entry may lapse while its replica runs on."""
+
+    async def check():
+        replicas = FakeReplicas()
+        pool = [make_maker("v1")]
+        batcher = make_batcher(replicas, pool)
+
+        async def body(_):
+            handles = await batcher.make(make_order("r1", 1))
+            vm = pool.pop()
+            batcher.makers.retain(pool)
+            pool.append(vm)
+            batcher.drop(handles)
+            await anyio.sleep(1)
+            assert replicas.freed == list(handles)
+
+        await with_batcher(batcher, body)
+
+    run(check)
+
+
+def test_reported_load_counts_for_plain_services_only():
+    """An engine's slots say nothing of its latency."""
+
+    async def check():
+        load = ReplicaLoad(running=4, waiting=30, slots=4)
+        policy = make_policy(make_keeper(BOOKING))
+        policy.note_notice(make_vm("v2", "plain"), ReplicaNotice(load=load))
+        assert policy.load_table.capacity(make_vm("v2", "plain")) == 4
+        assert policy.load_table.occupancy(make_vm("v2", "plain")) > 1
+        engine = make_policy(make_keeper(RESUMABLE))
+        engine.note_notice(make_vm("v1", SERVICE), ReplicaNotice(load=load))
+        assert engine.load_table.occupancy(make_vm("v1", SERVICE)) == 0
+
+    run(check)
+
+
+def test_reported_speed_counts_less_than_a_measured_call():
+    """One instant must not make a replica slow for long."""
+
+    async def check():
+        batcher = make_batcher(FakeReplicas(), [make_maker("v1")])
+        state = batcher.makers.state(make_maker("v1"))
+        batcher.note_load(make_maker("v1"), ReplicaLoad(1, 0, 1, 300))
+        once = state.slowness_at(anyio.current_time())
+        assert 1.2 < once < 1.6
+        for _ in range(20):
+            batcher.note_load(make_maker("v1"), ReplicaLoad(1, 0, 1, 300))
+        assert state.slowness_at(anyio.current_time()) > 2.5
+
+    run(check)
