--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -11,6 +11,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batcher import Batcher
+from berylcart.coordination.gateway.cold_shares import ColdBounds
 from berylcart.coordination.gateway.engine_home import EngineHome
 from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.forwarder import Forwarder
@@ -30,7 +31,7 @@
 from berylcart.coordination.policy.vm_directory import VmDirectory
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.member_table import Member
-from berylcart.state.relayed import Refusal
+from berylcart.state.relayed import Refusal, ReplicaNotice
 from berylcart.state.routes import (
     BatchLimits,
     CallerLimits,
@@ -143,11 +144,16 @@
             lambda: self.most_members,
         )
         self.request_limits = RequestLimits(
-            self.settings.daemon_id, self.member_ids, self.random
+            self.settings.daemon_id,
+            self.member_ids,
+            self.random,
+            ColdBounds(self.settings.cold_overshoot, self.settings.cold_slack),
         )
+        self.request_limits.cold_per_s = self.cold_per_s
+        self.request_limits.expects_others = lambda: bool(self.seeds())
+        self.ports.replicas.on_cold = self.note_cold
         self.request_limits.on_news = self.membership.tell_limit
         self.exchange.on_limit_news = self.request_limits.hear
-        self.ports.pieces.on_limit = self.request_limits.note_answer
         self.policy = GatewayPolicy(
             self.keeper,
             self.directory.pool,
@@ -157,6 +163,8 @@
             self.directory.is_evacuated,
             self.settings.regions,
         )
+        self.policy.on_leaving = self.note_leaving
+        self.ports.pieces.on_notice = self.note_piece_notice
         self.holders: dict[str, Vm] = {}
         self.directory.on_change = self.note_replicas
         self.relay = RelayClient(self.ports.wire.read_answer)
@@ -256,6 +264,7 @@
                 self.directory.pool,
                 self.batch_limits,
                 self.request_limits,
+                self.policy.pauses,
                 self.drop_inputs,
                 self.directory.is_evacuated,
             )
@@ -292,6 +301,35 @@
         self.policy.retain(vms)
         self.note_readiness()
 
+    def cold_per_s(self, service: str) -> float:
+        """Find what a cold replica of a service takes a second."""
+        table = self.keeper.table
+        info = table.services.get(service) if table else None
+        return 0.0 if info is None else info.cold_per_s
+
+    def note_cold(self, vm: Vm, cold_ms: int, is_fresh: bool) -> None:
+        """Learn from a replica's entry that it is cold."""
+        self.request_limits.note_cold(vm, cold_ms, "entry", is_fresh=is_fresh)
+
+    def note_piece_notice(self, vm: Vm, notice: ReplicaNotice) -> None:
+        """Learn what an answer to a piece call says of its replica."""
+        self.policy.note_notice(vm, notice)
+        batcher = self.batchers.get(vm.service)
+        if batcher is not None and notice.load is not None:
+            batcher.note_load(vm, notice.load)
+
+    def note_leaving(self, vm: Vm) -> None:
+        """Learn from a replica's own answer that it is leaving."""
+        if self.directory.leaving.is_leaving(vm.vm_id, vm.incarnation):
+            return
+        events.info(
+            "replica.leaving_notice",
+            vm_id=vm.vm_id,
+            incarnation=vm.incarnation,
+            service=vm.service,
+        )
+        self.directory.mark_leaving(vm.vm_id, vm.incarnation)
+
     def note_routes(self, table: RouteTable) -> None:
         """Learn new routes."""
         self.note_readiness()
@@ -300,6 +338,7 @@
         """Learn that a daemon came, went or changed its state."""
         live = len(self.membership.running())
         self.most_members = max(self.most_members, live)
+        self.request_limits.note_members()
         self.home.note_members()
 
     def note_readiness(self) -> None:
@@ -376,6 +415,8 @@
         self.metrics.evacuated_places.set(len(places))
         self.metrics.evacuated_in_flight.set(self.count_in_flight(places))
         self.metrics.lost_lines.set(events.lost_lines())
+        self.metrics.paused_replicas.set(self.policy.pauses.count())
+        self.metrics.cold_replicas.set(self.request_limits.count_cold())
         for service, batcher in self.batchers.items():
             waiting = batcher.orders.count_waiting()
             self.metrics.backlog_pieces.labels(service).set(waiting)
@@ -398,6 +439,7 @@
         async with anyio.create_task_group() as tasks:
             self.background = tasks
             self.start_tasks(tasks)
+            self.request_limits.note_members()
             events.info(
                 "daemon.started",
                 daemon_id=self.settings.daemon_id,
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -40,3 +40,7 @@
     replicas_interval_ms: int = 600
     # The region of each place.
     regions: Mapping[str, str] = MappingProxyType({})
+    # What may reach a cold replica in a second: overshoot times what it takes,
+    # and slack.
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -1,6 +1,6 @@
 """Work on the pieces of one service in shared calls."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from math import inf
 
 import anyio
@@ -10,6 +10,7 @@
 from berylcart.coordination.gateway.maker_state import (
     FIRST_PAUSE_S,
     MAX_PAUSE_S,
+    REPORT_SHARE,
     Held,
 )
 from berylcart.coordination.gateway.makers import Makers
@@ -28,15 +29,17 @@
 )
 from berylcart.coordination.gateway.ports import PieceCaller, TimedPiece
 from berylcart.coordination.gateway.queue_rates import QueueRates
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.shedder import Shedder
 from berylcart.state.errors import BerylcartError, Code
-from berylcart.state.relayed import PieceFailure, PieceResult
+from berylcart.state.relayed import PieceFailure, PieceResult, ReplicaLoad
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
+PERCENT = 100
 # An answer of the gateway's own must reach the caller before it leaves.
 GIVE_UP_S = 0.1
 # A call that takes this many times the expected time hangs.
@@ -66,6 +69,7 @@
         pool: Callable[[str], Sequence[Vm]],
         limits: Callable[[str], BatchLimits | None],
         request_limits: RequestLimits,
+        pauses: ReplicaPauses,
         on_read: Callable[[Sequence[str], bool], None] = (
             lambda handles, is_spare: None
         ),
@@ -78,7 +82,8 @@
         self.request_limits = request_limits
         self.on_read = on_read
         self.orders = Orders()
-        self.makers = Makers(caller, lambda: pool(service))
+        self.pauses = pauses
+        self.makers = Makers(caller, lambda: pool(service), pauses)
         self.rates = QueueRates()
         self.tasks: TaskGroup | None = None
         # Results to drop that were named before this began to run.
@@ -193,10 +198,10 @@
         makers = {
             vm.vm_id: self.makers.describe(vm, limits, now_s) for vm in pool
         }
-        for vm in sorted(pool, key=lambda each: makers[each.vm_id].slowness):
+        for vm in self.in_order(pool, makers):
             maker = makers[vm.vm_id]
             state = self.makers.state(vm)
-            if state.calls >= limits.slots or state.paused_until_s > now_s:
+            if state.calls >= limits.slots or self.is_paused(vm, now_s):
                 continue
             if state.is_clearing:
                 continue
@@ -219,6 +224,21 @@
                 self.start_call(tasks, vm, batch, limits)
                 makers[vm.vm_id] = self.makers.describe(vm, limits, now_s)
 
+    def in_order(
+        self, pool: Sequence[Vm], makers: Mapping[str, Maker]
+    ) -> list[Vm]:
+        """Order replicas: those that are cold last, then by speed."""
+        is_cold = self.request_limits.is_cold
+        return sorted(
+            pool, key=lambda vm: (is_cold(vm), makers[vm.vm_id].slowness)
+        )
+
+    def is_paused(self, vm: Vm, now_s: float) -> bool:
+        """Tell whether a replica failed or asked to wait just before."""
+        if self.makers.state(vm).paused_until_s > now_s:
+            return True
+        return self.pauses.left_s(vm) > 0
+
     def within_limit(self, vm: Vm, pieces: int) -> int:
         """Bound a call's pieces by what its replica takes from daemons."""
         tokens = self.request_limits.tokens(vm, is_only_sender=True)
@@ -297,7 +317,8 @@
             state.learn(PATIENCE, clock.now_s())
             self.note_failed(vm, batch, "no answer in time")
         except BerylcartError as error:
-            self.note_failed(vm, batch, error.detail)
+            is_busy = error.retry_after_ms is not None
+            self.note_failed(vm, batch, error.detail, is_busy=is_busy)
         else:
             now_s = clock.now_s()
             made = sum(bool(result.handle) for result in results)
@@ -325,9 +346,17 @@
             self.orders.changed.set()
 
     def note_failed(
-        self, vm: Vm, batch: Sequence[TakenPiece], detail: str
+        self,
+        vm: Vm,
+        batch: Sequence[TakenPiece],
+        detail: str,
+        *,
+        is_busy: bool = False,
     ) -> None:
-        """Queue the pieces of a failed call again."""
+        """Queue the pieces of a failed call again.
+
+        A replica that asked to wait has not failed them.
+        """
         events.warning(
             "pieces.failed",
             service=self.service,
@@ -338,7 +367,10 @@
         )
         self.makers.state(vm).pause(clock.now_s())
         for piece in batch:
-            self.retry(piece, PieceFailure.ERROR)
+            if not is_busy:
+                self.retry(piece, PieceFailure.ERROR)
+            elif self.orders.job_of(piece.order) is not None:
+                self.wait_again(piece)
 
     def hand_out(
         self,
@@ -369,12 +401,21 @@
             )
             self.drop(unwanted)
 
+    def note_load(self, vm: Vm, load: ReplicaLoad) -> None:
+        """Take what a replica says of its speed."""
+        ratio = load.percent / PERCENT
+        state = self.makers.state(vm)
+        state.learn(ratio, clock.now_s(), REPORT_SHARE)
+
     def drop(self, handles: Sequence[str]) -> None:
         """Drop results soon, those of one replica together."""
         if self.tasks is None:
             self.early.extend(handles)
             return
-        for vm in self.makers.note_unread(handles):
+        limits = self.limits(self.service)
+        keep_s = inf if limits is None else limits.keep_s
+        until_s = clock.now_s() + keep_s
+        for vm in self.makers.note_unread(handles, until_s):
             self.tasks.start_soon(self.free_soon, vm)
 
     def note_refused(
@@ -407,7 +448,7 @@
             self.retry(piece, failure)
 
     def wait_again(self, piece: TakenPiece) -> None:
-        """Queue a piece that a replica had no room for."""
+        """Queue a piece that a replica had no room or no time for."""
         self.budget.try_take(self.service)
         self.orders.put_back(piece, piece.entry.failures)
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator, Mapping, Sequence, Set
 from contextlib import contextmanager
+from math import ceil
 from random import Random
 from typing import Protocol
 
@@ -11,6 +12,7 @@
     permits,
     permitted_places,
 )
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.policy.ejection import Ejector
@@ -19,6 +21,7 @@
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import Placement
+from berylcart.state.relayed import ReplicaNotice
 from berylcart.state.routes import Backend, Owner, Route, RouteTable
 from berylcart.state.vm import Vm
 
@@ -93,6 +96,9 @@
     ) -> None:
         self.tables = tables
         self.limits = limits
+        self.pauses = ReplicaPauses()
+        # Called with a replica whose answer says that it is leaving.
+        self.on_leaving: Callable[[Vm], None] = lambda vm: None
         self.pool = pool
         self.is_evacuated = is_evacuated
         self.regions = regions or {}
@@ -146,37 +152,75 @@
         self, service: str, affinity: str, tried: Set[str], places: Places
     ) -> Vm:
         """Choose where an attempt runs; raises NO_UPSTREAM."""
-        info = self.tables.require().services.get(service)
-        is_engine = info is not None and info.engine is not None
-        kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
+        pool = self.permitted_pool(service, places)
         vm = self.router.choose(
-            self.limits.usable(self.permitted_pool(service, places)),
-            service=Service(service, kind, frozenset()),
+            self.ready(pool, tried),
+            service=Service(service, self.kind_of(service), frozenset()),
             affinity=affinity,
             exclude=frozenset(tried),
         )
         if vm is None:
-            raise no_replica(service)
+            raise no_replica(service, self.pauses.shortest_s(pool))
         return vm
 
-    def takes_now(self, vm: Vm, service: str, places: Places) -> bool:
-        """Tell whether a replica may take work, and within its limit."""
-        is_permitted = vm in self.permitted_pool(service, places)
-        return is_permitted and self.limits.allows(vm)
-
     def find(
         self, placement: Placement, service: str, places: Places
     ) -> Vm | None:
         """Find the replica of a placement, None where it takes no work."""
-        for vm in self.permitted_pool(service, places):
+        for vm in self.pool(service):
             key = (vm.vm_id, vm.incarnation)
             if key == (placement.vm_id, placement.incarnation):
-                return vm if self.limits.allows(vm) else None
+                return vm if self.takes_now(vm, service, places) else None
         return None
 
+    def kind_of(self, service: str) -> ServiceKind:
+        """Tell services of engines from all others."""
+        info = self.tables.require().services.get(service)
+        is_engine = info is not None and info.engine is not None
+        return ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
+
+    def ready(self, pool: Sequence[Vm], tried: Set[str]) -> Sequence[Vm]:
+        """List the replicas that may be sent a request now.
+
+        Cold ones are left out while a warm one has capacity.
+        """
+        usable = self.limits.usable(self.pauses.usable(pool))
+        if not self.limits.cold_ends_s:
+            return usable
+        warm = [vm for vm in usable if not self.limits.is_cold(vm)]
+        has_capacity = any(
+            vm.vm_id not in tried and self.load_table.occupancy(vm) < 1
+            for vm in warm
+        )
+        return warm if has_capacity else usable
+
+    def takes_now(self, vm: Vm, service: str, places: Places) -> bool:
+        """Tell whether a warm replica may take work, within its limit."""
+        is_permitted = vm in self.permitted_pool(service, places)
+        if not is_permitted or self.pauses.left_s(vm):
+            return False
+        return self.limits.allows(vm) and not self.limits.is_cold(vm)
+
+    def note_notice(self, vm: Vm, notice: ReplicaNotice) -> None:
+        """Take what an answer said of its replica."""
+        self.limits.note_answer(vm, notice.limit_per_s)
+        if (
+            notice.load is not None
+            and self.kind_of(vm.service) is ServiceKind.PLAIN
+        ):
+            running, waiting, slots, _ = notice.load
+            self.load_table.reported(vm, running, waiting, slots, age_ms=0)
+        if notice.retry_after_s is not None:
+            self.pauses.note(vm, notice.retry_after_s)
+        if notice.cold_ms is not None:
+            self.limits.note_cold(vm, notice.cold_ms, "answer")
+        if notice.is_leaving:
+            self.on_leaving(vm)
+
     def retain(self, vms: tuple[Vm, ...]) -> None:
         """Forget what was learnt about VMs that are gone."""
         self.limits.retain(vms)
+        self.pauses.retain(vms)
         self.load_table.retain(vms)
         self.ejector.retain(vms)
 
@@ -205,10 +249,17 @@
         self.ejector.note(vm, clock.latency_ms, True)
 
 
-def no_replica(name: str) -> BerylcartError:
-    """Describe a service without a replica that takes work."""
+def no_replica(name: str, pause_s: float = 0.0) -> BerylcartError:
+    """Describe a service without a replica that takes work.
+
+    pause_s is set where all of them asked to wait.
+
+    >>> no_replica("model", 2.5).retry_after_ms
+    2500
+    """
+    wait_ms = ceil(pause_s * MS_PER_S) or NO_REPLICA_RETRY_AFTER_MS
     return BerylcartError(
         Code.NO_UPSTREAM,
         f"no replica of {name} takes new work",
-        retry_after_ms=NO_REPLICA_RETRY_AFTER_MS,
+        retry_after_ms=wait_ms,
     )
--- a/packages/berylcart/src/berylcart/coordination/gateway/makers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/makers.py
@@ -1,6 +1,7 @@
 """Know the replicas that make pieces, and what they hold."""
 
 from collections.abc import Callable, Iterator, Sequence
+from typing import NamedTuple
 
 import anyio
 
@@ -8,6 +9,7 @@
 from berylcart.coordination.gateway.maker_state import MakerState
 from berylcart.coordination.gateway.piece_queue import Maker
 from berylcart.coordination.gateway.ports import PieceCaller
+from berylcart.coordination.gateway.replica_pauses import ReplicaPauses
 from berylcart.state.errors import UpstreamError
 from berylcart.state.routes import BatchLimits
 from berylcart.state.vm import Vm
@@ -15,15 +17,28 @@
 MS_PER_S = 1000
 
 
+class Former(NamedTuple):
+    """Tell which start of a replica made a result, and until when it lasts."""
+
+    key: tuple[str, int]
+    until_s: float
+
+
 class Makers:
     """Hold what is known of one service's replicas."""
 
     def __init__(
-        self, caller: PieceCaller, pool: Callable[[], Sequence[Vm]]
+        self,
+        caller: PieceCaller,
+        pool: Callable[[], Sequence[Vm]],
+        pauses: ReplicaPauses,
     ) -> None:
         self.caller = caller
         self.pool = pool
+        self.pauses = pauses
         self.states: dict[tuple[str, int], MakerState] = {}
+        # Results of replicas that are not in use any more, by handle.
+        self.former: dict[str, Former] = {}
 
     def state(self, vm: Vm) -> MakerState:
         """Find what is known of a replica."""
@@ -37,7 +52,9 @@
         """Forget replicas that are gone and have no call."""
         kept = {(vm.vm_id, vm.incarnation) for vm in pool}
         for key in self.states.keys() - kept:
-            if not self.states[key].calls:
+            state = self.states[key]
+            self.note_former(key, state)
+            if not state.calls:
                 del self.states[key]
 
     def count_calls(self, vms: Sequence[Vm]) -> int:
@@ -45,10 +62,20 @@
         states = (self.states.get((vm.vm_id, vm.incarnation)) for vm in vms)
         return sum(state.calls for state in states if state is not None)
 
+    def note_former(self, key: tuple[str, int], state: MakerState) -> None:
+        """Remember whose the results of a replica were while they last."""
+        now_s = clock.now_s()
+        for handle, former in list(self.former.items()):
+            if former.until_s <= now_s:
+                del self.former[handle]
+        for handle, held in state.results.items():
+            self.former[handle] = Former(key, held.until_s)
+
     def describe(self, vm: Vm, limits: BatchLimits, now_s: float) -> Maker:
         """Describe a replica for a decision."""
         state = self.state(vm)
-        busy_until_s = state.paused_until_s
+        pause_end_s = now_s + self.pauses.left_s(vm)
+        busy_until_s = max(state.paused_until_s, pause_end_s)
         if state.calls >= limits.slots:
             busy_until_s = max(busy_until_s, state.busy_until_s)
         return Maker(
@@ -63,23 +90,32 @@
         """Describe all replicas for a decision."""
         return [self.describe(vm, limits, now_s) for vm in self.pool()]
 
-    def note_unread(self, handles: Sequence[str]) -> list[Vm]:
+    def note_unread(self, handles: Sequence[str], until_s: float) -> list[Vm]:
         """Note results to drop, and list replicas that had none before.
 
-        Another daemon may have had them made.
+        Another daemon may have had them made. They expire until then.
         """
         new: list[Vm] = []
         for vm, group in self.by_holder(handles):
             state = self.state(vm)
             if not state.unread:
                 new.append(vm)
-            state.unread.extend(group)
+            for handle in group:
+                state.note_unread(handle, until_s)
         return new
 
     async def free_unread(self, vm: Vm) -> None:
-        """Drop a replica's results that nobody reads any more."""
+        """Drop a replica's results that nobody reads any more.
+
+        Waits until the replica is not paused; what expires before is left.
+        """
+        left_s = self.pauses.left_s(vm)
+        if left_s:
+            await anyio.sleep(left_s)
+            await self.free_unread(vm)
+            return
         state = self.state(vm)
-        handles, state.unread = state.unread, []
+        handles = state.take_unread(clock.now_s())
         was_wanted = state.is_room_wanted.is_set()
         state.is_room_wanted = anyio.Event()
         state.is_clearing = state.is_clearing or was_wanted
@@ -92,15 +128,25 @@
     def by_holder(
         self, handles: Sequence[str]
     ) -> Iterator[tuple[Vm, list[str]]]:
-        """Group results by the replica that holds them."""
-        holders = {vm.address: vm for vm in self.pool()}
+        """Group results by the replica that holds them.
+
+        Another start of a replica at the same address holds none of them.
+        """
+        pool = self.pool()
+        self.retain(pool)
+        holders = {vm.address: vm for vm in pool}
         held: dict[str, list[str]] = {}
         for handle in handles:
-            held.setdefault(self.caller.holder(handle), []).append(handle)
+            vm = holders.get(self.caller.holder(handle))
+            if vm is not None and not self.is_former(handle, vm):
+                held.setdefault(vm.address, []).append(handle)
         for address, group in held.items():
-            vm = holders.get(address)
-            if vm is not None:
-                yield vm, group
+            yield holders[address], group
+
+    def is_former(self, handle: str, vm: Vm) -> bool:
+        """Tell whether a result went with another start of its replica."""
+        former = self.former.get(handle)
+        return former is not None and former.key != (vm.vm_id, vm.incarnation)
 
     def note_spare(self, handles: Sequence[str]) -> None:
         """Note results that may give way to others."""
@@ -120,8 +166,8 @@
             state.is_clearing = False
 
     async def free_at(self, vm: Vm, handles: Sequence[str]) -> None:
-        """Drop results at one replica, unless it takes no orders any more."""
-        if vm not in self.pool():
+        """Drop results at one replica, none where it takes no new work."""
+        if not handles or vm not in self.pool():
             return
         state = self.state(vm)
         try:
