Withdraw an evacuation whose newest listed record is a withdrawal

Cause: a reading of all keys that lists an older withdrawal of a place, as after a rollback of the store, counted as listing the place. Change: only listed requests keep an evacuation that the reading covers. Measured: test_evacuations and the platform's tests pass.

--- a/packages/berylcart/src/berylcart/coordination/gateway/evacuations.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/evacuations.py
@@ -107,7 +107,8 @@
         if not is_offset(end_offset):
             return
         if is_all:
-            self.withdraw_missing({each.place for each in reports}, end_offset)
+            listed = {each.place for each in reports if each.is_active}
+            self.withdraw_missing(listed, end_offset)
         self.read_to = max(self.read_to, end_offset)
 
     def withdraw_missing(self, listed: set[str], end_offset: int) -> None:
@@ -145,6 +146,7 @@
             is_kept = self.has_room(news)
             since_s = clock.now_s()
         else:
+            # No daemon tells older ones.
             is_kept = news.age_ms < TELL_S * MS_PER_S
             since_s = clock.now_s() - news.age_ms / MS_PER_S
         if not is_kept:
--- a/packages/berylcart/tests/coordination/gateway/test_evacuations.py
+++ b/packages/berylcart/tests/coordination/gateway/test_evacuations.py
@@ -286,6 +286,8 @@
         evacuations.take([active("hall-2", 80)], 96, is_all=True)
         assert evacuations.places == {"hall-2"}
         assert not evacuations.is_doubted
+        evacuations.take([withdrawn("hall-2", 70)], 97, is_all=True)
+        assert not evacuations.places
 
     run(check)
 
