Send the notices of placed requests in the background

Cause: the first event, the next attempt and the end of a cancelled one waited for the notice to the home. On an open connection that costs nothing; to a home that is cut off each waited for a new connection, up to TELL_TIMEOUT_MS, and the end of an attempt did so shielded from cancellation.

Change: EngineHome.tell returns at once and has the notice sent by the daemon's background tasks, as StageResults does with results to be freed. Each placed request has one notice, so their order does not matter. The shield is gone.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -164,6 +164,7 @@
             lambda: len(self.membership.running()),
             self.directory.pool,
             self.service_info,
+            self.spawn,
         )
         self.engines.on_placed = self.metrics.note_placed
         self.gateway = Gateway(
--- a/packages/berylcart/src/berylcart/coordination/gateway/engine_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_home.py
@@ -5,6 +5,7 @@
 
 from berylcart import clock, events
 from berylcart.coordination.gateway.engine_placement import EnginePlacement
+from berylcart.coordination.gateway.stage_results import Spawn
 from berylcart.state.errors import BerylcartError
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import (
@@ -81,12 +82,14 @@
         count_daemons: Callable[[], int],
         pool: Callable[[str], Sequence[Vm]],
         service_of: Callable[[str], GatewayService | None],
+        spawn: Spawn,
     ) -> None:
         self.peers = peers
         self.home_of = home_of
         self.count_daemons = count_daemons
         self.pool = pool
         self.service_of = service_of
+        self.spawn = spawn
         self.placements: dict[str, EnginePlacement] = {}
         self.shunned_until_s = 0.0
         # Called with the service and whether its home chose the replica.
@@ -149,8 +152,12 @@
             return None
         return Placed(query.service, placement, home)
 
-    async def tell(self, placed: Placed, *, is_begun: bool) -> None:
-        """Tell the home once how a placed request went on."""
+    def tell(self, placed: Placed, *, is_begun: bool) -> None:
+        """Tell the home once how a placed request went on.
+
+        The notice is sent in the background: opening a connection to a home
+        that is cut off would delay the first event or the next attempt.
+        """
         if placed.is_told:
             return
         placed.is_told = True
@@ -160,16 +167,20 @@
         )
         if placed.home is None:
             self.on_attempt(news)
-            return
+        else:
+            self.spawn(self.send, placed.home, news)
+
+    async def send(self, home: Member, news: AttemptNews) -> None:
+        """Send a notice to a home; one that fails is logged."""
         try:
             await self.peers.tell_attempt(
-                placed.home.peer_address, news, timeout_ms=TELL_TIMEOUT_MS
+                home.peer_address, news, timeout_ms=TELL_TIMEOUT_MS
             )
         except BerylcartError as error:
             # The home forgets the request at its deadline.
             events.info(
                 "attempt.not_told",
-                home=placed.home.daemon_id,
+                home=home.daemon_id,
                 detail=error.detail,
             )
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -210,13 +210,13 @@
             is_usable=vm is not None,
         )
         if vm is None:
-            await self.engines.tell(run.placed, is_begun=False)
+            self.engines.tell(run.placed, is_begun=False)
         return vm
 
-    async def note_placed(self, run: ForwardRun, *, is_begun: bool) -> None:
+    def note_placed(self, run: ForwardRun, *, is_begun: bool) -> None:
         """Tell the home that placed a request how it went on."""
         if run.placed is not None and self.engines is not None:
-            await self.engines.tell(run.placed, is_begun=is_begun)
+            self.engines.tell(run.placed, is_begun=is_begun)
 
     def choose(self, run: ForwardRun) -> Vm:
         """Choose the next replica; raises the last failure without one."""
@@ -308,8 +308,7 @@
             raise
         finally:
             run.progress.end(ran)
-            with anyio.CancelScope(shield=True):
-                await self.note_placed(run, is_begun=False)
+            self.note_placed(run, is_begun=False)
         return status
 
     async def exchange(
@@ -397,7 +396,7 @@
         while (data := await answer.read()) is not None:
             clock.note_answer()
             run.on_begun()
-            await self.note_placed(run, is_begun=True)
+            self.note_placed(run, is_begun=True)
             if run.work.route.is_resumable:
                 data = run.splitter.feed(data)
             if data:
--- a/packages/berylcart/tests/coordination/gateway/test_engine_home.py
+++ b/packages/berylcart/tests/coordination/gateway/test_engine_home.py
@@ -44,7 +44,24 @@
         self.told.append(news)
 
 
-def make_home(peers, home=HOME, daemons=MIN_DAEMONS):
+class Background:
+    """Collect what was started in the background, and run it later."""
+
+    def __init__(self):
+        self.waiting = []
+
+    def spawn(self, function, *args):
+        """Keep a function for later."""
+        self.waiting.append((function, args))
+
+    async def run(self):
+        """Run what was started, in order."""
+        while self.waiting:
+            function, args = self.waiting.pop(0)
+            await function(*args)
+
+
+def make_home(peers, home=HOME, daemons=MIN_DAEMONS, spawn=None):
     services = {
         "model": GatewayService("model", 0, engine=EngineLimits(8, 1000)),
         "plain": GatewayService("plain", 0),
@@ -56,6 +73,7 @@
         lambda: daemons,
         lambda service: vms.get(service, []),
         services.get,
+        spawn or Background().spawn,
     )
 
 
@@ -89,11 +107,13 @@
 
 async def tell_twice():
     peers = FakePeers()
-    home = make_home(peers)
+    background = Background()
+    home = make_home(peers, spawn=background.spawn)
     placed = await home.place(QUERY)
     await anyio.sleep(0.25)
-    await home.tell(placed, is_begun=True)
-    await home.tell(placed, is_begun=False)
+    home.tell(placed, is_begun=True)
+    home.tell(placed, is_begun=False)
+    await background.run()
     return peers.told
 
 
@@ -104,10 +124,13 @@
 
 async def tell_home_that_is_gone():
     peers = FakePeers()
-    home = make_home(peers)
+    background = Background()
+    home = make_home(peers, spawn=background.spawn)
     placed = await home.place(QUERY)
     peers.error = BerylcartError(Code.PEER_UNAVAILABLE, "reset")
-    await home.tell(placed, is_begun=True)
+    home.tell(placed, is_begun=True)
+    assert background.waiting
+    await background.run()
 
 
 def test_lost_news_fails_no_request():
@@ -121,7 +144,7 @@
         placed = await home.place(QUERY)
         chosen.append(placed.placement.vm_id)
     for_peer = await home.on_place_request(QUERY)
-    await home.tell(placed, is_begun=False)
+    home.tell(placed, is_begun=False)
     home.on_attempt(home_news(for_peer.number))
     return chosen, home.placement_of("model")
 
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -238,7 +238,7 @@
 class Forwarding:
     """Forward one request of a route to scripted replicas."""
 
-    def __init__(self, route, *scripts, vms=("v1", "v2", "v3")):
+    def __init__(self, route, *scripts, vms=("v1", "v2", "v3"), engines=None):
         self.relay = FakeRelay(*scripts)
         self.policy = make_policy(make_keeper(route), vms)
         self.exchange = FakeExchange()
@@ -246,7 +246,9 @@
         deadline_s = anyio.current_time() + 5
         work = Work(make_request(), route, SERVICE, "counter", deadline_s)
         self.run = ForwardRun(work, self.exchange, self.progress)
-        self.forwarder = Forwarder(self.relay, self.policy, FakeWire())
+        self.forwarder = Forwarder(
+            self.relay, self.policy, FakeWire(), engines
+        )
 
     async def forward(self):
         """Forward it; raises UpstreamError."""
