Bound what a home keeps, and pass by only the home that failed

Cause: a home made state for every service name that a peer asked about. Parts without tokens never gave way. A request that announces any number of output tokens counted as running for as long, beyond its caller's deadline. One home that failed kept the homes of all other services from placing for SHUN_S.

Change: a home answers only for engine services of its routes; a replica has MAX_PARTS known parts; a running request counts until its caller leaves at the latest; homes are passed by one by one.

Measured: one new test for each of the four fails before and passes after. No load was run.

--- a/packages/berylcart/src/berylcart/coordination/gateway/engine_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_home.py
@@ -91,19 +91,22 @@
         self.service_of = service_of
         self.spawn = spawn
         self.placements: dict[str, EnginePlacement] = {}
-        self.shunned_until_s = 0.0
+        # Until when each home that failed is passed by.
+        self.shunned: dict[str, float] = {}
         # Called with the service and whether its home chose the replica.
         self.on_placed: Callable[[str, bool], None] = lambda name, is_home: (
             None
         )
 
-    def is_asked(self, service: str) -> bool:
-        """Tell whether requests of a service are placed by its home."""
-        if self.count_daemons() < MIN_DAEMONS:
-            return False
+    def is_engine(self, service: str) -> bool:
+        """Tell whether the routes have a service, and with engines."""
         info = self.service_of(service)
         return info is not None and info.engine is not None
 
+    def is_asked(self, service: str) -> bool:
+        """Tell whether requests of a service are placed by its home."""
+        return self.count_daemons() >= MIN_DAEMONS and self.is_engine(service)
+
     def kv_tokens(self, service: str) -> int:
         """Give the memory of a service's replicas in tokens."""
         info = self.service_of(service)
@@ -133,14 +136,14 @@
         if home is None:
             placement = self.placement_of(query.service).place(query)
         else:
-            if clock.now_s() < self.shunned_until_s:
+            if clock.now_s() < self.shunned.get(home.daemon_id, 0.0):
                 return None
             try:
                 placement = await self.peers.place_request(
                     home.peer_address, query, timeout_ms=PLACE_TIMEOUT_MS
                 )
             except BerylcartError as error:
-                self.shunned_until_s = clock.now_s() + SHUN_S
+                self.shunned[home.daemon_id] = clock.now_s() + SHUN_S
                 events.warning(
                     "placement.failed",
                     service=query.service,
@@ -186,6 +189,8 @@
 
     async def on_place_request(self, query: PlacementQuery) -> Placement:
         """Choose a replica for another daemon's request."""
+        if not self.is_engine(query.service):
+            return Placement("", 0, 0)
         placement = self.placement_of(query.service).place(query)
         return placement or Placement("", 0, 0)
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/engine_load.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_load.py
@@ -19,6 +19,8 @@
 OUTPUT_TOKEN_S = 0.006
 # The share of memory that shared parts fill beside running requests.
 PARTS_SHARE = 0.6
+# A part costs memory here even where it has no tokens.
+MAX_PARTS = 4096
 # How fast a replica's own speed is learnt, and that of all.
 LEARNING = 0.25
 FLEET_LEARNING = 0.02
@@ -139,7 +141,10 @@
         for part in parts:
             self.parts_tokens += part.tokens - self.parts.pop(part.part_id, 0)
             self.parts[part.part_id] = part.tokens
-        while self.parts_tokens > PARTS_SHARE * self.kv_tokens and self.parts:
+        room = PARTS_SHARE * self.kv_tokens
+        while self.parts and (
+            self.parts_tokens > room or len(self.parts) > MAX_PARTS
+        ):
             _, tokens = self.parts.popitem(last=False)
             self.parts_tokens -= tokens
 
@@ -149,7 +154,8 @@
         if reading is None:
             return
         end_s = now_s + OUTPUT_TOKEN_S * reading.output_tokens
-        heappush(self.running, end_s)
+        # Callers announce any number of tokens, but leave at their deadline.
+        heappush(self.running, min(end_s, reading.until_s))
         error = log(max(latency_s, 1 / MS_PER_S) / reading.expected_s)
         error = max(-MAX_ERROR, min(MAX_ERROR, error))
         own = self.slowness(now_s) - self.fleet.slowness + LEARNING * error
--- a/packages/berylcart/tests/coordination/gateway/test_engine_home.py
+++ b/packages/berylcart/tests/coordination/gateway/test_engine_home.py
@@ -159,3 +159,44 @@
     assert sorted(chosen) == ["v1", "v1", "v2", "v2"]
     waiting = sum(len(e.readings) for e in placement.loads.values())
     assert waiting == 3
+
+
+async def place_for_unknown_services():
+    home = make_home(FakePeers(), home=None)
+    names = ["plain", "unknown", "x" * 99]
+    placed = [
+        await home.on_place_request(QUERY._replace(service=name))
+        for name in names
+    ]
+    return [each.vm_id for each in placed], len(home.placements)
+
+
+def test_peers_questions_on_other_services_leave_no_state():
+    assert outcome(place_for_unknown_services) == (["", "", ""], 0)
+
+
+class FailingPeers(FakePeers):
+    """Fail for one address only."""
+
+    async def place_request(self, address, query, *, timeout_ms):
+        """Answer, or raise for the first home."""
+        if address == HOME.peer_address:
+            raise BerylcartError(Code.PEER_UNAVAILABLE, "timeout")
+        return await super().place_request(
+            address, query, timeout_ms=timeout_ms
+        )
+
+
+async def place_at_two_homes():
+    other = HOME._replace(daemon_id="d2", peer_address="d2:1")
+    home = make_home(FailingPeers())
+    home.home_of = {"model": HOME, "model-b": other}.get
+    first = await home.place(QUERY)
+    second = await home.place(QUERY._replace(service="model-b"))
+    return first, second
+
+
+def test_home_that_fails_keeps_no_other_home_from_placing():
+    first, second = outcome(place_at_two_homes)
+    assert first is None
+    assert second.placement.vm_id == "v1"
--- a/packages/berylcart/tests/coordination/gateway/test_engine_placement.py
+++ b/packages/berylcart/tests/coordination/gateway/test_engine_placement.py
@@ -5,7 +5,11 @@
 
 import anyio
 from berylcart import clock
-from berylcart.coordination.gateway.engine_load import EngineLoad, FleetSpeed
+from berylcart.coordination.gateway.engine_load import (
+    MAX_PARTS,
+    EngineLoad,
+    FleetSpeed,
+)
 from berylcart.coordination.gateway.engine_placement import EnginePlacement
 from berylcart.coordination.gateway.gateway_policy import PrefixRouter
 from berylcart.coordination.policy.ejection import Ejector
@@ -234,3 +238,20 @@
     assert load.expected_s(1000, now_s) > 3 * fast_s
     later_s = now_s + 120.0
     assert load.expected_s(1000, later_s) < 3 * fast_s
+
+
+def test_parts_without_tokens_do_not_pile_up():
+    load = EngineLoad(FleetSpeed(), kv_tokens=10_000)
+    for number in range(MAX_PARTS + 100):
+        load.keep((PromptPart(f"p{number}", 0),))
+    assert len(load.parts) == MAX_PARTS
+
+
+def test_request_counts_no_longer_than_its_caller_waits():
+    load = EngineLoad(FleetSpeed(), kv_tokens=10_000)
+    idle_s = load.expected_s(1000, 0.0)
+    # A caller may announce any number of output tokens.
+    load.send(1, 1000, 10**9, now_s=0.0, until_s=9.0)
+    load.begin(1, idle_s, now_s=idle_s)
+    load.expire(9.0)
+    assert not load.running
