Test the placing of requests over sockets

Cause: nothing tested that PlaceRequest and TellAttempt are served, nor what a daemon of an older version answers.

Change: both go through real loopback connections; a daemon without them refuses the call, ignores the notice and goes on answering on the same address.

--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -10,6 +10,7 @@
 from berylcart.state.peer_messages import (
     AnswerQuery,
     AnswerState,
+    AttemptNews,
     ConfigFreshness,
     ConfigOffer,
     ConfigQuery,
@@ -18,10 +19,13 @@
     MemberNews,
     Ping,
     PingRequest,
+    Placement,
+    PlacementQuery,
     StoredAnswer,
     VitalSign,
 )
 from berylcart.state.records import Checkpoint, Verdict
+from berylcart.state.relayed import PromptPart
 from berylcart.transport.peer_client import PeerChannel, RpcPeers
 from berylcart.transport.peer_connection import (
     MAX_MESSAGE_BYTES,
@@ -378,3 +382,68 @@
         await other.close()
 
     serve(scenario)
+
+
+class Engines:
+    """Name one replica and note what is heard."""
+
+    def __init__(self):
+        self.asked = []
+        self.news = []
+        self.heard = asyncio.Event()
+
+    async def on_place_request(self, query):
+        """Name a replica for one service only."""
+        self.asked.append(query)
+        if query.service != "model":
+            return Placement("", 0, 0)
+        return Placement("v1", 3, 7, 120)
+
+    def on_attempt(self, news):
+        """Note a notice."""
+        self.news.append(news)
+        self.heard.set()
+
+
+QUERY = PlacementQuery("model", (PromptPart("a", 9),), 5, 3, 800, "p1", 70)
+
+
+async def place_over_sockets():
+    engines = Engines()
+    server = PeerServer(EchoHandlers(), "127.0.0.1:0", engines=engines)
+    await server.start()
+    peers = RpcPeers()
+    news = AttemptNews("model", 7, False, 250, is_failed=True)
+    try:
+        placements = [
+            await peers.place_request(
+                server.address, query, timeout_ms=BOUND_MS
+            )
+            for query in (QUERY, QUERY._replace(service="other"))
+        ]
+        await peers.tell_attempt(server.address, news, timeout_ms=BOUND_MS)
+        await asyncio.wait_for(engines.heard.wait(), BOUND_MS / 1000)
+    finally:
+        peers.close()
+        await server.close()
+    assert placements == [Placement("v1", 3, 7, 120), None]
+    assert engines.asked[0] == QUERY
+    assert engines.news == [news]
+
+
+def test_requests_are_placed_over_the_wire():
+    asyncio.run(place_over_sockets())
+
+
+def test_daemon_of_an_older_version_refuses_to_place_and_goes_on():
+    async def scenario(peers, server, handlers):
+        address = server.address
+        news = AttemptNews("model", 7, True, 250)
+        with pytest.raises(BerylcartError) as caught:
+            await peers.place_request(address, QUERY, timeout_ms=BOUND_MS)
+        assert caught.value.code is Code.PEER_UNAVAILABLE
+        await peers.tell_attempt(address, news, timeout_ms=BOUND_MS)
+        ping = Ping("d9", GOSSIP)
+        assert await peers.ping(address, ping, timeout_ms=BOUND_MS) == GOSSIP
+
+    serve(scenario)
