--- a/packages/berylcart/src/berylcart/coordination/serving/attempts.py
+++ b/packages/berylcart/src/berylcart/coordination/serving/attempts.py
@@ -7,7 +7,7 @@
 from berylcart import events
 from berylcart.coordination.policy.stage_policy import StagePolicy, elapsed_ms
 from berylcart.coordination.ports import ChunkSink, Upstreams
-from berylcart.coordination.serving.hedging import first_reply
+from berylcart.coordination.serving.hedging import Entrant, first_reply
 from berylcart.state.config import Service, ServiceKind
 from berylcart.state.errors import BerylcartError, Code, Ran, UpstreamError
 from berylcart.state.request import Progress, StageReport
@@ -183,10 +183,10 @@
         if run.is_streamed or delay_ms is None:
             return await self.send(run, vm)
 
-        async def primary() -> Answered:
+        async def primary(_: Entrant) -> Answered:
             return await self.send(run, vm)
 
-        async def hedge() -> Answered | None:
+        async def hedge(_: Entrant) -> Answered | None:
             second = self.policy.choose_hedge(
                 task.service, task.workspace, task.payload, run.tried
             )
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -5,6 +5,7 @@
 
 import anyio
 import pytest
+from berylcart.coordination.serving.hedging import first_reply
 from berylcart.state.errors import Ran, UnreachableError, UpstreamError
 from berylcart.state.relayed import AnswerHead, UpstreamRequest
 from berylcart.transport.channel import Channel
@@ -181,3 +182,46 @@
             pass
         assert await fetch(client, upstream.address, "r2") == b"two"
         assert upstream.connections == 2
+
+
+async def test_late_answer_of_a_lost_attempt_reaches_nobody():
+    """Guards against a loser's answer on a connection that is used again.
+
+    Both attempts have the same request's id, as has the next request here,
+    so that no check of the id would drop the late answer.
+    """
+    is_asked, may_answer = anyio.Event(), anyio.Event()
+
+    class Late(Upstream):
+        async def serve(self, channel):
+            try:
+                await channel.receive()
+                is_asked.set()
+                await may_answer.wait()
+                await channel.send(answer("r1", b"late"))
+            finally:
+                channel.close()
+
+    async with relaying(answer("r1", b"own")) as (quick, client):
+        slow = Late()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(slow.run)
+
+            async def first(_):
+                return await fetch(client, slow.address, "r1")
+
+            async def second(_):
+                await is_asked.wait()
+                return await fetch(client, quick.address, "r1")
+
+            assert await first_reply(first, second, 0.01) == b"own"
+            assert not client.idle.get(slow.address)
+            assert len(client.idle[quick.address]) == 1
+            may_answer.set()
+            await anyio.sleep(0.05)
+            is_asked = anyio.Event()
+            body = await fetch(client, slow.address, "r1")
+            assert body == b"late"
+            assert slow.connections == 2
+            tasks.cancel_scope.cancel()
+        slow.listener.close()
