Judge replicas of lost attempts, and split a share off a retry window

Cause: an attempt that a faster one ended is cancelled too early to tell a stalled replica from a slow one. Ejector.cancelled takes it as a slow success: it resets the failures in a row, and an attempt on probation may pass as a good one. Second attempts also need a share of the requests that the retry window counts, besides the window's own allowance.

Change: Ejector.outrun fails the replica only where it has stalled and leaves one on probation alone; is_ejected is public. RetryWindow.part bounds one kind of extra sends over the same requests, may_take asks without spending.

--- a/packages/berylcart/src/berylcart/coordination/gateway/retry_window.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/retry_window.py
@@ -54,10 +54,25 @@
         slack = self.slack / max(1, self.count_daemons())
         return self.safety * (self.ratio * requests + slack)
 
+    def part(self, ratio: float) -> "RetryWindow":
+        """Bound one kind of extra sends by a share of the same requests.
+
+        No part of it is unused, as a daemon's share is of its own requests.
+        """
+        part = RetryWindow(
+            ratio, self.window_s, 0.0, self.count_daemons, self.clock_s, 1.0
+        )
+        part.requests = self.requests
+        return part
+
+    def may_take(self, service: str, count: int = 1) -> bool:
+        """Tell whether the window allows so many extra sends."""
+        used = self._sum(self.extras.get(service))
+        return used + count <= self.allowance(service)
+
     def try_take(self, service: str, count: int = 1) -> bool:
         """Spend extra sends if the window allows them all."""
-        used = self._sum(self.extras.get(service))
-        if used + count > self.allowance(service):
+        if not self.may_take(service, count):
             return False
         entry = (self.clock_s(), count)
         self.extras.setdefault(service, deque()).append(entry)
--- a/packages/berylcart/src/berylcart/coordination/policy/ejection.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/ejection.py
@@ -88,9 +88,25 @@
         if typical_ms is not None and elapsed_ms > typical_ms:
             self.note(vm, elapsed_ms, is_ok=True)
 
+    def outrun(self, vm: Vm, elapsed_ms: float, *, has_stalled: bool) -> None:
+        """Take in an attempt that ended as another replica was faster.
+
+        It fails a replica only where that has stalled, and says nothing good
+        of one on probation.
+        """
+        if has_stalled:
+            self.note(vm, elapsed_ms, is_ok=False)
+        elif not self._replica(vm).is_probing:
+            self.cancelled(vm, elapsed_ms)
+
+    def is_ejected(self, vm: Vm) -> bool:
+        """Tell whether a replica is taken out."""
+        replica = self._known(vm)
+        return replica is not None and replica.is_ejected
+
     def usable(self, pool: Sequence[Vm]) -> tuple[Vm, ...]:
         """Leave out ejected replicas, but never more than half."""
-        ejected = [vm for vm in pool if self._is_ejected(vm)]
+        ejected = [vm for vm in pool if self.is_ejected(vm)]
         ejected.sort(key=self._badness, reverse=True)
         left_out = {key_of(vm) for vm in ejected[: len(pool) // 2]}
         return tuple(vm for vm in pool if key_of(vm) not in left_out)
@@ -122,10 +138,6 @@
         replicas = self.services.setdefault(vm.service, {})
         return replicas.setdefault(key_of(vm), Replica())
 
-    def _is_ejected(self, vm: Vm) -> bool:
-        replica = self._known(vm)
-        return replica is not None and replica.is_ejected
-
     def _badness(self, vm: Vm) -> tuple[int, float]:
         replica = self._replica(vm)
         return (replica.failures_in_row, replica.latency_ms)
--- a/packages/berylcart/tests/coordination/gateway/test_retry_window.py
+++ b/packages/berylcart/tests/coordination/gateway/test_retry_window.py
@@ -69,3 +69,15 @@
     window = make_window(Clock())
     spend_all(window)
     assert window.try_take("other")
+
+
+def test_part_has_its_own_share_of_the_same_requests():
+    clock = Clock()
+    window = make_window(clock)
+    part = window.part(0.05)
+    assert spend_all(part) == 0
+    window.note_request("model", 100)
+    assert spend_all(part) == 5
+    assert not window.extras
+    clock.now_s = WINDOW_S + 1
+    assert not part.may_take("model")
--- a/packages/berylcart/tests/coordination/policy/test_ejection.py
+++ b/packages/berylcart/tests/coordination/policy/test_ejection.py
@@ -1,7 +1,10 @@
 """Check ejection, its bound, probes and hysteresis."""
 
 import pytest
-from berylcart.coordination.policy.ejection import Ejector
+from berylcart.coordination.policy.ejection import (
+    MAX_FAILURES_IN_ROW,
+    Ejector,
+)
 
 
 @pytest.fixture
@@ -95,6 +98,29 @@
     assert pool[0] not in ejector.usable(pool)
 
 
+def test_outrun_attempts_fail_only_a_stalled_replica(ejector, make_pool):
+    pool = make_pool(5)
+    note_all(ejector, pool[1:], 100)
+    for _ in range(9):
+        ejector.outrun(pool[0], 120, has_stalled=False)
+    assert not ejector.is_ejected(pool[0])
+    for _ in range(MAX_FAILURES_IN_ROW):
+        ejector.outrun(pool[0], 120, has_stalled=True)
+    assert ejector.is_ejected(pool[0])
+
+
+def test_outrun_probe_is_no_good_one(ejector, clock, make_pool):
+    """Guards against a slow replica that comes back by attempts that lost."""
+    pool = make_pool(5)
+    note_all(ejector, pool[1:], 100)
+    note_all(ejector, pool[:1], 500)
+    for number in range(1, 4):
+        clock.now_s = 12 * number
+        assert ejector.probe(pool) == pool[0]
+        ejector.outrun(pool[0], 120, has_stalled=False)
+    assert ejector.is_ejected(pool[0])
+
+
 def test_records_go_with_their_vms(ejector, make_pool):
     pool = make_pool(2)
     note_all(ejector, pool, 100)
