Send slow requests to a second replica within a share

Cause: a few slow answers in a hundred make the high quantiles, and operators accept extra work for requests that may be repeated (docs/design/hard-load.md, section 7).

Change: SecondAttempts decides by the 0.95 quantile of recent times to the first byte, the trend of the service's median, refusals and two budgets. The forwarder runs an eligible request in a race whose winner claims the caller; a failure of one attempt alone is none of the request, and the strongest ran of both counts. A loser's time is kept as a lower bound, and losses of a replica that answers nothing for as long as a lone attempt would wait count as failures. Without a share the forwarder calls attempt as before.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Forward a request to a replica and its answer to the caller."""
 
 from collections.abc import Callable
+from functools import cached_property
 from math import inf
 from typing import NamedTuple
 
@@ -20,6 +21,15 @@
     UpstreamFacts,
     Wire,
 )
+from berylcart.coordination.gateway.second_attempts import (
+    Held,
+    Outcome,
+    SecondAttempts,
+    TimeKey,
+    merge_failures,
+    size_class,
+)
+from berylcart.coordination.serving.hedging import Entrant, first_reply
 from berylcart.state.errors import (
     BerylcartError,
     Code,
@@ -109,8 +119,11 @@
         self.on_begun: Callable[[], None] = lambda: None
         # Called with a scope that the attempt cancels at its end.
         self.on_sent: Callable[[anyio.CancelScope], None] = lambda _: None
+        # Tells whether the results that the request reads still exist.
+        self.has_inputs: Callable[[], bool] = lambda: True
+        # Tells whether an attempt's answer has begun to arrive.
+        self.is_answering = False
         self.tried: set[str] = set()
-        self.newest_vm_id = ""
         self.sends = 0
         self.runs = 0
         self.splitter = EventSplitter()
@@ -123,14 +136,41 @@
         route = self.work.route
         return route.is_repeatable and self.runs < route.max_attempts
 
+    @property
+    def may_race(self) -> bool:
+        """Tell whether the next attempt may get another one beside it."""
+        route = self.work.route
+        is_unsent = not self.exchange.is_started and self.has_inputs()
+        runs_left = route.max_attempts - self.runs
+        return route.is_repeatable and runs_left > 1 and is_unsent
+
+    @property
+    def may_send_beside(self) -> bool:
+        """Tell whether another attempt may start beside the running one."""
+        is_unsent = not self.is_answering and self.has_inputs()
+        is_worth_it = self.work.left_s >= MIN_LEFT_S
+        is_allowed = self.may_run_once_more and self.sends < MAX_SENDS
+        return is_unsent and is_allowed and is_worth_it
+
+    @cached_property
+    def time_key(self) -> TimeKey:
+        """Name the requests that take about as long as this one."""
+        work = self.work
+        is_stream = work.route.kind is RouteKind.STREAM
+        tokens = work.request.prompt.input_tokens
+        return TimeKey(work.service, is_stream, size_class(tokens))
+
+    @property
+    def silence_s(self) -> float:
+        """Say how long a replica is silent that is given up on."""
+        target_s = self.work.route.target_ms / MS_PER_S
+        return max(MIN_PATIENCE_S, PATIENCE_TARGETS * target_s)
+
     def patience_s(self) -> float | None:
         """Say how long a silent replica is waited for, None without end."""
         if not self.may_run_once_more:
             return None
-        route = self.work.route
-        target_s = route.target_ms / MS_PER_S
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_TARGETS * target_s)
-        return min(patience_s, MAX_TIME_SHARE * self.work.left_s)
+        return min(self.silence_s, MAX_TIME_SHARE * self.work.left_s)
 
     def gap_patience_s(self) -> float | None:
         """Say how long a stream's next event is waited for."""
@@ -141,14 +181,22 @@
 
 
 class Forwarder:
-    """Send requests to replicas, again where that is allowed."""
+    """Send requests to replicas, again where that is allowed.
+
+    seconds is None where no request gets a second attempt beside its first.
+    """
 
     def __init__(
-        self, relay: Relay, policy: GatewayPolicy, wire: Wire
+        self,
+        relay: Relay,
+        policy: GatewayPolicy,
+        wire: Wire,
+        seconds: SecondAttempts | None = None,
     ) -> None:
         self.relay = relay
         self.policy = policy
         self.wire = wire
+        self.seconds = seconds
 
     async def forward(self, run: ForwardRun) -> int:
         """Answer a request from a replica and give the answer's status.
@@ -158,9 +206,10 @@
         while True:
             vm = self.choose(run)
             try:
+                if self.seconds is not None and run.may_race:
+                    return await self.race(run, vm, self.seconds)
                 return await self.attempt(run, vm)
             except UpstreamError as error:
-                self.note_failure(run, vm, error)
                 run.failure = error
                 if not self.may_send_again(run, error):
                     return await self.give_up(run, error)
@@ -185,7 +234,7 @@
             raise run.failure from None
 
     def note_failure(
-        self, run: ForwardRun, vm: Vm, error: UpstreamError
+        self, run: ForwardRun, vm: Vm, number: int, error: UpstreamError
     ) -> None:
         """Log a failed attempt."""
         events.warning(
@@ -193,7 +242,7 @@
             request_id=run.work.request.request_id,
             service=vm.service,
             vm_id=vm.vm_id,
-            send=run.sends,
+            send=number,
             ran=error.ran,
             last_event_id=run.splitter.last_id,
             detail=error.detail,
@@ -227,12 +276,109 @@
         await run.exchange.finish()
         return head.status
 
-    async def attempt(self, run: ForwardRun, vm: Vm) -> int:
-        """Send the request to one replica and pass on its answer."""
+    async def race(
+        self, run: ForwardRun, vm: Vm, seconds: SecondAttempts
+    ) -> int:
+        """Send the request, and once more beside it where it takes long."""
+        delay_ms = seconds.delay_ms(run.time_key)
+        if delay_ms is None:
+            return await self.attempt(run, vm)
+        started_s = now_s()
+        run.is_answering = False
+
+        async def first(entrant: Entrant) -> int:
+            return await self.attempt(run, vm, entrant)
+
+        async def second(entrant: Entrant) -> int | None:
+            other = self.choose_second(run, vm, seconds)
+            if other is None:
+                return None
+            seconds.take(run.work.service)
+            events.info(
+                "attempt.second",
+                request_id=run.work.request.request_id,
+                service=other.service,
+                vm_id=other.vm_id,
+                first_vm_id=vm.vm_id,
+                delay_ms=int((now_s() - started_s) * MS_PER_S),
+                quantile_ms=int(delay_ms),
+            )
+            return await self.attempt_second(run, other, entrant, seconds)
+
+        return await first_reply(
+            first, second, delay_ms / MS_PER_S, merge_failures
+        )
+
+    def choose_second(
+        self, run: ForwardRun, first: Vm, seconds: SecondAttempts
+    ) -> Vm | None:
+        """Choose where a second attempt runs, None where it may not.
+
+        Another place is preferred, as what slows one replica may slow those
+        beside it. A replica that is taken out is no help.
+        """
+        if not run.may_send_beside:
+            return None
+        service = run.work.service
+        affinity = run.work.request.prompt.affinity
+        held = seconds.held(service)
+        if held is None:
+            pool = self.policy.pool(service)
+            near = {vm.vm_id for vm in pool if vm.place == first.place}
+            tried = run.tried | {first.vm_id}
+            for excluded in (tried | near, tried):
+                try:
+                    vm = self.policy.choose(service, affinity, excluded)
+                except BerylcartError:
+                    continue
+                if not self.policy.ejector.is_ejected(vm):
+                    return vm
+            held = Held.NO_REPLICA
+        seconds.on_held(service, held)
+        return None
+
+    async def attempt_second(
+        self,
+        run: ForwardRun,
+        vm: Vm,
+        entrant: Entrant,
+        seconds: SecondAttempts,
+    ) -> int:
+        """Send the request beside its first attempt and note the outcome."""
+        started_s = now_s()
+        outcome = Outcome.CUT
+        try:
+            status = await self.attempt(run, vm, entrant)
+            outcome = Outcome.WON
+        except UpstreamError:
+            has_won = entrant.has_won
+            outcome = Outcome.ABORTED if has_won else Outcome.FAILED
+            raise
+        finally:
+            if entrant.has_lost:
+                outcome = Outcome.LOST
+            seconds.on_outcome(vm.service, outcome)
+            events.info(
+                "attempt.second_ended",
+                request_id=run.work.request.request_id,
+                service=vm.service,
+                vm_id=vm.vm_id,
+                outcome=outcome,
+                latency_ms=int((now_s() - started_s) * MS_PER_S),
+            )
+        return status
+
+    async def attempt(
+        self, run: ForwardRun, vm: Vm, entrant: Entrant | None = None
+    ) -> int:
+        """Send the request to one replica and pass on its answer.
+
+        One with an entrant first claims the caller, as another may run.
+        """
         work = run.work
         run.sends += 1
+        number = run.sends
         run.tried.add(vm.vm_id)
-        run.newest_vm_id = vm.vm_id
         facts = UpstreamFacts(
             vm,
             left_ms=max(1, int(work.left_s * MS_PER_S)),
@@ -246,12 +392,15 @@
         try:
             with self.policy.in_flight(vm) as clock:
                 run.runs += 1
-                status = await self.exchange(run, vm, request, clock)
+                status = await self.exchange(run, vm, request, clock, entrant)
             ran = Ran.YES
         except UpstreamError as error:
             ran = error.ran
             if ran is Ran.NO:
                 run.runs -= 1
+            self.note_failure(run, vm, number, error)
+            if self.seconds is not None and error.retry_after_ms is not None:
+                self.seconds.note_refusal(vm)
             raise
         finally:
             run.progress.end(ran)
@@ -263,6 +412,7 @@
         vm: Vm,
         request: UpstreamRequest,
         clock: AttemptClock,
+        entrant: Entrant | None,
     ) -> int:
         """Send a request and pass on its answer, up to a silence."""
         patience = Patience(run.patience_s())
@@ -276,57 +426,93 @@
                 async with self.relay.exchange(request, note_sent) as answer:
                     head = answer.head
                     self.policy.limits.note_answer(vm, head.limit_per_s)
-                    return await self.pass_on(run, answer, clock, patience)
+                    return await self.pass_on(
+                        run, answer, clock, patience, entrant
+                    )
         finally:
             attempt.cancel()
+            self.note_end(run, clock, entrant)
+        if self.seconds is not None and clock.answered_s is None:
+            self.seconds.note_silence(
+                run.time_key, vm, clock.started_s, run.silence_s
+            )
         raise UpstreamError(
             Code.UPSTREAM_FAILED,
             f"silent for {patience.limit_s} s",
             ran=Ran.UNKNOWN,
         )
 
+    def note_end(
+        self, run: ForwardRun, clock: AttemptClock, entrant: Entrant | None
+    ) -> None:
+        """Learn from an attempt that lost before its first byte."""
+        if entrant is None or self.seconds is None:
+            return
+        if clock.answered_s is None and entrant.has_lost:
+            clock.is_outrun = True
+            clock.has_stalled = self.seconds.note_silence(
+                run.time_key, clock.vm, clock.started_s, run.silence_s
+            )
+
+    def note_answer(
+        self, run: ForwardRun, head: AnswerHead, clock: AttemptClock
+    ) -> None:
+        """Take the time to the first part of an answer."""
+        if clock.answered_s is not None:
+            return
+        clock.note_answer()
+        run.is_answering = True
+        if self.seconds is None:
+            return
+        if head.status in HTTP_SERVER_ERRORS:
+            self.seconds.note_life(clock.vm)
+        else:
+            self.seconds.note_answer(run.time_key, clock.vm, clock.latency_ms)
+
     async def pass_on(
         self,
         run: ForwardRun,
         answer: UpstreamAnswer,
         clock: AttemptClock,
         patience: Patience,
+        entrant: Entrant | None,
     ) -> int:
         """Pass on one answer."""
         check_answer(answer.head, run.work.route)
         is_ok = answer.head.status in HTTP_OK
         if run.work.route.kind is RouteKind.STREAM and is_ok:
-            await self.pass_stream(run, answer, clock, patience)
+            await self.pass_stream(run, answer, clock, patience, entrant)
         else:
-            await self.pass_whole(run, answer, clock)
+            await self.pass_whole(run, answer, clock, entrant)
         return answer.head.status
 
     async def pass_whole(
-        self, run: ForwardRun, answer: UpstreamAnswer, clock: AttemptClock
+        self,
+        run: ForwardRun,
+        answer: UpstreamAnswer,
+        clock: AttemptClock,
+        entrant: Entrant | None,
     ) -> None:
         """Read a whole answer before the caller gets any of it."""
         body = bytearray()
         head = answer.head
         while True:
             data = await answer.read()
-            clock.note_answer()
+            self.note_answer(run, head, clock)
             if data is None:
                 break
             body += data
             if len(body) > BUFFERED_BYTES:
-                if not run.exchange.is_started:
-                    await run.exchange.start(head.status, head.headers)
+                await start_whole(run, head, entrant)
                 await run.exchange.send(bytes(body))
                 body.clear()
-        if head.status in HTTP_SERVER_ERRORS and run.may_run_once_more:
+        is_failed = head.status in HTTP_SERVER_ERRORS
+        if has_better_rival(entrant, head) or (
+            is_failed and run.may_run_once_more
+        ):
             run.kept = KeptAnswer(head, bytes(body))
-            raise UpstreamError(
-                Code.UPSTREAM_FAILED,
-                f"the replica answered {head.status}",
-                ran=Ran.YES,
-            )
-        if not run.exchange.is_started:
-            await run.exchange.start(head.status, head.headers)
+            raise failed_answer(head)
+        await start_whole(run, head, entrant)
         await run.exchange.send(bytes(body))
         await run.exchange.finish()
 
@@ -336,21 +522,27 @@
         answer: UpstreamAnswer,
         clock: AttemptClock,
         patience: Patience,
+        entrant: Entrant | None,
     ) -> None:
         """Pass on a stream while it arrives."""
-        run.splitter.drop_partial()
+        # A race runs only before the first event.
+        splitter = run.splitter if entrant is None else EventSplitter()
+        splitter.drop_partial()
         while (data := await answer.read()) is not None:
-            clock.note_answer()
-            run.on_begun()
+            self.note_answer(run, answer.head, clock)
+            if entrant is None or entrant.has_won:
+                run.on_begun()
             if run.work.route.is_resumable:
-                data = run.splitter.feed(data)
+                data = splitter.feed(data)
             if data:
+                await claim_stream(run, splitter, entrant)
                 patience.renew(run.gap_patience_s())
                 await self.begin(run, answer.head.headers, clock)
                 await run.exchange.send(data)
+        await claim_stream(run, splitter, entrant)
         await self.begin(run, answer.head.headers, clock)
-        if run.splitter.held:
-            await run.exchange.send(run.splitter.held)
+        if splitter.held:
+            await run.exchange.send(splitter.held)
         await run.exchange.finish()
 
     async def begin(
@@ -363,7 +555,7 @@
                 "stream.begun",
                 request_id=run.work.request.request_id,
                 service=run.work.service,
-                vm_id=run.newest_vm_id,
+                vm_id=clock.vm.vm_id,
                 latency_ms=int((now_s() - started_s) * MS_PER_S),
                 attempt_ms=int(clock.latency_ms),
                 target_ms=run.work.route.target_ms,
@@ -371,6 +563,48 @@
             await run.exchange.start(HTTP_OK[0], headers)
 
 
+async def start_whole(
+    run: ForwardRun, head: AnswerHead, entrant: Entrant | None
+) -> None:
+    """Take the caller for a whole answer and write its head once.
+
+    One that lost a race ends here; raises UpstreamError on a failed answer
+    that another attempt may better.
+    """
+    if entrant is not None:
+        if has_better_rival(entrant, head):
+            raise failed_answer(head)
+        await entrant.claim()
+    if not run.exchange.is_started:
+        await run.exchange.start(head.status, head.headers)
+
+
+async def claim_stream(
+    run: ForwardRun, splitter: EventSplitter, entrant: Entrant | None
+) -> None:
+    """Take the caller for a stream; one that lost a race ends here."""
+    if entrant is not None and not entrant.has_won:
+        await entrant.claim()
+        run.splitter = splitter
+        run.on_begun()
+
+
+def has_better_rival(entrant: Entrant | None, head: AnswerHead) -> bool:
+    """Tell whether a failed answer leaves the caller to another attempt."""
+    if entrant is None or not entrant.has_rival:
+        return False
+    return head.status in HTTP_SERVER_ERRORS or head.status in HTTP_PROMISES
+
+
+def failed_answer(head: AnswerHead) -> UpstreamError:
+    """Describe a replica's own failure, which another may better."""
+    return UpstreamError(
+        Code.UPSTREAM_FAILED,
+        f"the replica answered {head.status}",
+        ran=Ran.YES,
+    )
+
+
 def check_answer(head: AnswerHead, route: Route) -> None:
     """Raise UpstreamError on an answer that must not be passed on."""
     if head.did_not_run:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -264,6 +264,7 @@
         try:
             inputs = await self.stages.make_all(plan)
             run.work = work._replace(inputs=inputs, preferred=vm)
+            run.has_inputs = lambda: not inputs or bool(plan.results)
             # The replica has read its inputs at the latest once its answer
             # begins.
             run.on_begun = lambda: self.stages.drop_all(plan)
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -40,11 +40,18 @@
 
 
 class AttemptClock:
-    """Note when an attempt's answer began."""
+    """Note when an attempt's answer began, and how a cancelled one ended.
 
-    def __init__(self) -> None:
+    is_outrun says that another attempt of the request won before this one
+    had a first byte, has_stalled that its replica was silent before as well.
+    """
+
+    def __init__(self, vm: Vm) -> None:
+        self.vm = vm
         self.started_s = now_s()
         self.answered_s: float | None = None
+        self.is_outrun = False
+        self.has_stalled = False
 
     def note_answer(self) -> None:
         """Take the first part of the answer."""
@@ -132,7 +139,7 @@
     @contextmanager
     def in_flight(self, vm: Vm) -> Iterator[AttemptClock]:
         """Account for one attempt from its start to its end."""
-        clock = AttemptClock()
+        clock = AttemptClock(vm)
         self.limits.take(vm)
         self.load_table.started(vm)
         try:
@@ -147,7 +154,11 @@
             raise
         except BaseException:
             self.load_table.cancelled(vm, clock.latency_ms)
-            if clock.answered_s is None:
+            if clock.is_outrun:
+                self.ejector.outrun(
+                    vm, clock.latency_ms, has_stalled=clock.has_stalled
+                )
+            elif clock.answered_s is None:
                 self.ejector.cancelled(vm, clock.latency_ms)
             raise
         self.load_table.finished(vm, clock.latency_ms, True)
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -8,11 +8,16 @@
 from berylcart.coordination.gateway.piece_queue import MAX_PIECES
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.gateway.second_attempts import (
+    SecondAttempts,
+    TimeKey,
+)
 from berylcart.coordination.gateway.stage_results import StageResults
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.routes import (
     BatchLimits,
     GatewayService,
+    RouteKind,
     RouteStage,
     RouteTable,
 )
@@ -20,8 +25,11 @@
 from ..gateway_fakes import (
     BOOKING,
     GONE,
+    IDEMPOTENT,
     REFUSED,
+    SERVICE,
     STAGED,
+    TIMES_MS,
     FakeExchange,
     FakeRelay,
     FakeWire,
@@ -269,6 +277,48 @@
     run(check)
 
 
+def allow_seconds(rig, route):
+    """Allow second attempts after 100 ms, the known times' quantile."""
+    seconds = SecondAttempts(0.2, rig.gateway.policy.budget)
+    key = TimeKey(SERVICE, route.kind is RouteKind.STREAM, 0)
+    for time_ms in TIMES_MS:
+        seconds.learn(key, time_ms)
+    rig.gateway.policy.budget.note_request(SERVICE, 100)
+    rig.gateway.forwarder.seconds = seconds
+    return seconds
+
+
+def test_second_attempt_of_a_stopping_daemon_ends_with_its_request():
+    async def check():
+        hangs = Script(chunks=(), hangs=True)
+        rig = Rig(IDEMPOTENT, hangs, Script(starts_after_s=0.5))
+        allow_seconds(rig, IDEMPOTENT)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(rig.serve)
+            await anyio.sleep(0.2)
+            assert len(rig.relay.sent) == 2
+            await rig.gateway.wait_idle()
+            assert rig.served[0].status == 200
+            assert rig.relay.closed == [rig.relay.sent[0].address]
+
+    run(check)
+
+
+def test_request_with_dropped_inputs_gets_no_second_attempt():
+    """Guards against sends that a replica can only refuse."""
+
+    async def check():
+        route = STAGED._replace(is_resumable=True, max_attempts=2)
+        rig = Rig(route, Script(starts_after_s=0.8), Script())
+        seconds = allow_seconds(rig, route)
+        for _ in range(100):
+            seconds.learn(TimeKey(SERVICE, True, 0), 500.0)
+        assert (await rig.serve()).status == 200
+        assert len(rig.relay.sent) == 1
+
+    run(check)
+
+
 def test_caller_that_leaves_ends_the_work():
     async def check():
         rig = Rig(BOOKING, Script(chunks=(), hangs=True))
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -13,6 +13,7 @@
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.gateway.second_attempts import SecondAttempts
 from berylcart.state.errors import Code, Ran, UnreachableError, UpstreamError
 from berylcart.state.relayed import (
     AnswerHead,
@@ -36,18 +37,20 @@
 from berylcart.state.vm import Vm, VmRole, VmState
 
 SERVICE = "model"
+# Their 0.95 quantile is 100 ms, their median 10 ms.
+TIMES_MS = (10.0,) * 18 + (100.0,) * 2
 OK = AnswerHead(200, ((b"x", b"1"),), "r1", True, False, False)
 REFUSED = AnswerHead(503, (), "r1", False, True, False)
 GONE = AnswerHead(409, (), "r1", False, True, False)
 FAILED = AnswerHead(500, ((b"x", b"failed"),), "r1", True, False, False)
 
 
-def make_vm(name, service=SERVICE):
+def make_vm(name, service=SERVICE, place="lahore-1"):
     return Vm(
         name,
         1,
         f"{name}:80",
-        "lahore-1",
+        place,
         VmRole.UPSTREAM,
         service,
         VmState.LIVE,
@@ -126,6 +129,8 @@
     def __init__(self, *scripts):
         self.scripts = list(scripts)
         self.sent = []
+        # The addresses whose exchange was left before its answer's end.
+        self.closed = []
 
     @asynccontextmanager
     async def exchange(self, request, on_sent=lambda: None):
@@ -135,10 +140,14 @@
             raise UnreachableError("no connection")
         self.sent.append(request)
         on_sent()
-        if isinstance(script, Exception):
-            raise script
-        await anyio.sleep(script.starts_after_s)
-        yield script
+        try:
+            if isinstance(script, Exception):
+                raise script
+            await anyio.sleep(script.starts_after_s)
+            yield script
+        except BaseException:
+            self.closed.append(request.address)
+            raise
 
 
 class FakeWire:
@@ -236,17 +245,36 @@
 
 
 class Forwarding:
-    """Forward one request of a route to scripted replicas."""
+    """Forward one request of a route to scripted replicas.
+
+    share is that of second attempts, for which TIMES_MS are known.
+    """
 
-    def __init__(self, route, *scripts, vms=("v1", "v2", "v3")):
+    def __init__(self, route, *scripts, vms=("v1", "v2", "v3"), share=0.0):
         self.relay = FakeRelay(*scripts)
         self.policy = make_policy(make_keeper(route), vms)
+        self.seconds = None
+        self.outcomes = []
+        self.held = []
         self.exchange = FakeExchange()
         self.progress = Progress()
         deadline_s = anyio.current_time() + 5
         work = Work(make_request(), route, SERVICE, "counter", deadline_s)
         self.run = ForwardRun(work, self.exchange, self.progress)
-        self.forwarder = Forwarder(self.relay, self.policy, FakeWire())
+        if share:
+            self.allow_seconds(share)
+        self.forwarder = Forwarder(
+            self.relay, self.policy, FakeWire(), self.seconds
+        )
+
+    def allow_seconds(self, share):
+        """Allow second attempts after the known times' high quantile."""
+        self.seconds = SecondAttempts(share, self.policy.budget)
+        self.policy.budget.note_request(SERVICE, 100)
+        for time_ms in TIMES_MS:
+            self.seconds.learn(self.run.time_key, time_ms)
+        self.seconds.on_outcome = lambda _, each: self.outcomes.append(each)
+        self.seconds.on_held = lambda _, each: self.held.append(each)
 
     async def forward(self):
         """Forward it; raises UpstreamError."""
