Read the share of second attempts from the environment

With a share the daemon builds SecondAttempts on its retry window and counts outcomes, and what forbade a second attempt, by service.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -19,6 +19,7 @@
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_keeper import RouteKeeper
+from berylcart.coordination.gateway.second_attempts import SecondAttempts
 from berylcart.coordination.gateway.shared_tail import SharedTail
 from berylcart.coordination.gateway.stage_home import StageHome
 from berylcart.coordination.gateway.stage_results import StageResults
@@ -156,13 +157,29 @@
             self.keeper,
             self.ports.wire,
             self.policy,
-            Forwarder(self.relay, self.policy, self.ports.wire),
+            Forwarder(
+                self.relay,
+                self.policy,
+                self.ports.wire,
+                self.make_second_attempts(),
+            ),
             StageResults(self.home, self.spawn, self.place_of),
         )
         self.gateway.on_served = self.note_served
         self.exchange.on_members = self.note_members
         self.keeper.on_change = self.note_routes
 
+    def make_second_attempts(self) -> SecondAttempts | None:
+        """Build what decides on second attempts, None where none are made."""
+        if not self.settings.second_attempt_share:
+            return None
+        seconds = SecondAttempts(
+            self.settings.second_attempt_share, self.budget
+        )
+        seconds.on_outcome = self.metrics.note_second
+        seconds.on_held = self.metrics.note_held
+        return seconds
+
     def build_servers(self) -> None:
         """Build what listens."""
         rules = ConnectionRules(
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -1,6 +1,7 @@
 """Count what a gateway did for Prometheus."""
 
 from berylcart.coordination.gateway.gateway import Served
+from berylcart.coordination.gateway.second_attempts import Held, Outcome
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -65,6 +66,27 @@
             registry=self.registry,
         )
 
+        self.second_attempts = Counter(
+            "berylcart_second_attempts",
+            "Second attempts beside slow first ones by how they ended.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self.second_attempts_held = Counter(
+            "berylcart_second_attempts_held",
+            "Slow requests without a second attempt, by what forbade it.",
+            ["service", "reason"],
+            registry=self.registry,
+        )
+
+    def note_second(self, service: str, outcome: Outcome) -> None:
+        """Count a second attempt that ended."""
+        self.second_attempts.labels(service, outcome.value).inc()
+
+    def note_held(self, service: str, reason: Held) -> None:
+        """Count a second attempt that was not made."""
+        self.second_attempts_held.labels(service, reason.value).inc()
+
     def note_served(self, served: Served) -> None:
         """Count a finished request."""
         self.requests.labels(
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -36,3 +36,6 @@
     entries_keep_ms: int = 1000
     # Well inside the time in which a leaving replica must get no more work.
     replicas_interval_ms: int = 600
+    # Share of a service's requests that may get a second attempt beside a
+    # slow first one, 0 to 0.2; none do at 0.
+    second_attempt_share: float = 0.0
