--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -44,3 +44,6 @@
     # and slack.
     cold_overshoot: float = 1.5
     cold_slack: float = 5.0
+    # Share of a service's requests that may get a second attempt beside a
+    # slow first one, 0 to 0.2; none do at 0.
+    second_attempt_share: float = 0.0
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -277,6 +277,7 @@
                 inputs_place=self.stages.place_of_all(inputs),
                 input_bytes=plan.last_bytes(),
             )
+            run.has_inputs = lambda: not inputs or bool(plan.results)
             # The replica has read its inputs at the latest once its answer
             # begins.
             run.on_begun = lambda: self.stages.drop_all(plan)
