Make the last results of stages near the replica that will read them

Change: a question before the stages names the replica that would be chosen; what is far from the inputs costs 15 ms a MB. A request without news is forgotten after 5 s. An impossible port in a peer's address fails its call alone.

--- a/packages/berylcart/src/berylcart/coordination/gateway/engine_home.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_home.py
@@ -126,35 +126,40 @@
 
     async def place(self, query: PlacementQuery) -> Placed | None:
         """Choose a replica together, None where that is not possible."""
-        placed = await self.ask(query)
-        self.on_placed(query.service, placed is not None)
-        return placed
-
-    async def ask(self, query: PlacementQuery) -> Placed | None:
-        """Have the home of a service choose a replica, be it this daemon."""
         home = self.home_of(query.service)
-        if home is None:
-            placement = self.placement_of(query.service).place(query)
-        else:
-            if clock.now_s() < self.shunned.get(home.daemon_id, 0.0):
-                return None
-            try:
-                placement = await self.peers.place_request(
-                    home.peer_address, query, timeout_ms=PLACE_TIMEOUT_MS
-                )
-            except BerylcartError as error:
-                self.shunned[home.daemon_id] = clock.now_s() + SHUN_S
-                events.warning(
-                    "placement.failed",
-                    service=query.service,
-                    home=home.daemon_id,
-                    detail=error.detail,
-                )
-                return None
+        placement = await self.ask(home, query)
+        self.on_placed(query.service, placement is not None)
         if placement is None:
             return None
         return Placed(query.service, placement, home)
 
+    async def foresee(self, query: PlacementQuery) -> Placement | None:
+        """Ask which replica would be chosen, without a request for it."""
+        query = query._replace(is_question=True)
+        return await self.ask(self.home_of(query.service), query)
+
+    async def ask(
+        self, home: Member | None, query: PlacementQuery
+    ) -> Placement | None:
+        """Have the home of a service choose a replica, be it this daemon."""
+        if home is None:
+            return self.placement_of(query.service).place(query)
+        if clock.now_s() < self.shunned.get(home.daemon_id, 0.0):
+            return None
+        try:
+            return await self.peers.place_request(
+                home.peer_address, query, timeout_ms=PLACE_TIMEOUT_MS
+            )
+        except BerylcartError as error:
+            self.shunned[home.daemon_id] = clock.now_s() + SHUN_S
+            events.warning(
+                "placement.failed",
+                service=query.service,
+                home=home.daemon_id,
+                detail=error.detail,
+            )
+            return None
+
     def tell(
         self, placed: Placed, *, is_begun: bool, is_failed: bool = False
     ) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/engine_placement.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_placement.py
@@ -10,7 +10,6 @@
 
 from berylcart import clock, events
 from berylcart.coordination.gateway.engine_load import EngineLoad, FleetSpeed
-from berylcart.coordination.gateway.piece_queue import LARGE_MOVE_BYTES
 from berylcart.state.peer_messages import (
     AttemptNews,
     Placement,
@@ -22,10 +21,13 @@
 # Reading a shared part that another replica holds delays the request itself
 # and, for as long again, the requests that come after it.
 READ_AGAIN_FACTOR = 2
-# What it is worth that large results stay in their place.
-PLACE_COST_S = 0.03
-# Callers of longer requests leave before.
-MAX_LEFT_MS = 600_000
+# What it is worth that results stay in their place: links between places are
+# shared, and their time is that of some tokens read.
+MOVE_S_PER_BYTE = 0.015e-6
+MAX_MOVE_S = 0.2
+# A request without news for longer was never sent, or its replica is silent
+# and is tried again.
+MAX_LEFT_MS = 5000
 
 Key = tuple[str, int]
 
@@ -61,17 +63,22 @@
         return load
 
     def place(self, query: PlacementQuery) -> Placement | None:
-        """Choose a replica and count the request there, None without any."""
+        """Choose a replica and count the request there, None without any.
+
+        A question is answered without a request that counts.
+        """
         pool = self.pool()
         if not pool:
             return None
         now_s = clock.now_s()
         vm = min(pool, key=lambda each: self.cost(each, query, now_s))
         load = self.load(vm)
-        number = next(self.numbers)
         tokens = query.own_tokens + load.missing(query.parts)
+        expected_ms = int(load.expected_s(tokens, now_s) * MS_PER_S)
+        if query.is_question:
+            return Placement(vm.vm_id, vm.incarnation, 0, expected_ms)
+        number = next(self.numbers)
         left_s = min(MAX_LEFT_MS, query.left_ms) / MS_PER_S
-        expected_s = load.expected_s(tokens, now_s)
         load.send(
             number,
             tokens,
@@ -82,7 +89,6 @@
         load.keep(query.parts)
         self.sent[number] = (vm.vm_id, vm.incarnation)
         self.retain(pool)
-        expected_ms = int(expected_s * MS_PER_S)
         return Placement(vm.vm_id, vm.incarnation, number, expected_ms)
 
     def cost(
@@ -97,9 +103,8 @@
         load = self.load(vm)
         missing = READ_AGAIN_FACTOR * load.missing(query.parts)
         cost_s = load.expected_s(query.own_tokens + missing, now_s)
-        is_near = query.place in ("", vm.place)
-        if not is_near and query.moved_bytes >= LARGE_MOVE_BYTES:
-            cost_s += PLACE_COST_S
+        if query.place not in ("", vm.place):
+            cost_s += min(MAX_MOVE_S, MOVE_S_PER_BYTE * query.moved_bytes)
         return cost_s
 
     def note(self, news: AttemptNews) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -16,6 +16,7 @@
     GatewayPolicy,
 )
 from berylcart.coordination.gateway.permitted import Places
+from berylcart.coordination.gateway.piece_queue import LARGE_MOVE_BYTES
 from berylcart.coordination.gateway.ports import (
     CallerExchange,
     Relay,
@@ -223,29 +224,40 @@
                 if not self.may_send_again(run, error):
                     return await self.give_up(run, error)
 
+    def is_placed(self, run: ForwardRun) -> bool:
+        """Tell whether the home of the service chooses a request's replica.
+
+        The home doesn't know where a restricted request may run.
+        """
+        work = run.work
+        is_free = not run.sends and work.places is None
+        if self.engines is None or not is_free:
+            return False
+        is_stream = work.route.kind is RouteKind.STREAM
+        return is_stream and self.engines.is_asked(work.service)
+
+    async def foresee(self, run: ForwardRun) -> Vm | None:
+        """Ask where a request will run once its stages are made.
+
+        Nothing is asked where the results that it reads are small, as these
+        are then made anywhere.
+        """
+        work = run.work
+        read_bytes = work.route.last_bytes(work.request.piece_counts)
+        if read_bytes < LARGE_MOVE_BYTES or not self.is_placed(run):
+            return None
+        assert self.engines is not None
+        placement = await self.engines.foresee(write_query(work))
+        if placement is None:
+            return None
+        return self.policy.find(placement, work.service, work.places)
+
     async def place(self, run: ForwardRun) -> Vm | None:
         """Have the home of an engine service choose the first replica."""
         work = run.work
-        is_first = not run.sends and work.route.kind is RouteKind.STREAM
-        if self.engines is None or not is_first:
-            return None
-        # The home doesn't know where a restricted request may run.
-        is_open = work.places is None
-        if not (is_open and self.engines.is_asked(work.service)):
+        if self.engines is None or not self.is_placed(run):
             return None
-        prompt = work.request.prompt
-        shared = prompt.parts[:-1]
-        run.placed = await self.engines.place(
-            PlacementQuery(
-                work.service,
-                shared,
-                max(0, prompt.input_tokens - sum(e.tokens for e in shared)),
-                prompt.output_tokens,
-                max(1, int(work.left_s * MS_PER_S)),
-                work.inputs_place,
-                work.input_bytes,
-            )
-        )
+        run.placed = await self.engines.place(write_query(work))
         if run.placed is None:
             return None
         placement, home = run.placed.placement, run.placed.home
@@ -684,6 +696,21 @@
     )
 
 
+def write_query(work: Work) -> PlacementQuery:
+    """Describe a request to the home of its service."""
+    prompt = work.request.prompt
+    shared = prompt.parts[:-1]
+    return PlacementQuery(
+        work.service,
+        shared,
+        max(0, prompt.input_tokens - sum(part.tokens for part in shared)),
+        prompt.output_tokens,
+        max(1, int(work.left_s * MS_PER_S)),
+        work.inputs_place,
+        work.input_bytes,
+    )
+
+
 def check_answer(head: AnswerHead, route: Route) -> None:
     """Raise UpstreamError on an answer that must not be passed on."""
     if head.did_not_run:
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -254,7 +254,7 @@
     async def run_staged(self, run: ForwardRun, rank: int) -> int:
         """Make the results that a request reads, then forward it."""
         work = run.work
-        vm = self.policy.choose(
+        vm = await self.forwarder.foresee(run) or self.policy.choose(
             work.service,
             work.request.prompt.affinity,
             run.tried,
@@ -275,7 +275,7 @@
                 inputs=inputs,
                 preferred=vm,
                 inputs_place=self.stages.place_of_all(inputs),
-                input_bytes=plan.last_bytes(),
+                input_bytes=work.route.last_bytes(work.request.piece_counts),
             )
             run.has_inputs = lambda: not inputs or bool(plan.results)
             # The replica has read its inputs at the latest once its answer
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_results.py
@@ -113,16 +113,11 @@
             places=self.places,
         )
 
-    def last_bytes(self) -> int:
-        """Estimate what the request's replica reads."""
-        return sum(
-            self.count(each) * self.route.stages[each].result_bytes
-            for each in self.route.last_stages
-        )
-
     def read_s(self) -> float:
         """Bound the time in which the request's replica reads its inputs."""
-        return read_s(self.last_bytes(), self.link_mbps)
+        return read_s(
+            self.route.last_bytes(self.request.piece_counts), self.link_mbps
+        )
 
     def inputs(self) -> tuple[str, ...]:
         """List the results that the request itself reads."""
--- a/packages/berylcart/src/berylcart/protocol/placement_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/placement_codec.py
@@ -37,6 +37,7 @@
         left_ms=clamp(query.left_ms),
         place=query.place,
         moved_bytes=clamp(query.moved_bytes),
+        is_question=query.is_question,
     )
 
 
@@ -54,6 +55,7 @@
         left_ms=message.left_ms,
         place=message.place,
         moved_bytes=message.moved_bytes,
+        is_question=message.is_question,
     )
 
 
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -67,7 +67,8 @@
     """Ask where a request to an engine service should run.
 
     parts are those that other requests share, own_tokens the rest of the
-    prompt. moved_bytes are read from place.
+    prompt. moved_bytes are read from place. is_question is set where no
+    request follows.
     """
 
     service: str
@@ -77,6 +78,7 @@
     left_ms: int
     place: str = ""
     moved_bytes: int = 0
+    is_question: bool = False
 
 
 class Placement(NamedTuple):
--- a/packages/berylcart/src/berylcart/state/routes.py
+++ b/packages/berylcart/src/berylcart/state/routes.py
@@ -1,6 +1,6 @@
 """Describe the routes that a gateway serves."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -63,6 +63,23 @@
             return True
         return self.kind is RouteKind.STREAM and self.is_resumable
 
+    def last_bytes(self, piece_counts: Sequence[int]) -> int:
+        """Estimate what a request itself reads of its stages' results.
+
+        >>> stages = (RouteStage("a", (), 10), RouteStage("b", (0,), 3))
+        >>> Route("r", "h", "/", RouteKind.STREAM, (), 1, 1,
+        ...       stages=stages).last_bytes((8, 4))
+        12
+        """
+        last = self.last_stages
+        return sum(
+            count * stage.result_bytes
+            for index, (count, stage) in enumerate(
+                zip(piece_counts, self.stages, strict=False)
+            )
+            if index in last
+        )
+
     @property
     def last_stages(self) -> tuple[int, ...]:
         """List the stages whose results the request itself reads.
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -41,7 +41,15 @@
 Reply = TypeVar("Reply", bound=Message)
 Decoded = TypeVar("Decoded")
 
-CALL_ERRORS = (DecodeError, OSError, PeerCallError, TimeoutError, ValueError)
+# An address with an impossible port gives OverflowError.
+CALL_ERRORS = (
+    DecodeError,
+    OSError,
+    OverflowError,
+    PeerCallError,
+    TimeoutError,
+    ValueError,
+)
 
 
 class PeerChannel:
--- a/packages/berylcart/tests/coordination/gateway/test_engine_placement.py
+++ b/packages/berylcart/tests/coordination/gateway/test_engine_placement.py
@@ -318,3 +318,18 @@
 
 def test_callers_that_leave_are_no_failure_of_the_engine():
     assert outcome(place_for_callers_that_leave) == 0.0
+
+
+async def ask_before_sending():
+    vms = [make_vm("v1"), make_vm("v2")]
+    placement = EnginePlacement("model", lambda: vms, lambda: 100_000)
+    query = PlacementQuery("model", (), 1000, 10, 9000, is_question=True)
+    answers = [placement.place(query) for _ in range(3)]
+    waiting = sum(len(each.readings) for each in placement.loads.values())
+    return answers, waiting + len(placement.sent)
+
+
+def test_question_counts_no_request():
+    answers, counted = outcome(ask_before_sending)
+    assert {each.vm_id for each in answers} == {"v1"}
+    assert counted == 0
