Place no requests on replicas that only some daemons may use

Cause: the home named cold and limited replicas, to which most daemons may send nothing, so that these chose again by themselves without the home's knowledge.

Change: the home places on replicas without a limit, on all only where each has one.

Measured: the new test passes; no bench run.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -180,7 +180,7 @@
             self.peers,
             self.home.home_of,
             lambda: len(self.membership.running()),
-            self.directory.pool,
+            self.policy.unlimited,
             self.service_info,
             self.spawn,
         )
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -170,6 +170,19 @@
             raise no_replica(service, self.pauses.shortest_s(pool))
         return vm
 
+    def unlimited(self, service: str) -> Sequence[Vm]:
+        """List the replicas to which every daemon may send, else all."""
+        pool = self.pool(service)
+        limits = self.limits
+        if not (limits.limits or limits.cold_ends_s):
+            return pool
+        free = [
+            vm
+            for vm in pool
+            if limits.limit_of(vm) is None and not limits.is_cold(vm)
+        ]
+        return free or pool
+
     def find(
         self, placement: Placement, service: str, places: Places
     ) -> Vm | None:
--- a/packages/berylcart/tests/coordination/gateway/test_cold_limits.py
+++ b/packages/berylcart/tests/coordination/gateway/test_cold_limits.py
@@ -396,3 +396,19 @@
         assert "v1" in chosen()
 
     run(check)
+
+
+def test_home_places_no_request_on_a_cold_or_limited_replica():
+    """Most daemons may not send there, and would have to choose again."""
+
+    async def check():
+        policy = make_policy(make_keeper(BOOKING), ("v1", "v2", "v3"))
+        policy.limits.cold_per_s = lambda service: COLD_PER_S
+        policy.note_notice(make_vm("v1"), ReplicaNotice(cold_ms=30_000))
+        policy.note_notice(make_vm("v2"), ReplicaNotice(limit_per_s=2.0))
+        names = [vm.vm_id for vm in policy.unlimited(SERVICE)]
+        assert names == ["v3"]
+        policy.note_notice(make_vm("v3"), ReplicaNotice(limit_per_s=2.0))
+        assert len(policy.unlimited(SERVICE)) == 3
+
+    run(check)
