Keep one malformed message from ending the daemon

Cause: an unexpected exception in a background task ended the task group of the whole daemon. Found: a newest record of the store that is no Base64 or has no key (its error was raised in the consumer of the pages, outside their handler), and pages of newest records without end, which were all held.

Change: background tasks run under `supervision`, which logs `daemon.fault` and runs them again.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -43,6 +43,7 @@
 from berylcart_daemon.gateway_settings import GatewaySettings
 from berylcart_daemon.loop_lag import LoopLag
 from berylcart_daemon.route_exchange import RouteExchange
+from berylcart_daemon.supervision import keep_running, run_guarded
 
 MS_PER_S = 1000
 # Some callers keep a list of entries for this many times its period.
@@ -231,7 +232,7 @@
             )
             self.batchers[service] = batcher
             if self.background is not None:
-                self.background.start_soon(batcher.run)
+                self.background.start_soon(keep_running, batcher.run)
         return batcher
 
     def spawn(
@@ -239,7 +240,7 @@
     ) -> None:
         """Run a function beside everything else until it ends."""
         if self.background is not None:
-            self.background.start_soon(function, *args)
+            self.background.start_soon(run_guarded, function, *args)
 
     def drop_inputs(self, handles: Sequence[str], is_spare: bool) -> None:
         """Drop results of any stages, spare ones where room is short."""
@@ -366,15 +367,15 @@
         for server in (self.callers, *self.pages):
             tasks.start_soon(server.run)
         for batcher in self.batchers.values():
-            tasks.start_soon(batcher.run)
-        tasks.start_soon(self.ports.feed.run, self.keeper)
-        tasks.start_soon(self.directory.run)
-        tasks.start_soon(self.membership.run)
-        tasks.start_soon(self.exchange.run)
-        tasks.start_soon(self.keep_house)
-        tasks.start_soon(self.keep_book)
+            tasks.start_soon(keep_running, batcher.run)
+        tasks.start_soon(keep_running, self.ports.feed.run, self.keeper)
+        tasks.start_soon(keep_running, self.directory.run)
+        tasks.start_soon(keep_running, self.membership.run)
+        tasks.start_soon(keep_running, self.exchange.run)
+        tasks.start_soon(keep_running, self.keep_house)
+        tasks.start_soon(keep_running, self.keep_book)
         lag = LoopLag(self.metrics.loop_lag_seconds.observe, self.work_at_hand)
-        tasks.start_soon(lag.run)
+        tasks.start_soon(keep_running, lag.run)
 
     async def keep_house(self) -> None:
         """Close connections that grew old."""
