Bound what replicas, peers, the store and callers send without end

Cause: blank lines, informational answers, chunk extensions, zeros of chunk sizes and trailers had no limit; nor had a stray answer's body, an event of a stream without end, a nested list of a peer, or a caller's body that trickles. A sender faster than the reader kept every timeout from firing. An answer with an upgrade, a port above 65535 in an address and a socket that fails as it is accepted raised errors that ended their task group.

Change: the parsers count the bytes fed since the last part. Progress of a stream with a gap bound is a whole event; where no other replica may go on with it, it is cut when its caller has left. The time in which a caller is written to no longer counts against the replica.

--- /dev/null
+++ b/packages/berylcart/src/berylcart/coordination/gateway/caller_patience.py
@@ -0,0 +1,22 @@
+"""Say how long callers wait before they leave by themselves."""
+
+from berylcart.state.routes import Route
+
+MS_PER_S = 1000
+# Callers leave a stream without an event after the longest of these.
+FIRST_EVENT_S = 2.0
+FIRST_EVENT_TARGETS = 4
+FIRST_EVENT_GAPS = 8
+
+
+def first_event_s(route: Route) -> float:
+    """Say how long callers of a route wait for an event.
+
+    >>> from berylcart.state.routes import RouteKind
+    >>> first_event_s(Route("r", "h", "/", RouteKind.STREAM, (), 15_000,
+    ...                     1700, gap_ms=200))
+    6.8
+    """
+    target_s = FIRST_EVENT_TARGETS * route.target_ms / MS_PER_S
+    gaps_s = FIRST_EVENT_GAPS * route.gap_ms / MS_PER_S
+    return max(FIRST_EVENT_S, target_s, gaps_s)
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Forward a request to a replica and its answer to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from math import inf
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 
 from berylcart import events
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.caller_patience import first_event_s
 from berylcart.coordination.gateway.event_splitter import EventSplitter
 from berylcart.coordination.gateway.gateway_policy import (
     AttemptClock,
@@ -96,6 +98,19 @@
         self.limit_s = limit_s
         self.scope.deadline = inf if limit_s is None else now_s() + limit_s
 
+    @contextmanager
+    def suspended(self) -> Iterator[None]:
+        """Stop the time while the caller is written to.
+
+        A caller that reads slowly is no silent replica.
+        """
+        deadline_s, self.scope.deadline = self.scope.deadline, inf
+        begun_s = now_s()
+        try:
+            yield
+        finally:
+            self.scope.deadline = deadline_s + now_s() - begun_s
+
 
 class ForwardRun:
     """Hold what one request has tried so far."""
@@ -133,11 +148,28 @@
         return min(patience_s, MAX_TIME_SHARE * self.work.left_s)
 
     def gap_patience_s(self) -> float | None:
-        """Say how long a stream's next event is waited for."""
-        if not self.may_run_once_more:
-            return None
-        gap_s = GAP_PATIENCE * self.work.route.gap_ms / MS_PER_S
-        return max(MIN_GAP_PATIENCE_S, gap_s)
+        """Say how long a stream's next event is waited for.
+
+        Where no other replica may go on with it, the caller is let wait for
+        as long as it does by itself. None, where the route names no gap,
+        leaves only the deadline.
+        """
+        route = self.work.route
+        if self.may_run_once_more:
+            gap_s = GAP_PATIENCE * route.gap_ms / MS_PER_S
+            return max(MIN_GAP_PATIENCE_S, gap_s)
+        return first_event_s(route) if route.gap_ms else None
+
+    def take_stream(self, data: bytes) -> bytes:
+        """Take bytes of a stream and give those to pass on.
+
+        Raises UpstreamError where an event that is held back is too large.
+        """
+        if self.work.route.is_resumable:
+            return self.splitter.feed(data)
+        if self.work.route.gap_ms:
+            self.splitter.scanner.feed(data)
+        return data
 
 
 class Forwarder:
@@ -281,7 +313,7 @@
             attempt.cancel()
         raise UpstreamError(
             Code.UPSTREAM_FAILED,
-            f"silent for {patience.limit_s} s",
+            f"no progress for {patience.limit_s} s",
             ran=Ran.UNKNOWN,
         )
 
@@ -298,11 +330,15 @@
         if run.work.route.kind is RouteKind.STREAM and is_ok:
             await self.pass_stream(run, answer, clock, patience)
         else:
-            await self.pass_whole(run, answer, clock)
+            await self.pass_whole(run, answer, clock, patience)
         return answer.head.status
 
     async def pass_whole(
-        self, run: ForwardRun, answer: UpstreamAnswer, clock: AttemptClock
+        self,
+        run: ForwardRun,
+        answer: UpstreamAnswer,
+        clock: AttemptClock,
+        patience: Patience,
     ) -> None:
         """Read a whole answer before the caller gets any of it."""
         body = bytearray()
@@ -314,9 +350,10 @@
                 break
             body += data
             if len(body) > BUFFERED_BYTES:
-                if not run.exchange.is_started:
-                    await run.exchange.start(head.status, head.headers)
-                await run.exchange.send(bytes(body))
+                with patience.suspended():
+                    if not run.exchange.is_started:
+                        await run.exchange.start(head.status, head.headers)
+                    await run.exchange.send(bytes(body))
                 body.clear()
         if head.status in HTTP_SERVER_ERRORS and run.may_run_once_more:
             run.kept = KeptAnswer(head, bytes(body))
@@ -325,6 +362,7 @@
                 f"the replica answered {head.status}",
                 ran=Ran.YES,
             )
+        patience.renew(None)
         if not run.exchange.is_started:
             await run.exchange.start(head.status, head.headers)
         await run.exchange.send(bytes(body))
@@ -339,15 +377,21 @@
     ) -> None:
         """Pass on a stream while it arrives."""
         run.splitter.drop_partial()
+        scanner = run.splitter.scanner
+        if patience.limit_s is None:
+            patience.renew(run.gap_patience_s())
         while (data := await answer.read()) is not None:
             clock.note_answer()
             run.on_begun()
-            if run.work.route.is_resumable:
-                data = run.splitter.feed(data)
-            if data:
+            known_events = scanner.count
+            data = run.take_stream(data)
+            if scanner.count > known_events:
                 patience.renew(run.gap_patience_s())
-                await self.begin(run, answer.head.headers, clock)
-                await run.exchange.send(data)
+            if data:
+                with patience.suspended():
+                    await self.begin(run, answer.head.headers, clock)
+                    await run.exchange.send(data)
+        patience.renew(None)
         await self.begin(run, answer.head.headers, clock)
         if run.splitter.held:
             await run.exchange.send(run.splitter.held)
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -8,6 +8,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.caller_ages import CallerAges
+from berylcart.coordination.gateway.caller_patience import first_event_s
 from berylcart.coordination.gateway.forwarder import (
     Forwarder,
     ForwardRun,
@@ -36,10 +37,6 @@
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
-# Callers leave a stream without an event after the longest of these.
-FIRST_EVENT_S = 2.0
-FIRST_EVENT_TARGETS = 4
-FIRST_EVENT_GAPS = 8
 # A request whose stages' results vanished has them made this often.
 MAX_STAGE_RUNS = 2
 RETRY_AFTER_MS = 500
@@ -92,19 +89,6 @@
     return Target(table, route, owner)
 
 
-def first_event_s(route: Route) -> float:
-    """Say how long callers of a route wait for the first event.
-
-    >>> from berylcart.state.routes import RouteKind
-    >>> first_event_s(Route("r", "h", "/", RouteKind.STREAM, (), 15_000,
-    ...                     1700, gap_ms=200))
-    6.8
-    """
-    target_s = FIRST_EVENT_TARGETS * route.target_ms / MS_PER_S
-    gaps_s = FIRST_EVENT_GAPS * route.gap_ms / MS_PER_S
-    return max(FIRST_EVENT_S, target_s, gaps_s)
-
-
 class Gateway:
     """Serve requests at one entry."""
 
--- a/packages/berylcart/src/berylcart/protocol/http_answers.py
+++ b/packages/berylcart/src/berylcart/protocol/http_answers.py
@@ -7,10 +7,13 @@
 
 from berylcart.state.relayed import Headers
 
+# Usual servers refuse heads of 8 to 64 KB; the largest of them holds here.
 MAX_HEAD_BYTES = 64 * 2**10
 INFORMATIONAL = range(100, 200)
 # Statuses whose answers have no body whatever their headers say.
 BODILESS = (204, 304)
+# An upgrade, which is never asked for, is no kind of HttpParserError.
+PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 LENGTH = b"content-length"
 CODING = b"transfer-encoding"
 
@@ -36,6 +39,12 @@
 class AnswerParser:
     r"""Read answers; is_head_only where they come without their bodies.
 
+    At most MAX_HEAD_BYTES may arrive between two parts: a head together with
+    the informational answers and blank lines before it, or what frames a
+    body (chunk sizes and extensions, trailers). Most of these bytes reach no
+    callback, so bytes are counted as they are fed. A feed that gives out a
+    part sets the count to zero; the excess is below the size of one feed.
+
     >>> parser = AnswerParser()
     >>> parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab")
     >>> parser.take()
@@ -53,23 +62,27 @@
         self.is_in_body = False
         self.needs_end = False
         self.is_kept = True
-        self.head_bytes = 0
+        # Bytes fed since the last part.
+        self.framing_bytes = 0
         self.error: AnswerError | None = None
 
     def feed(self, data: bytes) -> None:
         """Take bytes; an error shows once what came before is taken."""
         if self.error is not None:
             return
-        is_in_head = not self.is_in_body
-        self.head_bytes += len(data)
+        known_parts = len(self.parts)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except PARSER_ERRORS as error:
             self.error = AnswerError(f"{type(error).__name__}: {error}")
-        if self.is_in_body or not self.is_begun:
-            self.head_bytes = 0
-        elif is_in_head and self.head_bytes > MAX_HEAD_BYTES:
-            self.error = AnswerError("the answer's head is too large")
+        if len(self.parts) > known_parts:
+            self.framing_bytes = 0
+            return
+        self.framing_bytes += len(data)
+        if self.framing_bytes > MAX_HEAD_BYTES and self.error is None:
+            self.error = AnswerError(
+                f"{MAX_HEAD_BYTES} bytes without a head or a body"
+            )
 
     def feed_end(self) -> None:
         """Take the connection's end, which ends an answer without length.
--- a/packages/berylcart/src/berylcart/protocol/http_requests.py
+++ b/packages/berylcart/src/berylcart/protocol/http_requests.py
@@ -53,6 +53,9 @@
 class RequestParser:
     r"""Read requests with heads of some size at most.
 
+    The size also bounds what may arrive between two parts without being in
+    one: blank lines before a request, chunk sizes and extensions, trailers.
+
     >>> parser = RequestParser(max_head_bytes=100)
     >>> parser.feed(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
     >>> parser.take().head.target, parser.take(), parser.take()
@@ -67,15 +70,15 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.is_in_head = False
         self.is_in_body = False
-        self.head_bytes = 0
+        # Bytes fed since the last part.
+        self.framing_bytes = 0
         self.error: RequestError | None = None
 
     def feed(self, data: bytes) -> None:
         """Take bytes; an error shows once what came before is taken."""
         if self.error is not None:
             return
-        was_in_body = self.is_in_body
-        self.head_bytes += len(data)
+        known_parts = len(self.parts)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -84,12 +87,15 @@
         except httptools.HttpParserError as error:
             if self.error is None:
                 self.error = RequestError(str(error))
-        if not self.is_in_head:
-            self.head_bytes = 0
-        elif not was_in_body and self.head_bytes > self.max_head_bytes:
+        if len(self.parts) > known_parts:
+            self.framing_bytes = 0
+            return
+        self.framing_bytes += len(data)
+        if self.framing_bytes > self.max_head_bytes and self.error is None:
+            what = "framing of the body" if self.is_in_body else "head"
             self.error = RequestError(
-                f"the head exceeds {self.max_head_bytes} bytes",
-                is_head_too_large=True,
+                f"the {what} exceeds {self.max_head_bytes} bytes",
+                is_head_too_large=not self.is_in_body,
             )
 
     def take(self) -> Part | None:
--- a/packages/berylcart/src/berylcart/protocol/peer_frames.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_frames.py
@@ -92,8 +92,12 @@
     """
 
     def __init__(self, max_body_bytes: int) -> None:
+        self.max_frame_bytes = max_body_bytes + OVERHEAD_BYTES
+        # Where the last whole frame ended, and the bytes fed since.
+        self.read_bytes = 0
+        self.unread_bytes = 0
         self.unpacker = msgpack.Unpacker(
-            max_buffer_size=max_body_bytes + OVERHEAD_BYTES,
+            max_buffer_size=self.max_frame_bytes,
             max_bin_len=max_body_bytes,
             max_array_len=MAX_FIELDS,
             max_map_len=0,
@@ -101,10 +105,25 @@
         )
 
     def feed(self, data: bytes) -> Iterator[Frame]:
-        """Read the frames that bytes complete; raises ValueError."""
+        """Read the frames that bytes complete; raises ValueError.
+
+        The unpacker's buffer bounds no nested lists, whose bytes it consumes
+        while they arrive, so the bytes of an unfinished frame are counted.
+        """
+        self.unread_bytes += len(data)
         try:
             self.unpacker.feed(data)
             for item in self.unpacker:
+                end_bytes = self.unpacker.tell()
+                self.unread_bytes -= end_bytes - self.read_bytes
+                self.read_bytes = end_bytes
                 yield read_frame(item)
         except msgpack.exceptions.BufferFull:
             raise ValueError("a frame is too large") from None
+        if self.unread_bytes > self.max_frame_bytes:
+            raise ValueError("a frame is too large")
+
+    @property
+    def is_in_frame(self) -> bool:
+        """Tell whether a frame has begun that is not whole."""
+        return self.unread_bytes > 0
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -30,12 +30,27 @@
 MS_PER_S = 1000
 # What a caller may send ahead while its request is served.
 READ_AHEAD_BYTES = 64 * 2**10
+# A body must arrive at this rate on average after a grace period, below what
+# the slowest mobile links (GPRS, 1 KB/s) carry.
+MIN_BODY_BYTES_PER_S = 512
+# The grace period in idle timeouts: one pause before a body, one within it.
+BODY_GRACE_TIMEOUTS = 2
 # A caller that reads nothing must not hold a connection for ever.
 ERROR_SEND_TIMEOUT_S = 1.0
 
 CLOSE = (CONNECTION, b"close")
 
 
+def body_time_s(received_bytes: int, idle_timeout_s: float) -> float:
+    """Say how long after its head the next bytes of a body may come.
+
+    >>> body_time_s(0, 15.0), body_time_s(5120, 15.0)
+    (30.0, 40.0)
+    """
+    grace_s = BODY_GRACE_TIMEOUTS * idle_timeout_s
+    return grace_s + received_bytes / MIN_BODY_BYTES_PER_S
+
+
 class Exchange:
     """Hold one request and write its answer."""
 
@@ -247,8 +262,11 @@
         if head.is_continued and not self.parser.parts:
             await self.channel.send(GO_ON)
         body = bytearray()
+        idle_s = limits.idle_timeout_ms / MS_PER_S
+        begun_s = now_s()
         while True:
-            with anyio.move_on_after(limits.idle_timeout_ms / MS_PER_S):
+            left_s = begun_s + body_time_s(len(body), idle_s) - now_s()
+            with anyio.move_on_after(min(idle_s, left_s)):
                 part = await self.next_part()
                 if isinstance(part, RequestEnd):
                     self.is_kept = part.is_kept
@@ -264,7 +282,8 @@
                 continue
             raise BerylcartError(
                 Code.REQUEST_TIMEOUT,
-                f"no byte of the body within {limits.idle_timeout_ms} ms",
+                f"{len(body)} bytes of the body within "
+                f"{now_s() - begun_s:.1f} s, and too few of them lately",
             )
 
     async def refuse_malformed(self, error: RequestError) -> None:
--- a/packages/berylcart/src/berylcart/transport/caller_server.py
+++ b/packages/berylcart/src/berylcart/transport/caller_server.py
@@ -64,7 +64,13 @@
 
     async def serve(self, sock: socket.socket) -> None:
         """Serve one connection; a fault of ours ends only that one."""
-        connection = CallerConnection(Channel(sock), self.rules)
+        try:
+            # A socket whose caller has left may refuse its options.
+            connection = CallerConnection(Channel(sock), self.rules)
+        except Exception as error:
+            events.info("caller.lost", detail=str(error))
+            sock.close()
+            return
         self.connections.add(connection)
         try:
             await connection.run()
--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -10,6 +10,7 @@
 import struct
 
 import anyio
+import anyio.lowlevel
 
 from berylcart.transport.listening import split_address
 
@@ -46,6 +47,8 @@
         self.is_closed = False
         # Whether the last read took all that had arrived.
         self.is_drained = False
+        # Whether the last read was full, so that more may have arrived.
+        self.is_flooded = False
 
     async def send(self, data: bytes) -> None:
         """Send all bytes."""
@@ -60,7 +63,14 @@
                 view = view[sent:]
 
     async def receive(self) -> bytes:
-        """Receive some bytes, none at the end of the connection."""
+        """Receive some bytes, none at the end of the connection.
+
+        A sender that is never waited for must not keep other tasks, nor the
+        timeouts on this one, from running: full reads let them run between.
+        """
+        if self.is_flooded:
+            self.is_flooded = False
+            await anyio.lowlevel.checkpoint()
         while True:
             self.check_open()
             if self.is_drained:
@@ -72,6 +82,7 @@
                 self.is_drained = True
                 continue
             self.is_drained = 0 < len(data) < READ_BYTES
+            self.is_flooded = len(data) == READ_BYTES
             return data
 
     def look_first(self) -> None:
@@ -118,7 +129,10 @@
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     channel = Channel(sock)
     try:
-        code = sock.connect_ex((host, port))
+        try:
+            code = sock.connect_ex((host, port))
+        except (TypeError, ValueError) as error:
+            raise OSError(errno.EINVAL, f"{host!r}: {error}") from None
         if code == errno.EINPROGRESS:
             await anyio.wait_writable(sock)
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/packages/berylcart/src/berylcart/transport/listening.py
+++ b/packages/berylcart/src/berylcart/transport/listening.py
@@ -4,6 +4,9 @@
 
 from berylcart.state.errors import BerylcartError, Code
 
+MAX_PORT = 2**16 - 1
+PORT_DIGITS = 5
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split IP:PORT; raises BerylcartError SETTINGS_INVALID.
@@ -12,7 +15,8 @@
     (('127.0.0.1', 80), ('::1', 80))
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
+    is_port = port.isdecimal() and len(port) <= PORT_DIGITS
+    if not host or not is_port or int(port) > MAX_PORT:
         raise BerylcartError(
             Code.SETTINGS_INVALID, f"{address!r} is not IP:PORT"
         )
--- a/packages/berylcart/src/berylcart/transport/peer_connection.py
+++ b/packages/berylcart/src/berylcart/transport/peer_connection.py
@@ -21,6 +21,9 @@
 MAX_MESSAGE_BYTES = 2 * MAX_TEXT_BYTES
 # What a peer that stopped reading may leave unsent before calls fail.
 MAX_UNSENT_BYTES = 2 * MAX_MESSAGE_BYTES
+# Time for a frame to arrive whole once it has begun. Calls end sooner by
+# their own timeouts; this holds where a peer is the one that calls.
+FRAME_TIMEOUT_S = 10.0
 # Names the request, by its number, whose answer the caller gave up.
 CANCEL = "cancel"
 
@@ -54,6 +57,7 @@
         self.calls: dict[int, asyncio.Future[bytes]] = {}
         self.answering: dict[int, asyncio.Task[None]] = {}
         self.unwritten: list[bytes] = []
+        self.frame_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
@@ -63,6 +67,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the calls in progress and stop answering."""
         self.transport = None
+        self.stop_frame_timer()
         for call in self.calls.values():
             if not call.done():
                 call.set_exception(ConnectionResetError("connection lost"))
@@ -81,16 +86,30 @@
         """Take bytes; a malformed frame ends the connection."""
         try:
             for frame in self.reader.feed(data):
+                self.stop_frame_timer()
                 self.take(frame)
         except Exception as error:
             # msgpack raises several unrelated types on malformed input.
-            peer = self.transport and self.transport.get_extra_info("peername")
-            events.warning(
-                "peer.malformed",
-                peer=str(peer),
-                detail=f"{type(error).__name__}: {error}",
+            self.end_malformed(f"{type(error).__name__}: {error}")
+            return
+        if self.reader.is_in_frame and self.frame_timer is None:
+            self.frame_timer = asyncio.get_running_loop().call_later(
+                FRAME_TIMEOUT_S,
+                self.end_malformed,
+                f"no whole frame within {FRAME_TIMEOUT_S} s",
             )
-            self.close()
+
+    def stop_frame_timer(self) -> None:
+        """Stop timing a frame that is whole or never will be."""
+        if self.frame_timer is not None:
+            self.frame_timer.cancel()
+            self.frame_timer = None
+
+    def end_malformed(self, detail: str) -> None:
+        """End a connection whose peer sent what is no frame."""
+        peer = self.transport and self.transport.get_extra_info("peername")
+        events.warning("peer.malformed", peer=str(peer), detail=detail)
+        self.close()
 
     @singledispatchmethod
     def take(self, frame: Frame) -> None:
--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -25,6 +25,10 @@
 MAX_IDLE_PER_ADDRESS = 32
 # Answers to requests that ended before, which may come first.
 MAX_STRAY_ANSWERS = 2
+# A stray answer is read to keep its connection, which a larger or slower one
+# isn't worth: a new connection takes a few round trips.
+MAX_STRAY_BYTES = 64 * 2**10
+STRAY_TIMEOUT_S = 0.5
 
 HeadReader = Callable[[int, Headers], AnswerHead]
 
@@ -60,10 +64,26 @@
                 address=self.address,
                 stray_id=head.request_id,
             )
-            while await self.read_data() is not None:
-                pass
+            await self.drop_body()
         raise ConnectionResetError("no answer to this request")
 
+    async def drop_body(self) -> None:
+        """Read and drop the body of a stray answer.
+
+        Raises ConnectionResetError where it is too large or too slow.
+        """
+        left_bytes = MAX_STRAY_BYTES
+        with anyio.move_on_after(STRAY_TIMEOUT_S):
+            while left_bytes >= 0:
+                data = await self.read_data()
+                if data is None:
+                    return
+                left_bytes -= len(data)
+        raise ConnectionResetError(
+            f"a stray answer exceeds {MAX_STRAY_BYTES} bytes "
+            f"or {STRAY_TIMEOUT_S} s"
+        )
+
 
 class RelayAnswer:
     """Read the body of an answer; raises UpstreamError."""
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -1,6 +1,7 @@
 """Check what is sent again, and that answers reach callers whole."""
 
 import anyio
+from berylcart.coordination.gateway.caller_patience import first_event_s
 from berylcart.coordination.gateway.forwarder import (
     GAP_PATIENCE,
     MIN_GAP_PATIENCE_S,
@@ -271,3 +272,81 @@
         assert second <= first - 900
 
     run(check)
+
+
+def test_stalled_stream_that_may_not_resume_is_cut_when_its_caller_leaves():
+    async def check():
+        one = Forwarding(STREAM, Trickle(chunks=EVENTS[:1]), Script())
+        started_s = anyio.current_time()
+        with anyio.fail_after(4):
+            assert (await one.fail()).ran is Ran.UNKNOWN
+        elapsed_s = anyio.current_time() - started_s
+        assert abs(elapsed_s - first_event_s(STREAM)) <= 0.5
+        assert one.exchange.data.startswith(EVENTS[0])
+        assert not one.exchange.is_finished
+
+    run(check)
+
+
+def test_stream_without_a_bound_on_gaps_may_be_silent():
+    async def check():
+        class Rare(Script):
+            async def read(self):
+                await anyio.sleep(4 * first_event_s(STREAM))
+                return await super().read()
+
+        one = Forwarding(STREAM._replace(gap_ms=0), Rare(chunks=[b"a", b"b"]))
+        assert await one.forward() == 200
+        assert one.exchange.data == b"ab"
+
+    run(check)
+
+
+def test_slow_stream_that_may_not_resume_is_not_cut():
+    async def check():
+        class Slow(Script):
+            async def read(self):
+                await anyio.sleep(first_event_s(STREAM) - 0.1)
+                return await super().read()
+
+        one = Forwarding(STREAM, Slow(chunks=EVENTS * 3))
+        assert await one.forward() == 200
+        assert one.exchange.data == b"".join(EVENTS * 3)
+
+    run(check)
+
+
+def test_event_without_end_goes_on_elsewhere():
+    async def check():
+        endless = [b"data: ", *[b"x" * 2**16] * 17]
+        one = Forwarding(
+            RESUMABLE,
+            Script(chunks=endless, hangs=True),
+            Script(chunks=EVENTS),
+        )
+        started_s = anyio.current_time()
+        assert await one.forward() == 200
+        assert anyio.current_time() == started_s
+        assert one.exchange.data == b"".join(EVENTS)
+
+    run(check)
+
+
+def test_slow_caller_is_no_silent_replica():
+    # Else a send is cancelled within an event, which the next replica's
+    # events then follow.
+    async def check(route, chunks):
+        one = Forwarding(route, Script(chunks=chunks), Script())
+        send = one.exchange.send
+
+        async def slow(data):
+            await anyio.sleep(2)
+            await send(data)
+
+        one.exchange.send = slow
+        assert await one.forward() == 200
+        assert one.exchange.data == b"".join(chunks)
+        assert len(one.relay.sent) == 1
+
+    run(lambda: check(RESUMABLE, EVENTS))
+    run(lambda: check(IDEMPOTENT, [b"x" * 2**19] * 5))
--- a/packages/berylcart/tests/protocol/test_http_answers.py
+++ b/packages/berylcart/tests/protocol/test_http_answers.py
@@ -106,3 +106,50 @@
     parts = read(parser, PLAIN[:-2], 1000)
     assert parts[-1] == AnswerEnd()
     assert not parser.is_reusable
+
+
+BEGUN = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize("step", [1, 700, 2**16])
+@pytest.mark.parametrize(
+    ("start", "unit"),
+    [
+        (b"", b"\r\n"),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"HTTP/1.1 200 ", b"x"),
+        (b"HTTP/1.1 200 OK\r\nx: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+        (BEGUN, b"0"),
+        (BEGUN + b"1;a=", b"x"),
+        (BEGUN + b"0\r\nx: ", b"y"),
+        (BEGUN + b"0\r\n", b"x: y\r\n"),
+    ],
+)
+def test_endless_bytes_between_two_parts_are_an_error(start, unit, step):
+    parser = AnswerParser()
+    read(parser, start, 1000)
+    count = 2 * MAX_HEAD_BYTES // len(unit) + 1
+    with pytest.raises(AnswerError):
+        read(parser, unit * count, step)
+
+
+def test_framing_of_many_small_chunks_is_no_error():
+    chunk = b"1;name=value\r\na\r\n"
+    count = 2 * MAX_HEAD_BYTES // len(chunk)
+    data = BEGUN + count * chunk + b"0\r\n" + 100 * b"x: y\r\n" + b"\r\n"
+    parts = read(AnswerParser(), data, 50)
+    assert body(parts) == b"a" * count
+    assert parts[-1] == AnswerEnd()
+
+
+def test_some_informational_answers_are_passed_over():
+    parts = read(AnswerParser(), 9 * b"HTTP/1.1 103 Hints\r\n\r\n" + PLAIN)
+    assert [p.status for p in parts if isinstance(p, AnswerHead)] == [200]
+
+
+def test_upgrade_that_was_not_asked_for_is_an_error():
+    # Its exception is no HttpParserError, and ended the task that read it.
+    head = b"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n"
+    with pytest.raises(AnswerError):
+        read(AnswerParser(), head + b"\r\nbytes", 1000)
--- a/packages/berylcart/tests/protocol/test_http_requests.py
+++ b/packages/berylcart/tests/protocol/test_http_requests.py
@@ -125,3 +125,40 @@
 def test_header_with_a_line_end_is_not_written():
     with pytest.raises(ValueError, match="line's end"):
         AnswerWriter("GET", "1.1").start(200, [(b"a", b"b\r\nc: d")])
+
+
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize("step", [1, 90, 1000])
+@pytest.mark.parametrize(
+    ("start", "unit", "is_head"),
+    [
+        (b"", b"\r\n", True),
+        (b"GET /", b"a", True),
+        (CHUNKED, b"0", False),
+        (CHUNKED + b"1;a=", b"x", False),
+        (CHUNKED + b"0\r\nx: ", b"y", False),
+        (CHUNKED + b"0\r\n", b"x: y\r\n", False),
+    ],
+)
+def test_endless_bytes_between_two_parts_are_refused(
+    start, unit, is_head, step
+):
+    parser = RequestParser(MAX_HEAD)
+    parser.feed(start)
+    while parser.take() is not None:
+        pass
+    data = unit * 2000
+    for at in range(0, 2 * MAX_HEAD, step):
+        parser.feed(data[at : at + step])
+    with pytest.raises(RequestError) as raised:
+        parser.take()
+    assert raised.value.is_head_too_large is is_head
+
+
+def test_framing_of_many_small_chunks_is_taken():
+    data = CHUNKED + 100 * b"1;a=b\r\nx\r\n" + b"0\r\nx: y\r\n\r\n"
+    parts = read(data)
+    assert b"".join(p for p in parts if isinstance(p, bytes)) == 100 * b"x"
+    assert parts[-1] == RequestEnd(is_kept=True)
--- a/packages/berylcart/tests/transport/test_caller_connection.py
+++ b/packages/berylcart/tests/transport/test_caller_connection.py
@@ -2,12 +2,14 @@
 
 import socket
 from contextlib import asynccontextmanager
+from unittest.mock import Mock
 
 import anyio
 import pytest
 from berylcart.state.errors import CODE_INFO
 from berylcart.state.relayed import Refusal
 from berylcart.state.routes import CallerLimits
+from berylcart.transport import caller_server
 from berylcart.transport.caller_connection import ConnectionRules
 from berylcart.transport.caller_server import CallerServer
 from berylcart.transport.channel import connect
@@ -261,3 +263,67 @@
     await until(lambda: not channel.is_quiet())
     channel.close()
     listener.close()
+
+
+async def send_slowly(head, parts, pause_s):
+    """Send a body bit by bit and give the answer."""
+    async with serving() as (server, handler):
+        channel = await connect(server.address)
+        try:
+            await channel.send(head)
+            for part in parts:
+                await anyio.sleep(pause_s)
+                await channel.send(part)
+        except OSError:
+            pass
+        answer = await read_all(channel)
+        channel.close()
+        return answer, handler.seen
+
+
+async def test_refuses_a_body_that_trickles():
+    head = PLAIN.partition(b"\r\n\r\n")[0][:-1] + b"500\r\n\r\n"
+    answer, seen = await send_slowly(head, [b"x"] * 60, 0.03)
+    assert answer.startswith(b"HTTP/1.1 408")
+    assert seen == []
+
+
+async def test_takes_a_slow_body():
+    size = 20 * 50
+    head = PLAIN.partition(b"\r\n\r\n")[0][:-1] + b"%d\r\n\r\n" % size
+    answer, seen = await send_slowly(head, [b"x" * 50] * 20, 0.06)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert seen == [("/a", b"x" * size)]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\r\n" * 2000, b"431"),
+        (CHUNKED.partition(b"1\r\n")[0] + b"0" * 3000, b"400"),
+    ],
+)
+async def test_refuses_endless_framing(data, status):
+    answer, seen = await send_bad(data)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    assert seen == []
+
+
+async def test_refuses_endless_trailers():
+    answer, seen = await send_slowly(CHUNKED[:-2], [b"x: y\r\n" * 600], 0.1)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert seen == []
+
+
+async def test_socket_that_fails_at_once_ends_no_others(monkeypatch):
+    # Its error ended the task group of all connections, and so the daemon.
+    async with serving() as (server, _):
+        with monkeypatch.context() as patch:
+            patch.setattr(caller_server, "Channel", Mock(side_effect=OSError))
+            broken = await connect(server.address)
+            assert await read_all(broken) == b""
+            broken.close()
+        channel = await connect(server.address)
+        await channel.send(PLAIN)
+        assert await read_until(channel, b"hi")
+        channel.close()
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -4,6 +4,7 @@
 
 import pytest
 from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol.peer_frames import write_notice
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
@@ -22,6 +23,7 @@
     VitalSign,
 )
 from berylcart.state.records import Checkpoint, Verdict
+from berylcart.transport import peer_connection
 from berylcart.transport.peer_client import PeerChannel, RpcPeers
 from berylcart.transport.peer_connection import (
     MAX_MESSAGE_BYTES,
@@ -378,3 +380,36 @@
         await other.close()
 
     serve(scenario)
+
+
+def test_frame_that_does_not_end_ends_its_connection(monkeypatch):
+    monkeypatch.setattr(peer_connection, "FRAME_TIMEOUT_S", 0.05)
+
+    async def scenario(peers, server, handlers):
+        host, port = server.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        whole = write_notice("Other", b"")
+        for _ in range(3):
+            writer.write(whole[:3])
+            await asyncio.sleep(0.02)
+            writer.write(whole[3:])
+            await asyncio.sleep(0.02)
+        writer.write(whole[:3])
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
+        writer.close()
+        await peers.ping(
+            server.address, Ping("d", GOSSIP), timeout_ms=BOUND_MS
+        )
+
+    serve(scenario)
+
+
+def test_malformed_peer_address_fails_its_call_only():
+    # The port's error is no OSError, and ended the loop that gossips.
+    async def scenario(peers, server, handlers):
+        for address in ("127.0.0.1:99999", "x", "a\0b:80"):
+            with pytest.raises(BerylcartError):
+                await peers.ping(address, Ping("d", GOSSIP), timeout_ms=100)
+
+    serve(scenario)
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -5,10 +5,15 @@
 
 import anyio
 import pytest
-from berylcart.state.errors import Ran, UnreachableError, UpstreamError
+from berylcart.state.errors import (
+    BerylcartError,
+    Ran,
+    UnreachableError,
+    UpstreamError,
+)
 from berylcart.state.relayed import AnswerHead, UpstreamRequest
 from berylcart.transport.channel import Channel
-from berylcart.transport.relay_client import RelayClient
+from berylcart.transport.relay_client import MAX_STRAY_BYTES, RelayClient
 
 pytestmark = pytest.mark.anyio
 
@@ -181,3 +186,93 @@
             pass
         assert await fetch(client, upstream.address, "r2") == b"two"
         assert upstream.connections == 2
+
+
+ENDLESS_STRAY = (
+    b"HTTP/1.1 200 OK\r\nId: r0\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    "stray",
+    [
+        answer("r0", b"x" * (MAX_STRAY_BYTES + 1)) + answer("r1", b"own"),
+        ENDLESS_STRAY + b"1\r\nx\r\n",
+        ENDLESS_STRAY + b"0\r\nx: ",
+    ],
+)
+async def test_stray_answer_that_is_large_or_slow_is_not_read(stray):
+    script = [stray, answer("r2", b"two")]
+    async with relaying(*script) as (upstream, client):
+        with pytest.raises(UpstreamError) as raised:
+            await fetch(client, upstream.address, "r1")
+        assert raised.value.ran is Ran.UNKNOWN
+        assert await fetch(client, upstream.address, "r2") == b"two"
+        assert upstream.connections == 2
+
+
+class Flood(Upstream):
+    """Send a start and then the same bytes for ever."""
+
+    async def serve(self, channel):
+        """Flood one connection until its other side closes."""
+        start, unit = self.script
+        await channel.receive()
+        try:
+            await channel.send(start)
+            while True:
+                await channel.send(unit * max(1, 2**16 // len(unit)))
+        except OSError:
+            channel.close()
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "unit"),
+    [
+        (b"", b"\r\n"),
+        (b"", b"HTTP/1.1 100 \r\n\r\n"),
+        (CHUNKED + b"1;", b"x"),
+        (CHUNKED, b"0"),
+        (CHUNKED + b"0\r\nx: ", b"x"),
+    ],
+)
+async def test_endless_answer_is_cut_without_its_body(start, unit):
+    upstream = Flood(start, unit)
+    client = RelayClient(read_head)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(upstream.run)
+        with pytest.raises(UpstreamError) as raised:
+            await fetch(client, upstream.address, "r1")
+        tasks.cancel_scope.cancel()
+    upstream.listener.close()
+    assert raised.value.ran is Ran.UNKNOWN
+
+
+async def test_fast_endless_body_ends_with_its_time():
+    # A sender that is never waited for kept every timeout from running.
+    upstream = Flood(CHUNKED, b"10000\r\n" + b"x" * 2**16 + b"\r\n")
+    client = RelayClient(read_head)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(upstream.run)
+        with anyio.move_on_after(0.2) as scope:
+            await fetch(client, upstream.address, "r1")
+        tasks.cancel_scope.cancel()
+    upstream.listener.close()
+    assert scope.cancelled_caught
+
+
+async def test_head_that_trickles_ends_with_its_time():
+    async with relaying(b"HTTP/1.1 200 OK\r\nx: ") as (upstream, client):
+        with anyio.move_on_after(0.1) as scope:
+            await fetch(client, upstream.address, "r1")
+        assert scope.cancelled_caught
+
+
+async def test_address_that_is_none_is_unreachable():
+    for address in ("10.0.0.1:99999", "a\0b:80", "x" * 70 + ":80"):
+        with pytest.raises(BerylcartError) as raised:
+            await fetch(RelayClient(read_head), address, "r1")
+        assert raised.value.ran is Ran.NO
