Bound what is held for slow readers by a share of the memory

Cause: bodies, buffered answers and unsent bytes had no common bound, so slow callers or peers could take a daemon over its memory limit, which kills it. The kernel's time limit for unsent bytes reset callers that read nothing for 2 s, and a refusal could be lost as its connection was closed on unread bytes.

Change: `HeldBytes` sums what is held. Callers' sockets have no such time limit any more, and a refused caller is read for up to 1 s.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -14,6 +14,10 @@
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, Served
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
+from berylcart.coordination.gateway.held_bytes import (
+    HeldBytes,
+    held_limit_bytes,
+)
 from berylcart.coordination.gateway.home_capacity import capacity_permille
 from berylcart.coordination.gateway.ports import CallerExchange
 from berylcart.coordination.gateway.request_limits import RequestLimits
@@ -76,7 +80,8 @@
         self.directory = VmDirectory(
             ports.replicas, settings.replicas_interval_ms / MS_PER_S
         )
-        self.peers = RpcPeers()
+        self.held = HeldBytes(held_limit_bytes(settings.memory_mb))
+        self.peers = RpcPeers(held=self.held)
         self.build_membership()
         self.build_gateway()
         self.build_servers()
@@ -171,6 +176,7 @@
             self.limits,
             self.ports.wire.refuse,
             lambda: self.is_draining,
+            self.held,
         )
         self.callers = CallerServer(
             self.settings.caller_address, rules, self.settings.max_connections
@@ -195,6 +201,7 @@
             self.settings.peer_address,
             self.home,
             self.tail,
+            self.held,
         )
 
     def limits(self) -> CallerLimits:
@@ -335,6 +342,7 @@
         self.metrics.in_flight.set(self.gateway.in_flight)
         self.metrics.config_version.set(self.keeper.version)
         self.metrics.members.set(len(self.membership.running()))
+        self.metrics.held_bytes.set(self.held.total_bytes)
         self.metrics.lost_lines.set(events.lost_lines())
         for service, batcher in self.batchers.items():
             waiting = batcher.orders.count_waiting()
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -59,6 +59,11 @@
             "Daemons that are known to run.",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "berylcart_held_bytes",
+            "Bytes held for callers and peers that have not taken them.",
+            registry=self.registry,
+        )
         self.lost_lines = Gauge(
             "berylcart_gateway_lost_log_lines",
             "Log lines dropped because their reader was too slow.",
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -32,6 +32,8 @@
     # What the process may use of the VM's processor and link.
     cores: float = 0.0
     link_mbps: float = 0.0
+    # Over it the process is killed; 0 where that is unknown.
+    memory_mb: int = 0
     # Callers ask again this often; some keep an answer three times as long.
     entries_keep_ms: int = 1000
     # Well inside the time in which a leaving replica must get no more work.
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -160,13 +160,33 @@
             return max(MIN_GAP_PATIENCE_S, gap_s)
         return first_event_s(route) if route.gap_ms else None
 
+    def hold(self, count_bytes: int) -> None:
+        """Count bytes that are buffered, or fewer, for the caller."""
+        if count_bytes:
+            self.exchange.hold(count_bytes)
+
+    def keep(self, kept: KeptAnswer) -> None:
+        """Keep an answer in place of an earlier one."""
+        known_bytes = 0 if self.kept is None else len(self.kept.body)
+        self.hold(len(kept.body) - known_bytes)
+        self.kept = kept
+
+    def drop_partial(self) -> None:
+        """Forget the beginning of an event that another run sends again."""
+        self.hold(-len(self.splitter.partial))
+        self.splitter.drop_partial()
+
     def take_stream(self, data: bytes) -> bytes:
         """Take bytes of a stream and give those to pass on.
 
         Raises UpstreamError where an event that is held back is too large.
         """
         if self.work.route.is_resumable:
-            return self.splitter.feed(data)
+            known_bytes = len(self.splitter.partial)
+            try:
+                return self.splitter.feed(data)
+            finally:
+                self.hold(len(self.splitter.partial) - known_bytes)
         if self.work.route.gap_ms:
             self.splitter.scanner.feed(data)
         return data
@@ -342,6 +362,20 @@
     ) -> None:
         """Read a whole answer before the caller gets any of it."""
         body = bytearray()
+        try:
+            await self.pass_body(run, answer, clock, patience, body)
+        finally:
+            run.hold(-len(body))
+
+    async def pass_body(
+        self,
+        run: ForwardRun,
+        answer: UpstreamAnswer,
+        clock: AttemptClock,
+        patience: Patience,
+        body: bytearray,
+    ) -> None:
+        """Read a body into a buffer, whose bytes count as held."""
         head = answer.head
         while True:
             data = await answer.read()
@@ -349,14 +383,14 @@
             if data is None:
                 break
             body += data
+            run.hold(len(data))
             if len(body) > BUFFERED_BYTES:
                 with patience.suspended():
                     if not run.exchange.is_started:
                         await run.exchange.start(head.status, head.headers)
-                    await run.exchange.send(bytes(body))
-                body.clear()
+                    await self.pass_buffer(run, body)
         if head.status in HTTP_SERVER_ERRORS and run.may_run_once_more:
-            run.kept = KeptAnswer(head, bytes(body))
+            run.keep(KeptAnswer(head, bytes(body)))
             raise UpstreamError(
                 Code.UPSTREAM_FAILED,
                 f"the replica answered {head.status}",
@@ -365,9 +399,18 @@
         patience.renew(None)
         if not run.exchange.is_started:
             await run.exchange.start(head.status, head.headers)
-        await run.exchange.send(bytes(body))
+        await self.pass_buffer(run, body)
         await run.exchange.finish()
 
+    async def pass_buffer(self, run: ForwardRun, body: bytearray) -> None:
+        """Send what was buffered, without holding it twice."""
+        data = bytes(body)
+        body.clear()
+        try:
+            await run.exchange.send(data)
+        finally:
+            run.hold(-len(data))
+
     async def pass_stream(
         self,
         run: ForwardRun,
@@ -376,7 +419,7 @@
         patience: Patience,
     ) -> None:
         """Pass on a stream while it arrives."""
-        run.splitter.drop_partial()
+        run.drop_partial()
         scanner = run.splitter.scanner
         if patience.limit_s is None:
             patience.renew(run.gap_patience_s())
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -94,6 +94,10 @@
         """End a whole answer."""
         ...
 
+    def hold(self, count_bytes: int) -> None:
+        """Count bytes that are buffered, or fewer, for this caller."""
+        ...
+
     async def answer(self, refusal: Refusal) -> None:
         """Write a whole answer of the gateway itself."""
         ...
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -8,6 +8,7 @@
 
 from berylcart import events
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.held_bytes import HeldBytes
 from berylcart.protocol.http_requests import (
     CONNECTION,
     GO_ON,
@@ -37,6 +38,11 @@
 BODY_GRACE_TIMEOUTS = 2
 # A caller that reads nothing must not hold a connection for ever.
 ERROR_SEND_TIMEOUT_S = 1.0
+# For what a refused caller still sends; closing on it would reset the
+# connection, and the caller might not see the refusal.
+LINGER_TIMEOUT_S = 1.0
+# What callers of a daemon wait after most other refusals.
+FULL_RETRY_AFTER_MS = 500
 
 CLOSE = (CONNECTION, b"close")
 
@@ -76,17 +82,26 @@
         self.is_started = True
         self.is_last = self.connection.is_last()
         extra = (CLOSE,) if self.is_last else ()
-        await self.connection.channel.send(
-            self.writer.start(status, (*headers, *extra))
-        )
+        await self.write(self.writer.start(status, (*headers, *extra)))
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes, which count as held while the caller takes them."""
+        rest = self.connection.channel.send_now(data)
+        if rest:
+            with self.connection.holder.waiting(len(rest)):
+                await self.connection.channel.send(rest)
+
+    def hold(self, count_bytes: int) -> None:
+        """Count bytes that are buffered, or fewer, for this caller."""
+        self.connection.holder.add(count_bytes)
 
     async def send(self, data: bytes) -> None:
         """Write the next bytes of the answer."""
-        await self.connection.channel.send(self.writer.data(data))
+        await self.write(self.writer.data(data))
 
     async def finish(self) -> None:
         """End a whole answer."""
-        await self.connection.channel.send(self.writer.end())
+        await self.write(self.writer.end())
         self.is_finished = True
 
     async def answer(self, refusal: Refusal) -> None:
@@ -108,6 +123,7 @@
     limits: Callable[[], CallerLimits]
     refuse: Callable[[BerylcartError], Refusal]
     is_closing: Callable[[], bool]
+    held: HeldBytes = HeldBytes()
 
 
 class CallerConnection:
@@ -119,6 +135,9 @@
         self.parser = RequestParser(rules.limits().head_bytes)
         self.idle_scope: anyio.CancelScope | None = None
         self.is_kept = True
+        # Cancelled where the bytes held for this caller are too many.
+        self.scope = anyio.CancelScope()
+        self.holder = rules.held.holder(lambda: self.scope.cancel())
 
     def is_last(self) -> bool:
         """Tell whether the connection ends after this answer."""
@@ -127,11 +146,15 @@
     async def run(self) -> None:
         """Answer requests one after another."""
         try:
-            while await self.serve_next():
-                pass
+            with self.scope:
+                while await self.serve_next():
+                    self.holder.release()
         except OSError as error:
             events.debug("caller.lost", detail=str(error))
         finally:
+            if self.holder.is_cut:
+                self.channel.reset()
+            self.holder.release()
             self.channel.close()
 
     async def serve_next(self) -> bool:
@@ -253,8 +276,20 @@
             raise BerylcartError(
                 Code.BAD_REQUEST, "the body's length is given twice"
             )
+        lengths = part.head.values(LENGTH)
+        if lengths and int(lengths[0]) <= limits.body_bytes:
+            self.check_room(int(lengths[0]))
         return part
 
+    def check_room(self, count_bytes: int) -> None:
+        """Raise BerylcartError OVERLOADED where bytes of a body don't fit."""
+        if not self.rules.held.make_room(count_bytes, self.holder):
+            raise BerylcartError(
+                Code.OVERLOADED,
+                f"no room for {count_bytes} bytes of a request",
+                retry_after_ms=FULL_RETRY_AFTER_MS,
+            )
+
     async def read_body(
         self, head: RequestHead, limits: CallerLimits
     ) -> bytes | None:
@@ -264,15 +299,19 @@
         body = bytearray()
         idle_s = limits.idle_timeout_ms / MS_PER_S
         begun_s = now_s()
+        self.holder.waiting_since_s = begun_s
         while True:
             left_s = begun_s + body_time_s(len(body), idle_s) - now_s()
             with anyio.move_on_after(min(idle_s, left_s)):
                 part = await self.next_part()
                 if isinstance(part, RequestEnd):
                     self.is_kept = part.is_kept
+                    self.holder.waiting_since_s = None
                     return bytes(body)
                 if not isinstance(part, bytes):
                     return None
+                self.check_room(len(part))
+                self.holder.add(len(part))
                 body += part
                 if len(body) > limits.body_bytes:
                     raise BerylcartError(
@@ -305,3 +344,12 @@
         )
         with anyio.move_on_after(ERROR_SEND_TIMEOUT_S):
             await self.channel.send(head + writer.data(refusal.body))
+            await self.linger()
+
+    async def linger(self) -> None:
+        """Read what a refused caller still sends, up to a time and size."""
+        self.channel.end_sending()
+        left_bytes = self.rules.limits().body_bytes
+        with anyio.move_on_after(LINGER_TIMEOUT_S):
+            while left_bytes > 0 and (data := await self.channel.receive()):
+                left_bytes -= len(data)
--- a/packages/berylcart/src/berylcart/transport/caller_server.py
+++ b/packages/berylcart/src/berylcart/transport/caller_server.py
@@ -14,6 +14,10 @@
 from berylcart.transport.listening import address_of, bind
 
 BACKLOG = 2048
+# A caller that doesn't read for a while isn't cut for that alone: the deadline
+# of its request and the share of memory bound it. Keep-alive still finds the
+# one that vanished.
+NO_USER_TIMEOUT_MS = 0
 # After a failed accept, such as one without free descriptors.
 ACCEPT_PAUSE_S = 0.05
 
@@ -66,7 +70,9 @@
         """Serve one connection; a fault of ours ends only that one."""
         try:
             # A socket whose caller has left may refuse its options.
-            connection = CallerConnection(Channel(sock), self.rules)
+            connection = CallerConnection(
+                Channel(sock, NO_USER_TIMEOUT_MS), self.rules
+            )
         except Exception as error:
             events.info("caller.lost", detail=str(error))
             sock.close()
--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -23,13 +23,13 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def tune(sock: socket.socket) -> None:
+def tune(sock: socket.socket, user_timeout_ms: int) -> None:
     """Turn off delays, and let a silent connection end by itself."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     options = {
-        socket.TCP_USER_TIMEOUT: USER_TIMEOUT_MS,
+        socket.TCP_USER_TIMEOUT: user_timeout_ms,
         socket.TCP_KEEPIDLE: KEEPALIVE_IDLE_S,
         socket.TCP_KEEPINTVL: KEEPALIVE_INTERVAL_S,
         socket.TCP_KEEPCNT: KEEPALIVE_PROBES,
@@ -39,10 +39,16 @@
 
 
 class Channel:
-    """Hold one connected socket; its calls raise OSError on a failure."""
+    """Hold one connected socket; its calls raise OSError on a failure.
 
-    def __init__(self, sock: socket.socket) -> None:
-        tune(sock)
+    user_timeout_ms bounds the time without any progress while bytes wait to
+    be sent, 0 leaves it to the system.
+    """
+
+    def __init__(
+        self, sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+    ) -> None:
+        tune(sock, user_timeout_ms)
         self.sock = sock
         self.is_closed = False
         # Whether the last read took all that had arrived.
@@ -50,7 +56,18 @@
         # Whether the last read was full, so that more may have arrived.
         self.is_flooded = False
 
-    async def send(self, data: bytes) -> None:
+    def send_now(self, data: bytes) -> memoryview:
+        """Send what can be sent without waiting, and give the rest."""
+        view = memoryview(data)
+        if view:
+            self.check_open()
+            try:
+                return view[self.sock.send(view, socket.MSG_NOSIGNAL) :]
+            except BlockingIOError:
+                pass
+        return view
+
+    async def send(self, data: bytes | memoryview) -> None:
         """Send all bytes."""
         view = memoryview(data)
         while view:
@@ -85,6 +102,11 @@
             self.is_flooded = len(data) == READ_BYTES
             return data
 
+    def end_sending(self) -> None:
+        """Tell the other side that nothing more comes."""
+        self.check_open()
+        self.sock.shutdown(socket.SHUT_WR)
+
     def look_first(self) -> None:
         """Have the next receive take what has arrived before it waits."""
         self.is_drained = False
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -8,6 +8,7 @@
 from cachetools import LRUCache
 from google.protobuf.message import DecodeError, Message
 
+from berylcart.coordination.gateway.held_bytes import HeldBytes
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.stage_home import MadePieces
 from berylcart.protocol import peer_codec as codec
@@ -44,8 +45,9 @@
 class PeerChannel:
     """Hold a connection and close it once it is retired and unused."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, held: HeldBytes | None = None) -> None:
         self._address = address
+        self._held = held
         self._connection: PeerConnection | None = None
         self._opening = asyncio.Lock()
         self._calls = 0
@@ -80,7 +82,7 @@
                 host, port = split_address(self._address)
                 loop = asyncio.get_running_loop()
                 _, self._connection = await loop.create_connection(
-                    PeerConnection, host, port
+                    lambda: PeerConnection(held=self._held), host, port
                 )
             return self._connection
 
@@ -108,7 +110,12 @@
 class RpcPeers:
     """Implement the Peers port; needs a running asyncio loop."""
 
-    def __init__(self, max_channels: int = MAX_CHANNELS) -> None:
+    def __init__(
+        self,
+        max_channels: int = MAX_CHANNELS,
+        held: HeldBytes | None = None,
+    ) -> None:
+        self._held = held
         self._channels = ChannelCache(maxsize=max_channels)
 
     def close(self) -> None:
@@ -119,7 +126,7 @@
     def _channel(self, address: str) -> PeerChannel:
         channel = self._channels.get(address)
         if channel is None:
-            channel = PeerChannel(address)
+            channel = PeerChannel(address, self._held)
             self._channels[address] = channel
         return channel
 
--- a/packages/berylcart/src/berylcart/transport/peer_connection.py
+++ b/packages/berylcart/src/berylcart/transport/peer_connection.py
@@ -5,6 +5,8 @@
 from functools import singledispatchmethod
 
 from berylcart import events
+from berylcart.clock import now_s
+from berylcart.coordination.gateway.held_bytes import HeldBytes
 from berylcart.protocol.peer_frames import (
     Frame,
     FrameReader,
@@ -47,6 +49,7 @@
         answer: Answer | None = None,
         heed: Heed | None = None,
         on_lost: Callable[["PeerConnection"], None] | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
         self.answer = answer
         self.heed = heed
@@ -58,6 +61,9 @@
         self.answering: dict[int, asyncio.Task[None]] = {}
         self.unwritten: list[bytes] = []
         self.frame_timer: asyncio.TimerHandle | None = None
+        # What is unsent counts as held while the peer must be waited for.
+        self.holder = (held or HeldBytes()).holder(self.abort)
+        self.is_waiting = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
@@ -67,6 +73,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the calls in progress and stop answering."""
         self.transport = None
+        self.holder.release()
         self.stop_frame_timer()
         for call in self.calls.values():
             if not call.done():
@@ -199,10 +206,35 @@
         if self.transport is None:
             return
         self.transport.write(data)
+        if self.is_waiting:
+            self.note_unsent()
+        if self.transport is None:
+            return
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             events.warning("peer.stalled", unsent_bytes=len(data))
             self.transport.abort()
 
+    def pause_writing(self) -> None:
+        """Learn that what is unsent grows large."""
+        self.is_waiting = True
+        self.holder.waiting_since_s = now_s()
+
+    def resume_writing(self) -> None:
+        """Learn that the peer took most of what was unsent."""
+        self.is_waiting = False
+        self.holder.release()
+
+    def note_unsent(self) -> None:
+        """Count what is unsent."""
+        if self.transport is not None:
+            size = self.transport.get_write_buffer_size()
+            self.holder.add(size - self.holder.count_bytes)
+
+    def abort(self) -> None:
+        """Close the connection with what is unsent."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def close(self) -> None:
         """Close the connection once what was written is sent."""
         if self.unwritten:
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import DecodeError, Message
 
 from berylcart import events
+from berylcart.coordination.gateway.held_bytes import HeldBytes
 from berylcart.coordination.gateway.piece_queue import Order
 from berylcart.coordination.gateway.shared_tail import TailHandlers
 from berylcart.coordination.gateway.stage_home import StageHandlers
@@ -184,8 +185,10 @@
         address: str,
         stages: StageHandlers | None = None,
         tail: TailHandlers | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
         self._service = PeerService(handlers, stages, tail)
+        self._held = held
         self._socket = bind(address)
         self._server: asyncio.Server | None = None
         self._connections: set[PeerConnection] = set()
@@ -207,6 +210,7 @@
             self._service.answer,
             self._service.heed,
             self._connections.discard,
+            self._held,
         )
         self._connections.add(connection)
         return connection
--- a/packages/berylcart/src/berylcart/transport/upstream_connection.py
+++ b/packages/berylcart/src/berylcart/transport/upstream_connection.py
@@ -13,6 +13,8 @@
 from berylcart.transport.channel import Channel
 
 HEAD = "HEAD"
+# A larger body isn't copied to be sent with its head at once.
+JOINED_BYTES = 64 * 2**10
 
 
 def write_head(method: str, target: str, headers: Iterable[bytes]) -> bytes:
@@ -54,7 +56,11 @@
         if method == HEAD:
             self.parser = AnswerParser(is_head_only=True)
         self.is_sent = True
-        await self.channel.send(head + body)
+        if len(body) <= JOINED_BYTES:
+            await self.channel.send(head + body)
+            return
+        await self.channel.send(head)
+        await self.channel.send(body)
 
     async def next_part(self) -> Part:
         """Read the next part of an answer.
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -350,3 +350,34 @@
 
     run(lambda: check(RESUMABLE, EVENTS))
     run(lambda: check(IDEMPOTENT, [b"x" * 2**19] * 5))
+
+
+def test_buffered_answers_count_as_held_until_they_are_sent():
+    async def check(route, *scripts):
+        one = Forwarding(route, *scripts)
+        seen = []
+        send = one.exchange.send
+
+        async def note(data):
+            seen.append(one.exchange.held_bytes - len(data))
+            await send(data)
+
+        one.exchange.send = note
+        await one.forward()
+        return seen, one.exchange.held_bytes
+
+    async def check_all():
+        big = Script(chunks=[b"x" * 2**19] * 5)
+        assert await check(BOOKING, big) == ([0, 0], 0)
+        # The kept failure is held beside the answer that betters it.
+        failed = Script(FAILED, chunks=[b"x" * 50])
+        assert await check(IDEMPOTENT, failed, Script()) == ([50], 50)
+        cut = [EVENTS[0], EVENTS[1][:7]]
+        _, left = await check(
+            RESUMABLE,
+            Script(chunks=cut, ends=False),
+            Script(chunks=EVENTS[1:]),
+        )
+        assert left == 0
+
+    run(check_all)
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -179,6 +179,7 @@
         self.received_at_s = anyio.current_time()
         self.is_started = False
         self.is_finished = False
+        self.held_bytes = 0
         self.status = 0
         self.headers = ()
         self.data = b""
@@ -193,6 +194,10 @@
         """Take bytes."""
         self.data += data
 
+    def hold(self, count_bytes):
+        """Sum what is buffered."""
+        self.held_bytes += count_bytes
+
     async def finish(self):
         """Take the end."""
         self.is_finished = True
--- a/packages/berylcart/tests/transport/test_caller_connection.py
+++ b/packages/berylcart/tests/transport/test_caller_connection.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+from berylcart.coordination.gateway.held_bytes import HeldBytes
 from berylcart.state.errors import CODE_INFO
 from berylcart.state.relayed import Refusal
 from berylcart.state.routes import CallerLimits
@@ -16,6 +17,8 @@
 
 pytestmark = pytest.mark.anyio
 
+# More than the kernel's buffers take for a caller that doesn't read.
+LARGE_BYTES = 32 * 2**20
 LIMITS = CallerLimits(2000, 1000, 200, 400)
 PLAIN = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
 CHUNKED = (
@@ -59,21 +62,30 @@
             await exchange.start(200, ((b"content-length", b"9"),))
             await exchange.send(b"half")
             return
+        if exchange.head.target == "/large":
+            await exchange.answer(Refusal(200, (), b"x" * LARGE_BYTES))
+            return
         if exchange.head.target == "/fault":
             raise RuntimeError("a fault")
         await exchange.answer(Refusal(200, (), exchange.body))
 
 
 def refuse(error):
-    return Refusal(CODE_INFO[error.code].http_status, (), b"no")
+    wait = str(error.retry_after_ms).encode()
+    headers = ((b"retry-after-ms", wait),)
+    return Refusal(CODE_INFO[error.code].http_status, headers, b"no")
 
 
 @asynccontextmanager
-async def serving():
+async def serving(limit_bytes=None):
     """Serve on a loopback port."""
     handler = Handler()
     rules = ConnectionRules(
-        handler.handle, lambda: LIMITS, refuse, lambda: handler.is_closing
+        handler.handle,
+        lambda: LIMITS,
+        refuse,
+        lambda: handler.is_closing,
+        HeldBytes(limit_bytes),
     )
     server = CallerServer("127.0.0.1:0", rules, 8)
     async with anyio.create_task_group() as tasks:
@@ -327,3 +339,95 @@
         await channel.send(PLAIN)
         assert await read_until(channel, b"hi")
         channel.close()
+
+
+LARGE = b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def test_slowest_reader_is_cut_where_answers_fill_the_memory():
+    async with serving(LARGE_BYTES * 3 // 2) as (server, _):
+        held = server.rules.held
+        slow = await connect(server.address)
+        await slow.send(LARGE)
+        await until(lambda: held.total_bytes > LARGE_BYTES // 2)
+        fast = await connect(server.address)
+        await fast.send(LARGE)
+        await until(lambda: not slow.is_quiet())
+        whole = 0
+        with anyio.fail_after(20):
+            while whole < LARGE_BYTES:
+                whole += len(await fast.receive())
+        cut = await read_all(slow)
+        assert len(cut) < LARGE_BYTES
+        await until(lambda: held.total_bytes == 0)
+        assert not held.holders
+        for channel in (slow, fast):
+            channel.close()
+
+
+async def test_slow_readers_are_not_cut_while_there_is_room():
+    async with serving(3 * LARGE_BYTES) as (server, _):
+        held = server.rules.held
+        channels = [await connect(server.address) for _ in range(2)]
+        for channel in channels:
+            await channel.send(LARGE)
+        await until(lambda: held.total_bytes > LARGE_BYTES)
+        for channel in channels:
+            got = 0
+            with anyio.fail_after(20):
+                while got < LARGE_BYTES:
+                    got += len(await channel.receive())
+            channel.close()
+
+
+@pytest.mark.parametrize("request_bytes", [PLAIN, CHUNKED])
+async def test_request_that_does_not_fit_is_refused(request_bytes):
+    async with serving(1) as (server, handler):
+        channel = await connect(server.address)
+        await channel.send(request_bytes)
+        answer = await read_all(channel)
+        channel.close()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after-ms: 500" in answer
+        bodiless = await connect(server.address)
+        await bodiless.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        await read_until(bodiless, b"\r\n\r\n")
+        bodiless.close()
+        assert server.rules.held.total_bytes == 0
+    assert handler.seen == [("/a", b"")]
+
+
+async def test_refusal_reaches_a_caller_that_still_sends():
+    # Closing on unread bytes resets the connection and drops the refusal.
+    async with serving(1) as (server, _):
+        channel = await connect(server.address)
+        await channel.send(PLAIN)
+        await anyio.sleep(0.05)
+        await channel.send(b"x" * 500)
+        answer = await read_all(channel)
+        channel.close()
+    assert answer.startswith(b"HTTP/1.1 503")
+
+
+async def test_body_counts_as_held_while_it_is_served():
+    async with serving() as (server, handler):
+        channel = await connect(server.address)
+        await channel.send(PLAIN.replace(b"/a", b"/hang"))
+        await until(lambda: handler.seen)
+        assert server.rules.held.total_bytes == 2
+        channel.close()
+        await until(lambda: server.rules.held.total_bytes == 0)
+
+
+async def test_kernel_does_not_cut_callers_that_pause():
+    # With the time limit of other connections it reset a caller that read
+    # nothing for 2 s.
+    async with serving() as (server, _):
+        channel = await connect(server.address)
+        await until(lambda: server.connections)
+        (connection,) = server.connections
+        limit_ms = connection.channel.sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        assert limit_ms == 0
+        channel.close()
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from berylcart.coordination.gateway.held_bytes import HeldBytes
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.peer_frames import write_notice
 from berylcart.state.errors import BerylcartError, Code
@@ -91,6 +92,15 @@
         return ANSWER
 
 
+async def until(is_true):
+    """Wait until a condition holds."""
+    for _ in range(1000):
+        if is_true():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError
+
+
 def serve(scenario):
     """Run a scenario against a server on a free port."""
 
@@ -413,3 +423,52 @@
                 await peers.ping(address, Ping("d", GOSSIP), timeout_ms=100)
 
     serve(scenario)
+
+
+def test_unsent_bytes_of_a_peer_count_until_it_takes_them():
+    async def scenario(peers, server, handlers):
+        held = HeldBytes()
+        loop = asyncio.get_running_loop()
+        released = asyncio.Event()
+
+        async def accept(reader, writer):
+            await released.wait()
+            while await reader.read(2**20):
+                pass
+            writer.close()
+
+        listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+        transport, connection = await loop.create_connection(
+            lambda: PeerConnection(held=held),
+            *listener.sockets[0].getsockname(),
+        )
+        for _ in range(2):
+            connection.notify("Other", b"x" * (6 * 2**20))
+        await asyncio.sleep(0)
+        assert held.total_bytes > 2**20
+        released.set()
+        await until(lambda: not held.total_bytes)
+        transport.close()
+        listener.close()
+
+    serve(scenario)
+
+
+def test_peer_that_does_not_read_is_cut_over_the_limit():
+    async def scenario(peers, server, handlers):
+        held = HeldBytes(2**20)
+        loop = asyncio.get_running_loop()
+        listener = await asyncio.start_server(
+            lambda reader, writer: asyncio.Event().wait(), "127.0.0.1", 0
+        )
+        _, connection = await loop.create_connection(
+            lambda: PeerConnection(held=held),
+            *listener.sockets[0].getsockname(),
+        )
+        for _ in range(2):
+            connection.notify("Other", b"x" * (6 * 2**20))
+        await until(lambda: not connection.is_open)
+        assert held.total_bytes == 0
+        listener.close()
+
+    serve(scenario)
