Merge bounds on endless input and on what is held for slow readers

Attempts of a race have a splitter and a buffer each. What a losing or failed attempt buffered no longer counts as held once it ends, nor does an event begun before the race. The silence of a winner's replica doesn't count while its caller is written to.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -86,6 +86,11 @@
             "Replicas that are cold, as far as this daemon knows.",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "berylcart_held_bytes",
+            "Bytes held for callers and peers that have not taken them.",
+            registry=self.registry,
+        )
         self.lost_lines = Gauge(
             "berylcart_gateway_lost_log_lines",
             "Log lines dropped because their reader was too slow.",
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Forward a request to a replica and its answer to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from functools import cached_property
 from math import inf
 from typing import NamedTuple
@@ -9,6 +10,7 @@
 
 from berylcart import events
 from berylcart.clock import now_s
+from berylcart.coordination.gateway.caller_patience import first_event_s
 from berylcart.coordination.gateway.engine_home import EngineHome, Placed
 from berylcart.coordination.gateway.event_splitter import EventSplitter
 from berylcart.coordination.gateway.gateway_policy import (
@@ -113,6 +115,19 @@
         self.limit_s = limit_s
         self.scope.deadline = inf if limit_s is None else now_s() + limit_s
 
+    @contextmanager
+    def suspended(self) -> Iterator[None]:
+        """Stop the time while the caller is written to.
+
+        A caller that reads slowly is no silent replica.
+        """
+        deadline_s, self.scope.deadline = self.scope.deadline, inf
+        begun_s = now_s()
+        try:
+            yield
+        finally:
+            self.scope.deadline = deadline_s + now_s() - begun_s
+
 
 class ForwardRun:
     """Hold what one request has tried so far."""
@@ -181,11 +196,77 @@
         return min(self.silence_s, MAX_TIME_SHARE * self.work.left_s)
 
     def gap_patience_s(self) -> float | None:
-        """Say how long a stream's next event is waited for."""
-        if not self.may_run_once_more:
-            return None
-        gap_s = GAP_PATIENCE * self.work.route.gap_ms / MS_PER_S
-        return max(MIN_GAP_PATIENCE_S, gap_s)
+        """Say how long a stream's next event is waited for.
+
+        Where no other replica may go on with it, the caller is let wait for
+        as long as it does by itself. None, where the route names no gap,
+        leaves only the deadline.
+        """
+        route = self.work.route
+        if self.may_run_once_more:
+            gap_s = GAP_PATIENCE * route.gap_ms / MS_PER_S
+            return max(MIN_GAP_PATIENCE_S, gap_s)
+        return first_event_s(route) if route.gap_ms else None
+
+    def hold(self, count_bytes: int) -> None:
+        """Count bytes that are buffered, or fewer, for the caller."""
+        if count_bytes:
+            self.exchange.hold(count_bytes)
+
+    def keep(self, kept: KeptAnswer) -> None:
+        """Keep an answer in place of an earlier one."""
+        known_bytes = 0 if self.kept is None else len(self.kept.body)
+        self.hold(len(kept.body) - known_bytes)
+        self.kept = kept
+
+    @contextmanager
+    def buffering(self) -> Iterator[bytearray]:
+        """Give a buffer, the rest of which is no longer held at its end."""
+        buffer = bytearray()
+        try:
+            yield buffer
+        finally:
+            self.hold(-len(buffer))
+
+    @contextmanager
+    def splitting(self, entrant: Entrant | None) -> Iterator[EventSplitter]:
+        """Give what splits the stream of an attempt.
+
+        A race runs only before the first event. Each of its attempts has a
+        splitter of its own, and only the winner's one becomes the run's.
+        """
+        splitter = self.splitter if entrant is None else EventSplitter()
+        self.drop_partial(splitter)
+        try:
+            yield splitter
+        finally:
+            if splitter is not self.splitter:
+                self.drop_partial(splitter)
+
+    def use_splitter(self, splitter: EventSplitter) -> None:
+        """Go on with the splitter of a race's winner."""
+        self.drop_partial(self.splitter)
+        self.splitter = splitter
+
+    def drop_partial(self, splitter: EventSplitter) -> None:
+        """Forget the beginning of an event that is not passed on."""
+        self.hold(-len(splitter.partial))
+        splitter.drop_partial()
+
+    def take_stream(self, splitter: EventSplitter, data: bytes) -> bytes:
+        """Take bytes of a stream and give those to pass on.
+
+        Raises UpstreamError where an event that is held back is too large.
+        """
+        if self.work.route.is_resumable:
+            known_bytes = len(splitter.partial)
+            try:
+                return splitter.feed(data)
+            finally:
+                self.hold(len(splitter.partial) - known_bytes)
+        if self.work.route.gap_ms:
+            splitter.scanner.feed(data)
+        return data
 
 
 class Forwarder:
@@ -528,7 +609,7 @@
             )
         raise UpstreamError(
             Code.UPSTREAM_FAILED,
-            f"silent for {patience.limit_s} s",
+            f"no progress for {patience.limit_s} s",
             ran=Ran.UNKNOWN,
         )
 
@@ -573,7 +654,7 @@
         if run.work.route.kind is RouteKind.STREAM and is_ok:
             await self.pass_stream(run, answer, clock, patience, entrant)
         else:
-            await self.pass_whole(run, answer, clock, entrant)
+            await self.pass_whole(run, answer, clock, patience, entrant)
         return answer.head.status
 
     async def pass_whole(
@@ -581,10 +662,23 @@
         run: ForwardRun,
         answer: UpstreamAnswer,
         clock: AttemptClock,
+        patience: Patience,
         entrant: Entrant | None,
     ) -> None:
         """Read a whole answer before the caller gets any of it."""
-        body = bytearray()
+        with run.buffering() as body:
+            await self.pass_body(run, answer, clock, patience, entrant, body)
+
+    async def pass_body(
+        self,
+        run: ForwardRun,
+        answer: UpstreamAnswer,
+        clock: AttemptClock,
+        patience: Patience,
+        entrant: Entrant | None,
+        body: bytearray,
+    ) -> None:
+        """Read a body into a buffer, whose bytes count as held."""
         head = answer.head
         while True:
             data = await answer.read()
@@ -592,20 +686,31 @@
             if data is None:
                 break
             body += data
+            run.hold(len(data))
             if len(body) > BUFFERED_BYTES:
-                await start_whole(run, head, entrant)
-                await run.exchange.send(bytes(body))
-                body.clear()
+                with patience.suspended():
+                    await start_whole(run, head, entrant)
+                    await self.pass_buffer(run, body)
         is_failed = head.status in HTTP_SERVER_ERRORS
         if has_better_rival(entrant, head) or (
             is_failed and run.may_run_once_more
         ):
-            run.kept = KeptAnswer(head, bytes(body))
+            run.keep(KeptAnswer(head, bytes(body)))
             raise failed_answer(head)
+        patience.renew(None)
         await start_whole(run, head, entrant)
-        await run.exchange.send(bytes(body))
+        await self.pass_buffer(run, body)
         await run.exchange.finish()
 
+    async def pass_buffer(self, run: ForwardRun, body: bytearray) -> None:
+        """Send what was buffered, without holding it twice."""
+        data = bytes(body)
+        body.clear()
+        try:
+            await run.exchange.send(data)
+        finally:
+            run.hold(-len(data))
+
     async def pass_stream(
         self,
         run: ForwardRun,
@@ -615,22 +720,40 @@
         entrant: Entrant | None,
     ) -> None:
         """Pass on a stream while it arrives."""
-        # A race runs only before the first event.
-        splitter = run.splitter if entrant is None else EventSplitter()
-        splitter.drop_partial()
+        with run.splitting(entrant) as splitter:
+            await self.pass_events(
+                run, answer, clock, patience, entrant, splitter
+            )
+
+    async def pass_events(
+        self,
+        run: ForwardRun,
+        answer: UpstreamAnswer,
+        clock: AttemptClock,
+        patience: Patience,
+        entrant: Entrant | None,
+        splitter: EventSplitter,
+    ) -> None:
+        """Pass on whole events, whose beginnings count as held."""
+        scanner = splitter.scanner
+        if patience.limit_s is None:
+            patience.renew(run.gap_patience_s())
         while (data := await answer.read()) is not None:
             self.note_answer(run, answer.head, clock)
             self.note_placed(run, clock.vm, is_begun=True)
             if entrant is None or entrant.has_won:
                 run.on_begun()
-            if run.work.route.is_resumable:
-                data = splitter.feed(data)
+            known_events = scanner.count
+            data = run.take_stream(splitter, data)
+            if scanner.count > known_events:
+                patience.renew(run.gap_patience_s())
             if data:
                 await claim_stream(run, splitter, entrant)
-                patience.renew(run.gap_patience_s())
-                await self.begin(run, answer.head.headers, clock)
-                await run.exchange.send(data)
+                with patience.suspended():
+                    await self.begin(run, answer.head.headers, clock)
+                    await run.exchange.send(data)
         await claim_stream(run, splitter, entrant)
+        patience.renew(None)
         await self.begin(run, answer.head.headers, clock)
         if splitter.held:
             await run.exchange.send(splitter.held)
@@ -676,7 +799,7 @@
     """Take the caller for a stream; one that lost a race ends here."""
     if entrant is not None and not entrant.has_won:
         await entrant.claim()
-        run.splitter = splitter
+        run.use_splitter(splitter)
         run.on_begun()
 
 
--- a/packages/berylcart/src/berylcart/state/tail.py
+++ b/packages/berylcart/src/berylcart/state/tail.py
@@ -14,12 +14,14 @@
 class LogPart(NamedTuple):
     """Hold records read from a topic and the offset after the last one.
 
-    is_behind tells that the log ends before the offset that was asked for.
+    is_behind tells that the log ends before the offset that was asked for,
+    is_incomplete that records are missing which could not be read.
     """
 
     records: tuple[StoredRecord, ...]
     next_offset: int
     is_behind: bool = False
+    is_incomplete: bool = False
 
 
 class TailAnswer(NamedTuple):
--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -10,6 +10,7 @@
 import struct
 
 import anyio
+import anyio.lowlevel
 
 from berylcart.transport.listening import split_address
 
@@ -22,13 +23,13 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def tune(sock: socket.socket) -> None:
+def tune(sock: socket.socket, user_timeout_ms: int) -> None:
     """Turn off delays, and let a silent connection end by itself."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     options = {
-        socket.TCP_USER_TIMEOUT: USER_TIMEOUT_MS,
+        socket.TCP_USER_TIMEOUT: user_timeout_ms,
         socket.TCP_KEEPIDLE: KEEPALIVE_IDLE_S,
         socket.TCP_KEEPINTVL: KEEPALIVE_INTERVAL_S,
         socket.TCP_KEEPCNT: KEEPALIVE_PROBES,
@@ -38,16 +39,35 @@
 
 
 class Channel:
-    """Hold one connected socket; its calls raise OSError on a failure."""
+    """Hold one connected socket; its calls raise OSError on a failure.
 
-    def __init__(self, sock: socket.socket) -> None:
-        tune(sock)
+    user_timeout_ms bounds the time without any progress while bytes wait to
+    be sent, 0 leaves it to the system.
+    """
+
+    def __init__(
+        self, sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+    ) -> None:
+        tune(sock, user_timeout_ms)
         self.sock = sock
         self.is_closed = False
         # Whether the last read took all that had arrived.
         self.is_drained = False
+        # Whether the last read was full, so that more may have arrived.
+        self.is_flooded = False
+
+    def send_now(self, data: bytes) -> memoryview:
+        """Send what can be sent without waiting, and give the rest."""
+        view = memoryview(data)
+        if view:
+            self.check_open()
+            try:
+                return view[self.sock.send(view, socket.MSG_NOSIGNAL) :]
+            except BlockingIOError:
+                pass
+        return view
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes | memoryview) -> None:
         """Send all bytes."""
         view = memoryview(data)
         while view:
@@ -60,7 +80,14 @@
                 view = view[sent:]
 
     async def receive(self) -> bytes:
-        """Receive some bytes, none at the end of the connection."""
+        """Receive some bytes, none at the end of the connection.
+
+        A sender that is never waited for must not keep other tasks, nor the
+        timeouts on this one, from running: full reads let them run between.
+        """
+        if self.is_flooded:
+            self.is_flooded = False
+            await anyio.lowlevel.checkpoint()
         while True:
             self.check_open()
             if self.is_drained:
@@ -72,8 +99,14 @@
                 self.is_drained = True
                 continue
             self.is_drained = 0 < len(data) < READ_BYTES
+            self.is_flooded = len(data) == READ_BYTES
             return data
 
+    def end_sending(self) -> None:
+        """Tell the other side that nothing more comes."""
+        self.check_open()
+        self.sock.shutdown(socket.SHUT_WR)
+
     def look_first(self) -> None:
         """Have the next receive take what has arrived before it waits."""
         self.is_drained = False
@@ -118,7 +151,10 @@
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     channel = Channel(sock)
     try:
-        code = sock.connect_ex((host, port))
+        try:
+            code = sock.connect_ex((host, port))
+        except (TypeError, ValueError) as error:
+            raise OSError(errno.EINVAL, f"{host!r}: {error}") from None
         if code == errno.EINPROGRESS:
             await anyio.wait_writable(sock)
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -3,7 +3,9 @@
 import asyncio
 
 import pytest
+from berylcart.coordination.gateway.held_bytes import HeldBytes
 from berylcart.protocol import peer_pb2 as pb
+from berylcart.protocol.peer_frames import write_notice
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
@@ -26,6 +28,7 @@
 )
 from berylcart.state.records import Checkpoint, Verdict
 from berylcart.state.relayed import PromptPart
+from berylcart.transport import peer_connection
 from berylcart.transport.peer_client import PeerChannel, RpcPeers
 from berylcart.transport.peer_connection import (
     MAX_MESSAGE_BYTES,
@@ -93,6 +96,15 @@
         return ANSWER
 
 
+async def until(is_true):
+    """Wait until a condition holds."""
+    for _ in range(1000):
+        if is_true():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError
+
+
 def serve(scenario):
     """Run a scenario against a server on a free port."""
 
@@ -447,3 +459,85 @@
         assert await peers.ping(address, ping, timeout_ms=BOUND_MS) == GOSSIP
 
     serve(scenario)
+
+
+def test_frame_that_does_not_end_ends_its_connection(monkeypatch):
+    monkeypatch.setattr(peer_connection, "FRAME_TIMEOUT_S", 0.05)
+
+    async def scenario(peers, server, handlers):
+        host, port = server.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        whole = write_notice("Other", b"")
+        for _ in range(3):
+            writer.write(whole[:3])
+            await asyncio.sleep(0.02)
+            writer.write(whole[3:])
+            await asyncio.sleep(0.02)
+        writer.write(whole[:3])
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
+        writer.close()
+        await peers.ping(
+            server.address, Ping("d", GOSSIP), timeout_ms=BOUND_MS
+        )
+
+    serve(scenario)
+
+
+def test_malformed_peer_address_fails_its_call_only():
+    # The port's error is no OSError, and ended the loop that gossips.
+    async def scenario(peers, server, handlers):
+        for address in ("127.0.0.1:99999", "x", "a\0b:80"):
+            with pytest.raises(BerylcartError):
+                await peers.ping(address, Ping("d", GOSSIP), timeout_ms=100)
+
+    serve(scenario)
+
+
+def test_unsent_bytes_of_a_peer_count_until_it_takes_them():
+    async def scenario(peers, server, handlers):
+        held = HeldBytes()
+        loop = asyncio.get_running_loop()
+        released = asyncio.Event()
+
+        async def accept(reader, writer):
+            await released.wait()
+            while await reader.read(2**20):
+                pass
+            writer.close()
+
+        listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+        transport, connection = await loop.create_connection(
+            lambda: PeerConnection(held=held),
+            *listener.sockets[0].getsockname(),
+        )
+        for _ in range(2):
+            connection.notify("Other", b"x" * (6 * 2**20))
+        await asyncio.sleep(0)
+        assert held.total_bytes > 2**20
+        released.set()
+        await until(lambda: not held.total_bytes)
+        transport.close()
+        listener.close()
+
+    serve(scenario)
+
+
+def test_peer_that_does_not_read_is_cut_over_the_limit():
+    async def scenario(peers, server, handlers):
+        held = HeldBytes(2**20)
+        loop = asyncio.get_running_loop()
+        listener = await asyncio.start_server(
+            lambda reader, writer: asyncio.Event().wait(), "127.0.0.1", 0
+        )
+        _, connection = await loop.create_connection(
+            lambda: PeerConnection(held=held),
+            *listener.sockets[0].getsockname(),
+        )
+        for _ in range(2):
+            connection.notify("Other", b"x" * (6 * 2**20))
+        await until(lambda: not connection.is_open)
+        assert held.total_bytes == 0
+        listener.close()
+
+    serve(scenario)
