--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -17,6 +17,10 @@
 from berylcart.coordination.gateway.forwarder import Forwarder
 from berylcart.coordination.gateway.gateway import Gateway, Served
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
+from berylcart.coordination.gateway.held_bytes import (
+    HeldBytes,
+    held_limit_bytes,
+)
 from berylcart.coordination.gateway.home_capacity import capacity_permille
 from berylcart.coordination.gateway.permitted import entry_places, permits
 from berylcart.coordination.gateway.ports import CallerExchange
@@ -53,6 +57,7 @@
 from berylcart_daemon.gateway_settings import GatewaySettings
 from berylcart_daemon.loop_lag import LoopLag
 from berylcart_daemon.route_exchange import RouteExchange
+from berylcart_daemon.supervision import keep_running, run_guarded
 
 MS_PER_S = 1000
 # Some callers keep a list of entries for this many times its period.
@@ -87,7 +92,8 @@
         )
         self.evacuations = Evacuations(self.directory.count_by_place)
         self.evacuations.on_change = self.directory.exclude
-        self.peers = RpcPeers()
+        self.held = HeldBytes(held_limit_bytes(settings.memory_mb))
+        self.peers = RpcPeers(held=self.held)
         self.build_membership()
         self.build_gateway()
         self.build_servers()
@@ -220,6 +226,7 @@
             self.limits,
             self.ports.wire.refuse,
             lambda: self.is_draining,
+            self.held,
         )
         self.callers = CallerServer(
             self.settings.caller_address, rules, self.settings.max_connections
@@ -244,7 +251,8 @@
             self.settings.peer_address,
             self.home,
             self.tail,
-            self.engines,
+            engines=self.engines,
+            held=self.held,
         )
 
     def limits(self) -> CallerLimits:
@@ -288,7 +296,7 @@
             )
             self.batchers[service] = batcher
             if self.background is not None:
-                self.background.start_soon(batcher.run)
+                self.background.start_soon(keep_running, batcher.run)
         return batcher
 
     def spawn(
@@ -296,7 +304,7 @@
     ) -> None:
         """Run a function beside everything else until it ends."""
         if self.background is not None:
-            self.background.start_soon(function, *args)
+            self.background.start_soon(run_guarded, function, *args)
 
     def drop_inputs(self, handles: Sequence[str], is_spare: bool) -> None:
         """Drop results of any stages, spare ones where room is short."""
@@ -432,6 +440,7 @@
         places = self.evacuations.places
         self.metrics.evacuated_places.set(len(places))
         self.metrics.evacuated_in_flight.set(self.count_in_flight(places))
+        self.metrics.held_bytes.set(self.held.total_bytes)
         self.metrics.lost_lines.set(events.lost_lines())
         self.metrics.paused_replicas.set(self.policy.pauses.count())
         self.metrics.cold_replicas.set(self.request_limits.count_cold())
@@ -477,16 +486,16 @@
         for server in (self.callers, *self.pages):
             tasks.start_soon(server.run)
         for batcher in self.batchers.values():
-            tasks.start_soon(batcher.run)
+            tasks.start_soon(keep_running, batcher.run)
         feed = self.ports.feed
-        tasks.start_soon(feed.run, self.keeper, self.evacuations)
-        tasks.start_soon(self.directory.run)
-        tasks.start_soon(self.membership.run)
-        tasks.start_soon(self.exchange.run)
-        tasks.start_soon(self.keep_house)
-        tasks.start_soon(self.keep_book)
+        tasks.start_soon(keep_running, feed.run, self.keeper, self.evacuations)
+        tasks.start_soon(keep_running, self.directory.run)
+        tasks.start_soon(keep_running, self.membership.run)
+        tasks.start_soon(keep_running, self.exchange.run)
+        tasks.start_soon(keep_running, self.keep_house)
+        tasks.start_soon(keep_running, self.keep_book)
         lag = LoopLag(self.metrics.loop_lag_seconds.observe, self.work_at_hand)
-        tasks.start_soon(lag.run)
+        tasks.start_soon(keep_running, lag.run)
 
     async def keep_house(self) -> None:
         """Close connections that grew old."""
--- a/packages/berylcart/tests/coordination/gateway/test_second_attempts.py
+++ b/packages/berylcart/tests/coordination/gateway/test_second_attempts.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 from berylcart import events
+from berylcart.coordination.gateway.caller_patience import first_event_s
 from berylcart.coordination.gateway.forwarder import (
     BUFFERED_BYTES,
     Forwarder,
@@ -173,7 +174,7 @@
     run(check)
 
 
-@pytest.mark.parametrize("route", [BOOKING, STREAM])
+@pytest.mark.parametrize("route", [BOOKING, STREAM._replace(gap_ms=0)])
 def test_request_that_may_run_once_never_gets_one(route):
     async def check():
         one = hedged(route._replace(max_attempts=3), stalled(), Script())
@@ -184,6 +185,18 @@
     run(check)
 
 
+def test_stream_that_may_run_once_is_cut_without_another_attempt():
+    async def check():
+        one = hedged(STREAM._replace(max_attempts=3), stalled(), Script())
+        started_s = anyio.current_time()
+        assert (await one.fail()).ran is Ran.UNKNOWN
+        elapsed_s = anyio.current_time() - started_s
+        assert elapsed_s == pytest.approx(first_event_s(STREAM))
+        assert len(one.relay.sent) == 1
+
+    run(check)
+
+
 def test_not_beyond_the_routes_attempts():
     async def check():
         once = IDEMPOTENT._replace(max_attempts=1)
@@ -406,6 +419,63 @@
     run(check)
 
 
+@pytest.mark.parametrize("ending", [{"hangs": True}, {"ends": False}])
+@pytest.mark.parametrize("route", [IDEMPOTENT, RESUMABLE])
+def test_bytes_of_an_attempt_that_does_not_win_are_not_held(route, ending):
+    async def check():
+        begun = late(0.2, chunks=[b"id: 9\nda"], **ending)
+        one = hedged(route, begun, late(0.3, chunks=EVENTS))
+        seen = []
+        hold = one.exchange.hold
+
+        def note(count_bytes):
+            hold(count_bytes)
+            seen.append(one.exchange.held_bytes)
+
+        one.exchange.hold = note
+        await one.forward()
+        assert seen[0] == len(b"id: 9\nda")
+        assert one.exchange.held_bytes == 0
+        assert one.exchange.data == b"".join(EVENTS)
+
+    run(check)
+
+
+def test_event_begun_before_a_race_is_not_held_after_it():
+    async def check():
+        one = hedged(RESUMABLE, stalled(), late(0.1, chunks=EVENTS))
+        one.run.take_stream(one.run.splitter, b"id: 1\nda")
+        assert one.exchange.held_bytes
+        await one.forward()
+        assert one.exchange.held_bytes == 0
+        assert one.exchange.data == b"".join(EVENTS)
+
+    run(check)
+
+
+@pytest.mark.parametrize("route", [IDEMPOTENT, RESUMABLE])
+def test_slow_caller_of_a_winner_is_no_silent_replica(route):
+    """Guards against giving up on a winner while its caller reads."""
+
+    async def check():
+        parts = [b"x" * (BUFFERED_BYTES + 1), b"end"]
+        chunks = EVENTS if route is RESUMABLE else parts
+        plenty = route._replace(max_attempts=3)
+        one = hedged(plenty, stalled(), Script(chunks=chunks), Script())
+        send = one.exchange.send
+
+        async def slow(data):
+            await anyio.sleep(2)
+            await send(data)
+
+        one.exchange.send = slow
+        assert await one.forward() == 200
+        assert one.exchange.data == b"".join(chunks)
+        assert len(one.relay.sent) == 2
+
+    run(check)
+
+
 def test_inputs_are_not_dropped_before_a_stream_has_won():
     async def check():
         begun = Script(chunks=[b"id: 9\nda"], hangs=True, starts_after_s=0.2)
