Fill calls by parting orders while a long queue waits

Room was not the cause, as used bytes show.

Change: orders are parted where all replicas together can't take what waits in their next calls and are so many that the rest begins within 50 ms. With few replicas orders stay whole, as before.

--- a/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/piece_queue.py
@@ -29,6 +29,9 @@
 MAX_PIECES = 10_000
 # Longer waits cost more of the target than a result that crosses places.
 PLACE_WAIT_S = 0.1
+# The rest of an order that is parted begins within this time, well under
+# what a call takes.
+PART_WAIT_S = 0.05
 
 
 # A request and the number of one of its stages.
@@ -203,9 +206,13 @@
     maker: Maker,
     limits: BatchLimits,
     now_s: float,
+    *,
+    is_parting: bool = False,
 ) -> list[TakenPiece]:
     """Choose the pieces of a replica's next call, most urgent first.
 
+    Orders of large results are parted between calls only where is_parting.
+
     >>> limits = BatchLimits(1, 2, 2, 150, 16, 1e6, 4)
     >>> maker = Maker("v1", "lahore-1", 0.0, 100, 1.0)
     >>> def waiting(request_id, rank):
@@ -228,7 +235,7 @@
             count = min(count, int(room_bytes // result_bytes))
         if has_passed and entry.yields(now_s) and not entry.is_begun:
             continue
-        if batch and is_parted(entry, count, limits):
+        if batch and not is_parting and is_parted(entry, count, limits):
             has_passed = True
             continue
         taken = entry.first(max(0, count))
@@ -252,6 +259,23 @@
     return pieces * max((e.order.result_bytes for e in entries), default=0)
 
 
+def may_part(waiting: int, makers: int, limits: BatchLimits) -> bool:
+    """Tell whether full calls are worth more than orders kept whole.
+
+    They are where all replicas together can't take what waits in their next
+    calls, and are so many that the rest of an order begins soon.
+
+    >>> limits = BatchLimits(1, 2, 39, 150, 3.3, 1e6, 4)
+    >>> may_part(400, 8, limits), may_part(100, 8, limits)
+    (True, False)
+    >>> may_part(400, 3, limits)
+    False
+    """
+    if waiting < makers * limits.pieces:
+        return False
+    return call_s(limits, limits.pieces) <= makers * PART_WAIT_S
+
+
 def is_parted(entry: Waiting, count: int, limits: BatchLimits) -> bool:
     """Tell whether a call would part an order that another may take whole.
 
--- a/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
+++ b/packages/berylcart/tests/coordination/gateway/test_piece_queue.py
@@ -106,3 +106,22 @@
     # Eight others make 5 calls each in the time of one slow call.
     assert not is_worthwhile(slow, others, 8 * 8, LIMITS)
     assert is_worthwhile(slow, others, 8 * 8 * 5, LIMITS)
+
+
+def test_parting_fills_a_call_with_large_orders():
+    """Whole orders of 8 left a sixth of each call of 39 empty in a burst."""
+    limits = BatchLimits(1, 2, 39, 150, 3.3, 6.7e6, 4)
+    queue = [
+        Waiting(
+            Order(f"r{n}", "s", 0, 8, "k", (), 0, 9, 9, "", 132_000),
+            tuple(range(8)),
+            0.0,
+            9.0,
+        )
+        for n in range(50)
+    ]
+    maker = Maker("v1", "lahore-1", 0.0, 6.7e6, 1.0)
+    whole = take_batch(queue, maker, limits, 0.0)
+    parted = take_batch(queue, maker, limits, 0.0, is_parting=True)
+    assert (len(whole), len(parted)) == (32, 39)
+    assert len({each.order.request_id for each in parted}) == 5
