Pass a large answer that has begun on to its end

An answer over BUFFERED_BYTES begins before its end is known. A failed one of a repeatable route was then raised as a failure, and one whose rest came after the route's patience was given up on. No other replica could go on with it, so both cut the caller's answer. Now only the deadline bounds its rest.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -680,6 +680,7 @@
     ) -> None:
         """Read a body into a buffer, whose bytes count as held."""
         head = answer.head
+        has_begun = False
         while True:
             data = await answer.read()
             self.note_answer(run, head, clock)
@@ -688,13 +689,14 @@
             body += data
             run.hold(len(data))
             if len(body) > BUFFERED_BYTES:
+                has_begun = True
+                # Once it has begun, no other replica may take its place.
+                patience.renew(None)
                 with patience.suspended():
                     await start_whole(run, head, entrant)
                     await self.pass_buffer(run, body)
-        is_failed = head.status in HTTP_SERVER_ERRORS
-        if has_better_rival(entrant, head) or (
-            is_failed and run.may_run_once_more
-        ):
+        may_retry = head.status in HTTP_SERVER_ERRORS and run.may_run_once_more
+        if not has_begun and (has_better_rival(entrant, head) or may_retry):
             run.keep(KeptAnswer(head, bytes(body)))
             raise failed_answer(head)
         patience.renew(None)
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -3,6 +3,7 @@
 import anyio
 from berylcart.coordination.gateway.caller_patience import first_event_s
 from berylcart.coordination.gateway.forwarder import (
+    BUFFERED_BYTES,
     GAP_PATIENCE,
     MIN_GAP_PATIENCE_S,
 )
@@ -398,6 +399,39 @@
     run(lambda: check(IDEMPOTENT, [b"x" * 2**19] * 5))
 
 
+def test_large_failed_answer_that_has_begun_is_passed_on_to_its_end():
+    """Guards against a retry that can't be, which cut the answer."""
+
+    async def check():
+        chunks = [b"x" * (BUFFERED_BYTES + 1), b"end"]
+        one = Forwarding(IDEMPOTENT, Script(FAILED, chunks), Script())
+        assert await one.forward() == 500
+        assert one.exchange.data == b"".join(chunks)
+        assert one.exchange.is_finished
+        assert len(one.relay.sent) == 1
+        assert one.exchange.held_bytes == 0
+
+    run(check)
+
+
+def test_large_answer_that_has_begun_may_be_slow():
+    """Guards against giving up on a replica that none can replace."""
+
+    async def check():
+        class Slow(Script):
+            async def read(self):
+                await anyio.sleep(0.8)
+                return await super().read()
+
+        chunks = [b"x" * (BUFFERED_BYTES + 1), b"end"]
+        one = Forwarding(IDEMPOTENT, Slow(chunks=chunks), Script())
+        assert await one.forward() == 200
+        assert one.exchange.data == b"".join(chunks)
+        assert len(one.relay.sent) == 1
+
+    run(check)
+
+
 def test_buffered_answers_count_as_held_until_they_are_sent():
     async def check(route, *scripts):
         one = Forwarding(route, *scripts)
