Cut a stream rather than end it with a server error's text

Cause: where a resumable stream had begun and the last allowed replica answered 5xx, the error's body was written into the stream, which then ended as if it were whole.

Change: an answer that is no stream is a failure once another answer has begun.

Measured: the new test fails before (the stream ends as whole with the error's text) and passes after; the forwarder's tests passed.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -653,6 +653,9 @@
         is_ok = answer.head.status in HTTP_OK
         if run.work.route.kind is RouteKind.STREAM and is_ok:
             await self.pass_stream(run, answer, clock, patience, entrant)
+        elif run.exchange.is_started:
+            # Its text would end the stream that has begun as if it were whole.
+            raise failed_answer(answer.head)
         else:
             await self.pass_whole(run, answer, clock, patience, entrant)
         return answer.head.status
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -1,6 +1,7 @@
 """Check what is sent again, and that answers reach callers whole."""
 
 import anyio
+import pytest
 from berylcart.coordination.gateway.caller_patience import first_event_s
 from berylcart.coordination.gateway.forwarder import (
     BUFFERED_BYTES,
@@ -200,6 +201,23 @@
     run(check)
 
 
+def test_server_error_is_not_written_into_a_stream_that_has_begun():
+    """Guards against an error's text that ends a stream as if it were whole."""
+
+    async def check():
+        one = Forwarding(
+            RESUMABLE,
+            Script(chunks=[EVENTS[0], EVENTS[1][:7]], ends=False),
+            Script(FAILED, chunks=[b"oops"]),
+        )
+        with pytest.raises(UpstreamError):
+            await one.forward()
+        assert one.exchange.data == EVENTS[0]
+        assert not one.exchange.is_finished
+
+    run(check)
+
+
 class Trickle(Script):
     """Send a byte now and then after the chunks."""
 
