--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -202,7 +202,7 @@
 
 
 def test_server_error_is_not_written_into_a_stream_that_has_begun():
-    """Guards against an error's text that ends a stream as if it were whole."""
+    """Guards against an error's text that ends a stream as if whole."""
 
     async def check():
         one = Forwarding(
