Keep shared prompts where they are when the home of a service changes

A home that starts knows no parts and placed each shared prompt anew.

Change: where nothing is known of a shared part, the first replica by rendezvous hashing counts as holding half of it, so that homes without knowledge agree, and agree with daemons that choose by themselves.

--- a/packages/berylcart/src/berylcart/coordination/gateway/engine_placement.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_placement.py
@@ -10,6 +10,7 @@
 
 from berylcart import clock, events
 from berylcart.coordination.gateway.engine_load import EngineLoad, FleetSpeed
+from berylcart.coordination.policy.routing import rank
 from berylcart.state.peer_messages import (
     AttemptNews,
     Placement,
@@ -71,9 +72,10 @@
         if not pool:
             return None
         now_s = clock.now_s()
-        vm = min(pool, key=lambda each: self.cost(each, query, now_s))
+        likely = self.likely_holder(query, pool)
+        vm = min(pool, key=lambda each: self.cost(each, query, now_s, likely))
         load = self.load(vm)
-        tokens = query.own_tokens + load.missing(query.parts)
+        tokens = query.own_tokens + self.missing(vm, query, likely)
         expected_ms = int(load.expected_s(tokens, now_s) * MS_PER_S)
         if query.is_question:
             return Placement(vm.vm_id, vm.incarnation, 0, expected_ms)
@@ -91,21 +93,37 @@
         self.retain(pool)
         return Placement(vm.vm_id, vm.incarnation, number, expected_ms)
 
+    def likely_holder(
+        self, query: PlacementQuery, pool: Sequence[Vm]
+    ) -> Vm | None:
+        """Name the replica that a home of before has most likely chosen.
+
+        That is the first by rendezvous hashing, where nothing is known of the
+        shared part. Without it, all parts would move with the home.
+        """
+        if not query.parts:
+            return None
+        part_id = query.parts[-1].part_id
+        if any(part_id in self.load(vm).parts for vm in pool):
+            return None
+        return rank(part_id, pool)[0]
+
+    def missing(self, vm: Vm, query: PlacementQuery, likely: Vm | None) -> int:
+        """Estimate the tokens of shared parts that a replica has to read."""
+        missing = self.load(vm).missing(query.parts)
+        return missing // 2 if vm is likely else missing
+
     def cost(
-        self, vm: Vm, query: PlacementQuery, now_s: float
+        self, vm: Vm, query: PlacementQuery, now_s: float, likely: Vm | None
     ) -> tuple[float, float]:
         """Compare by how long a failing replica is avoided, then by cost."""
-        avoided_s = max(0.0, self.load(vm).avoided_until_s - now_s)
-        return avoided_s, self.cost_s(vm, query, now_s)
-
-    def cost_s(self, vm: Vm, query: PlacementQuery, now_s: float) -> float:
-        """Estimate the time to the first token, and what it costs others."""
         load = self.load(vm)
-        missing = READ_AGAIN_FACTOR * load.missing(query.parts)
+        avoided_s = max(0.0, load.avoided_until_s - now_s)
+        missing = READ_AGAIN_FACTOR * self.missing(vm, query, likely)
         cost_s = load.expected_s(query.own_tokens + missing, now_s)
         if query.place not in ("", vm.place):
             cost_s += min(MAX_MOVE_S, MOVE_S_PER_BYTE * query.moved_bytes)
-        return cost_s
+        return avoided_s, cost_s
 
     def note(self, news: AttemptNews) -> None:
         """Take that a request has begun or has ended before."""
--- a/packages/berylcart/tests/coordination/gateway/test_engine_placement.py
+++ b/packages/berylcart/tests/coordination/gateway/test_engine_placement.py
@@ -333,3 +333,27 @@
     answers, counted = outcome(ask_before_sending)
     assert {each.vm_id for each in answers} == {"v1"}
     assert counted == 0
+
+
+async def play_handover():
+    """Place prompts at one home and then at another that knows nothing."""
+    vms = [make_vm(f"v{number}") for number in range(ENGINES)]
+    chosen = []
+    for _ in range(2):
+        placement = EnginePlacement("model", lambda: vms, lambda: 597_751)
+        for number in range(PROMPTS):
+            shared = (PromptPart(f"p{number}", SHARED_TOKENS),)
+            query = PlacementQuery("model", shared, OWN_TOKENS, 120, 8000)
+            placed = placement.place(query)
+            await anyio.sleep(0.05)
+            placement.note(AttemptNews("model", placed.number, True, 300))
+            chosen.append(placed.vm_id)
+    return chosen[:PROMPTS], chosen[PROMPTS:]
+
+
+def test_new_home_does_not_move_the_shared_prompts():
+    """Each of them would be read again at another replica."""
+    before, after = outcome(play_handover)
+    same = sum(a == b for a, b in zip(before, after, strict=True))
+    assert same > 0.9 * PROMPTS
+    assert len(set(before)) > ENGINES / 2
