--- a/packages/berylcart/src/berylcart/coordination/gateway/engine_placement.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/engine_placement.py
@@ -20,8 +20,8 @@
 
 MS_PER_S = 1000
 # Reading a shared part that another replica holds delays the request itself
-# and, for as long again, the requests that come after it.
-READ_AGAIN_FACTOR = 2
+# and the requests that come after it there, of which two are counted.
+READ_AGAIN_FACTOR = 3
 # What it is worth that results stay in their place: links between places are
 # shared, and their time is that of some tokens read.
 MOVE_S_PER_BYTE = 0.015e-6
