Part the state of a forwarded request and the checks of answers from the forwarder

Change: forward_run holds what one request has tried, answer_checks tells which answers may be passed on. No behaviour changes.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -14,7 +14,9 @@
 from berylcart.coordination.gateway.cold_shares import ColdBounds
 from berylcart.coordination.gateway.engine_home import EngineHome
 from berylcart.coordination.gateway.evacuations import Evacuations
-from berylcart.coordination.gateway.forwarder import Forwarder
+from berylcart.coordination.gateway.forwarder import (
+    Forwarder,
+)
 from berylcart.coordination.gateway.gateway import Gateway, Served
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
 from berylcart.coordination.gateway.held_bytes import (
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -9,11 +9,13 @@
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.caller_ages import CallerAges
 from berylcart.coordination.gateway.caller_patience import first_event_s
-from berylcart.coordination.gateway.forwarder import (
-    Forwarder,
+from berylcart.coordination.gateway.forward_run import (
     ForwardRun,
     Work,
 )
+from berylcart.coordination.gateway.forwarder import (
+    Forwarder,
+)
 from berylcart.coordination.gateway.gateway_policy import (
     GatewayPolicy,
     RouteTables,
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -3,11 +3,13 @@
 import anyio
 import pytest
 from berylcart.coordination.gateway.caller_patience import first_event_s
-from berylcart.coordination.gateway.forwarder import (
-    BUFFERED_BYTES,
+from berylcart.coordination.gateway.forward_run import (
     GAP_PATIENCE,
     MIN_GAP_PATIENCE_S,
 )
+from berylcart.coordination.gateway.forwarder import (
+    BUFFERED_BYTES,
+)
 from berylcart.state.errors import (
     Code,
     InputsGoneError,
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -3,7 +3,9 @@
 import anyio
 import pytest
 from berylcart.coordination.gateway.backlogs import Backlogs
-from berylcart.coordination.gateway.forwarder import Forwarder
+from berylcart.coordination.gateway.forwarder import (
+    Forwarder,
+)
 from berylcart.coordination.gateway.gateway import Gateway, find_target
 from berylcart.coordination.gateway.piece_queue import MAX_PIECES
 from berylcart.coordination.gateway.retry_window import RetryWindow
--- a/packages/berylcart/tests/coordination/gateway/test_replica_pauses.py
+++ b/packages/berylcart/tests/coordination/gateway/test_replica_pauses.py
@@ -1,7 +1,9 @@
 """Check that replicas which asked to wait are left alone, and only they."""
 
 import anyio
-from berylcart.coordination.gateway.forwarder import REFUSED_RETRY_AFTER_MS
+from berylcart.coordination.gateway.answer_checks import (
+    REFUSED_RETRY_AFTER_MS,
+)
 from berylcart.coordination.gateway.replica_pauses import (
     MAX_PAUSE_S,
     ReplicaPauses,
--- a/packages/berylcart/tests/coordination/gateway/test_second_attempts.py
+++ b/packages/berylcart/tests/coordination/gateway/test_second_attempts.py
@@ -8,11 +8,13 @@
 import pytest
 from berylcart import events
 from berylcart.coordination.gateway.caller_patience import first_event_s
+from berylcart.coordination.gateway.forward_run import (
+    ForwardRun,
+    Work,
+)
 from berylcart.coordination.gateway.forwarder import (
     BUFFERED_BYTES,
     Forwarder,
-    ForwardRun,
-    Work,
 )
 from berylcart.coordination.gateway.second_attempts import (
     MAX_SAMPLES,
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -4,11 +4,13 @@
 from contextlib import asynccontextmanager
 
 import anyio
-from berylcart.coordination.gateway.forwarder import (
-    Forwarder,
+from berylcart.coordination.gateway.forward_run import (
     ForwardRun,
     Work,
 )
+from berylcart.coordination.gateway.forwarder import (
+    Forwarder,
+)
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
 from berylcart.coordination.gateway.request_limits import RequestLimits
 from berylcart.coordination.gateway.retry_window import RetryWindow
--- a/packages/berylcart/tests/coordination/stage_fleet.py
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -13,7 +13,9 @@
 import anyio
 import trio
 from berylcart.coordination.gateway.batcher import Batcher
-from berylcart.coordination.gateway.forwarder import Forwarder
+from berylcart.coordination.gateway.forwarder import (
+    Forwarder,
+)
 from berylcart.coordination.gateway.gateway import Gateway
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
 from berylcart.coordination.gateway.piece_queue import call_s
