--- a/packages/berylcart/tests/coordination/serving/test_server.py
+++ b/packages/berylcart/tests/coordination/serving/test_server.py
@@ -357,6 +357,8 @@
         usable = fixture.parts.ejector.usable(fixture.directory.pool("enc"))
         assert {vm.vm_id for vm in usable} == {"enc-1", "enc-2"}
 
+    run(scenario)
+
 
 def test_no_stage_starts_if_later_stages_would_miss_the_deadline():
     async def scenario():
@@ -389,6 +391,8 @@
         assert {why for _, _, why in wasted} >= {WasteCause.CANCELLED}
         assert all(service == "enc" for service, _, _ in wasted)
 
+    run(scenario)
+
 
 def test_no_retry_starts_that_would_miss_the_deadline():
     async def scenario():
