Order the store's records by its era and offset

Cause: the platform's store may come back from an older copy; it then assigns offsets again and raises the era in its answers. Nothing read the era, so a daemon that had read more of the lost part overruled those that read the new one, and a log that had grown past the own offset hid the loss.

Change: the adapter reads the era of every answer; positions are compared as era and offset in the shared tail, in gossip, in offers of manifests and in evacuations. A store without the header is served as before.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -95,7 +95,10 @@
         self.directory = VmDirectory(
             ports.replicas, settings.replicas_interval_ms / MS_PER_S
         )
-        self.evacuations = Evacuations(self.directory.count_by_place)
+        self.store_era = ports.store_era
+        self.evacuations = Evacuations(
+            self.directory.count_by_place, self.store_era
+        )
         self.evacuations.on_change = self.directory.exclude
         self.buffer_budget = BufferBudget(
             buffer_limit_bytes(settings.memory_mb)
@@ -133,6 +136,7 @@
         )
         self.evacuations.on_update = self.membership.broadcast_evacuations
         self.peak_members = 1
+        self.store_era.daemons = lambda: len(self.membership.running())
         interval_s = self.settings.replicas_interval_ms / MS_PER_S
         self.shared_tail = SharedTail(
             lambda: self.membership.local_member,
@@ -144,9 +148,9 @@
         self.ports.replicas.read_changes = self.read_changes
         self.directory.on_leaving = self.membership.mark_leaving
 
-    async def read_changes(self, start: int) -> LogPart:
+    async def read_changes(self, start: int, era: int) -> LogPart:
         """Read replica changes via the shared tail; raises BerylcartError."""
-        part = await self.shared_tail.read(start)
+        part = await self.shared_tail.read(start, era)
         self.ports.replicas.record_log_recovery(self.shared_tail.recovered_s)
         self.directory.poll_interval_s = self.shared_tail.period_s
         return part
@@ -474,6 +478,7 @@
         self.metrics.in_flight.set(self.gateway.in_flight)
         self.metrics.config_version.set(self.route_table_holder.version)
         self.metrics.members.set(len(self.membership.running()))
+        self.metrics.store_era.set(self.store_era.current)
         places = self.evacuations.places
         self.metrics.evacuated_places.set(len(places))
         self.metrics.evacuated_in_flight.set(self.count_in_flight(places))
@@ -561,14 +566,15 @@
 
     async def maintain_registration(self) -> None:
         """Register this daemon and discover seeds while no peer is known."""
-        is_registered = False
+        registered_era = None
         while True:
             try:
-                if not is_registered:
+                if registered_era != self.store_era.current:
+                    await anyio.sleep(self.store_era.draw_delay_s())
                     await self.ports.member_registry.register(
                         self.settings.daemon_id, self.settings.peer_address
                     )
-                    is_registered = True
+                    registered_era = self.store_era.current
                 if len(self.membership.running()) <= 1:
                     peer_addresses = (
                         await self.ports.member_registry.addresses()
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -69,6 +69,11 @@
             "Daemons that are known to run.",
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "berylcart_gateway_store_era",
+            "Newest known era of the store, 0 if it reports none.",
+            registry=self.registry,
+        )
         self.evacuated_places = Gauge(
             "berylcart_evacuated_places",
             "Places whose replicas get no new work, as known here.",
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -6,6 +6,7 @@
 from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.ports import MessageCodec, PieceClient
 from berylcart.coordination.gateway.route_table_holder import RouteTableHolder
+from berylcart.coordination.gateway.store_era import StoreEra
 from berylcart.coordination.ports import VmList
 from berylcart.state.relay_messages import BufferedResponse, CallerHead
 from berylcart.state.routes import RouteTable
@@ -72,11 +73,14 @@
     reports to stay cold, and whether the report is new.
     """
 
-    read_changes: Callable[[int], Awaitable[LogPart]]
+    read_changes: Callable[[int, int], Awaitable[LogPart]]
     on_cold_replica: Callable[[Vm, int, bool], None]
 
-    async def read_store_changes(self, start: int) -> LogPart:
-        """Read the changes from a log offset on; raises BerylcartError."""
+    async def read_store_changes(self, start: int, era: int) -> LogPart:
+        """Read the changes from a log offset of an era on.
+
+        Raises BerylcartError, and LogGapError after a change of the era.
+        """
         ...
 
     def record_log_recovery(self, returned_s: float) -> None:
@@ -93,3 +97,4 @@
     replicas: ReplicaList
     pieces: PieceClient
     member_registry: MemberRegistry
+    store_era: StoreEra
--- a/packages/berylcart-daemon/src/berylcart_daemon/route_sync.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/route_sync.py
@@ -56,6 +56,7 @@
 
     def on_config(self, address: str, config: ConfigFreshness) -> None:
         """Schedule a pull from a peer that has a newer version."""
+        self.known_evacuations.store_era.observe(config.era, address)
         if config.version > self.route_table_holder.version:
             self.pull_addresses = (address,)
             self.pull_requested.set()
@@ -102,5 +103,8 @@
             return
         if offer.checkpoint is not None:
             self.route_table_holder.offer(
-                offer.checkpoint.text, offer.checkpoint.as_of_offset, address
+                offer.checkpoint.text,
+                offer.checkpoint.as_of_offset,
+                address,
+                offer.era,
             )
--- a/packages/berylcart/src/berylcart/coordination/gateway/evacuations.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/evacuations.py
@@ -1,14 +1,18 @@
 """Track which places are evacuated, from the store and from peers.
 
-Of two reports on a place, the one with the higher record offset wins,
-regardless of its source.
+Of two reports on a place, the one with the higher record position wins,
+regardless of its source. While the records of a new era of the store settle,
+what a read of all keys shows may be a copy from before the last era's end: it
+does not end or repeat an evacuation, and is not advertised to peers.
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from berylcart import clock, events
+from berylcart.coordination.gateway.store_era import StoreEra
 from berylcart.state.peer_messages import EvacuationReport
+from berylcart.state.tail import FIRST_ERA, LogPosition
 
 MS_PER_S = 1000
 # Limit given in the operators' documentation.
@@ -60,16 +64,38 @@
     >>> is_newer(EvacuationReport("hall-1", False, 7), request)
     True
     """
-    if report.offset == known.offset:
+    if report.position == known.position:
         return known.is_active and not report.is_active
-    return report.offset > known.offset
+    return report.position > known.position
+
+
+def may_be_restored(
+    evacuation: EvacuationReport, withdrawal: EvacuationReport
+) -> bool:
+    """Return whether an evacuation may be a copy from before a withdrawal.
+
+    >>> withdrawal = EvacuationReport("hall-1", False, 9, era=1)
+    >>> [may_be_restored(EvacuationReport("hall-1", True, offset, era=2),
+    ...                  withdrawal) for offset in (7, 12)]
+    [True, False]
+    """
+    return (
+        evacuation.is_active
+        and not withdrawal.is_active
+        and evacuation.era > withdrawal.era
+        and evacuation.offset <= withdrawal.offset
+    )
 
 
 class StoredReport(NamedTuple):
-    """The current report on a place and the time at which it was received."""
+    """The current report on a place and the time at which it was received.
+
+    is_copied is set if it comes from a read of all keys of the store.
+    """
 
     report: EvacuationReport
     received_s: float
+    is_copied: bool = False
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the report was received."""
@@ -84,13 +110,16 @@
     """
 
     def __init__(
-        self, replicas: Callable[[], Mapping[str, int]] = dict
+        self,
+        replicas: Callable[[], Mapping[str, int]] = dict,
+        store_era: StoreEra | None = None,
     ) -> None:
         self.replicas = replicas
+        self.store_era = store_era or StoreEra()
         self.known: dict[str, StoredReport] = {}
         self.places: frozenset[str] = frozenset()
-        # The store has been read up to this offset.
-        self.read_offset = 0
+        # The store has been read up to this position.
+        self.read_position = LogPosition(FIRST_ERA, 0)
         # Set if an evacuation is in force that the last read of the store did
         # not contain: only another read of all keys can tell which is out of
         # date.
@@ -107,46 +136,72 @@
         end_offset: int,
         *,
         is_all: bool,
+        era: int = FIRST_ERA,
     ) -> None:
         """Apply reports read from the store up to an offset."""
         reports = list(updates)
         if is_all:
             self.needs_full_read = False
         for each in reports:
-            self.apply_report(each, STORE)
+            if is_all and self.is_restored(each):
+                self.needs_full_read = True
+            else:
+                self.apply_report(each, STORE, is_copied=is_all)
         if not is_offset(end_offset):
             return
         if is_all:
             listed = {each.place for each in reports if each.is_active}
-            self.withdraw_unlisted(listed, end_offset)
-        self.read_offset = max(self.read_offset, end_offset)
+            self.withdraw_unlisted(listed, LogPosition(era, end_offset))
+        self.read_position = max(
+            self.read_position, LogPosition(era, end_offset)
+        )
 
-    def withdraw_unlisted(self, listed: set[str], end_offset: int) -> None:
+    def withdraw_unlisted(self, listed: set[str], end: LogPosition) -> None:
         """Withdraw evacuations that a read of all keys did not contain."""
         for place in self.places - listed:
-            if self.known[place].report.offset < end_offset:
-                withdrawal = EvacuationReport(place, False, end_offset - 1)
+            report = self.known[place].report
+            is_lost = report.era < end.era and self.store_era.is_settling()
+            if report.position < end and not is_lost:
+                withdrawal = EvacuationReport(
+                    place, False, end.offset - 1, era=end.era
+                )
                 self.apply_report(withdrawal, STORE)
             else:
                 # Written after that read, or lost when the store was rolled
                 # back.
                 self.needs_full_read = True
 
+    def is_restored(self, evacuation: EvacuationReport) -> bool:
+        """Tell whether the store's copy may hold a withdrawn evacuation."""
+        known = self.known.get(evacuation.place)
+        return (
+            known is not None
+            and self.store_era.is_settling()
+            and may_be_restored(evacuation, known.report)
+        )
+
     def apply_peer_reports(
         self, sender_id: str, reports: Sequence[EvacuationReport]
     ) -> None:
         """Apply a peer's reports."""
         for each in reports:
+            self.store_era.observe(each.era, sender_id)
             is_applied = self.apply_report(each, sender_id)
             if (
                 is_applied
                 and each.is_active
-                and each.offset < self.read_offset
+                and each.position < self.read_position
             ):
                 self.needs_full_read = True
                 self.on_full_read_needed()
 
-    def apply_report(self, report: EvacuationReport, source: str) -> bool:
+    def apply_report(
+        self,
+        report: EvacuationReport,
+        source: str,
+        *,
+        is_copied: bool = False,
+    ) -> bool:
         """Apply a report if it is valid and newer; return whether it was."""
         if not is_valid(report):
             events.warning(
@@ -169,7 +224,7 @@
         if not is_kept:
             return False
         self.known[report.place] = StoredReport(
-            report._replace(age_ms=0), received_s
+            report._replace(age_ms=0), received_s, is_copied
         )
         self.apply_change(report, source)
         self.drop_expired()
@@ -208,6 +263,7 @@
             place=report.place,
             is_active=report.is_active,
             offset=report.offset,
+            era=report.era,
             source=source,
             replicas=replicas.get(report.place, 0),
             replicas_elsewhere=replicas_elsewhere,
@@ -230,14 +286,16 @@
             return ()
         self.drop_expired()
         now_s = clock.now_s()
+        is_settling = self.store_era.is_settling()
         reports = [
             each.report._replace(age_ms=int(each.age_s(now_s) * MS_PER_S))
             if not each.report.is_active
             else each.report
             for each in self.known.values()
-            if each.report.is_active or each.age_s(now_s) < ADVERTISE_S
+            if (each.report.is_active or each.age_s(now_s) < ADVERTISE_S)
+            and not (each.is_copied and is_settling)
         ]
         reports.sort(
-            key=lambda each: (each.is_active, each.offset), reverse=True
+            key=lambda each: (each.is_active, each.position), reverse=True
         )
         return tuple(reports[:MAX_ADVERTISED])
--- a/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.state.config import FORMAT_VERSION
@@ -9,10 +11,13 @@
 from berylcart.state.peer_messages import ConfigFreshness, ConfigReply
 from berylcart.state.records import Checkpoint
 from berylcart.state.routes import RouteTable
+from berylcart.state.tail import FIRST_ERA, LogPosition
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 500
 MAX_AGE_MS = 3_600_000
+# A starting daemon joins its peers and pulls their version within this time.
+PEER_WAIT_S = 2.0
 
 
 class RouteTableHolder:
@@ -26,8 +31,9 @@
         self.parse = parse
         self.table: RouteTable | None = None
         self.text = ""
-        self.offset = -1
+        self.position = LogPosition(FIRST_ERA, -1)
         self.last_confirmed_s = 0.0
+        self.adopted: anyio.Event | None = None
         self.on_change: Callable[[RouteTable], None] = lambda table: None
 
     def require(self) -> RouteTable:
@@ -45,7 +51,14 @@
         """Return the current version, 0 if there is none."""
         return 0 if self.table is None else self.table.version
 
-    def offer(self, text: str, offset: int, source: str) -> None:
+    @property
+    def offset(self) -> int:
+        """Return the offset up to which the store had been read."""
+        return self.position.offset
+
+    def offer(
+        self, text: str, offset: int, source: str, era: int = FIRST_ERA
+    ) -> None:
         """Apply a text if its version is newer than the current one."""
         try:
             table = self.parse(text)
@@ -69,12 +82,25 @@
         )
         self.table = table
         self.text = text
-        self.offset = max(self.offset, offset)
+        self.position = max(self.position, LogPosition(era, offset))
         self.on_change(table)
+        if self.adopted is not None:
+            self.adopted.set()
+
+    async def wait_for_peer(self) -> None:
+        """Wait a bounded time for a first version from a peer.
 
-    def confirm(self, offset: int) -> None:
+        The versions in force never decrease, but a restored store may show an
+        older one to a daemon that has none yet.
+        """
+        if self.table is None:
+            self.adopted = anyio.Event()
+            with anyio.move_on_after(PEER_WAIT_S):
+                await self.adopted.wait()
+
+    def confirm(self, offset: int, era: int = FIRST_ERA) -> None:
         """Record that the store has no newer version up to an offset."""
-        self.offset = max(self.offset, offset)
+        self.position = max(self.position, LogPosition(era, offset))
         self.last_confirmed_s = now_s()
 
     def age_ms(self) -> int:
@@ -86,12 +112,14 @@
 
     def freshness(self) -> ConfigFreshness:
         """Return the current version and its age for the peers."""
-        return ConfigFreshness(self.version, self.offset, self.age_ms())
+        return ConfigFreshness(
+            self.version, self.offset, self.age_ms(), self.position.era
+        )
 
     def offer_for(self, known_version: int) -> ConfigReply:
         """Return the response for a peer that asks for a newer version."""
         if self.table is None or self.version <= known_version:
-            return ConfigReply(None, self.age_ms())
+            return ConfigReply(None, self.age_ms(), self.position.era)
         checkpoint = Checkpoint(
             as_of_offset=self.offset,
             version=self.version,
@@ -99,4 +127,4 @@
             text=self.text,
             verdicts=(),
         )
-        return ConfigReply(checkpoint, self.age_ms())
+        return ConfigReply(checkpoint, self.age_ms(), self.position.era)
--- a/packages/berylcart/src/berylcart/coordination/gateway/shared_tail.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/shared_tail.py
@@ -14,7 +14,12 @@
 from berylcart.coordination.gateway.home_capacity import members_with_capacity
 from berylcart.state.errors import BerylcartError, LogGapError
 from berylcart.state.member_table import Member, MemberState
-from berylcart.state.tail import LogPart, StoredRecord, TailAnswer
+from berylcart.state.tail import (
+    FIRST_ERA,
+    LogPart,
+    StoredRecord,
+    TailAnswer,
+)
 
 MS_PER_S = 1000
 # In smaller places a shared reader saves no calls, as it polls more often.
@@ -39,7 +44,7 @@
     """Query the daemon at an address; raises BerylcartError."""
 
     async def read_tail(
-        self, address: str, start: int, *, timeout_ms: int
+        self, address: str, start: int, era: int, *, timeout_ms: int
     ) -> TailAnswer | None:
         """Return the log's tail from an offset, None if it is not cached."""
         ...
@@ -48,7 +53,9 @@
 class TailHandlers(Protocol):
     """Handle the queries of other daemons."""
 
-    def on_read_tail(self, start: int) -> TailAnswer | None:
+    def on_read_tail(
+        self, start: int, era: int = FIRST_ERA
+    ) -> TailAnswer | None:
         """Return the log's tail from an offset, None if it is not cached."""
         ...
 
@@ -56,8 +63,8 @@
 class SharedTail:
     """Read the tail of a log through the reader of this daemon's place.
 
-    source reads the log itself from an offset. It raises BerylcartError, and
-    LogGapError if the records were deleted.
+    source reads the log itself from an offset of an era. It raises
+    BerylcartError, and LogGapError if the records were deleted.
     """
 
     def __init__(
@@ -65,7 +72,7 @@
         local_member: Callable[[], Member],
         members: Callable[[], Sequence[Member]],
         peers: TailPeers,
-        source: Callable[[int], Awaitable[LogPart]],
+        source: Callable[[int, int], Awaitable[LogPart]],
         interval_s: float,
     ) -> None:
         self.local_member = local_member
@@ -74,9 +81,10 @@
         self.source = source
         self.interval_s = interval_s
         self.records: deque[StoredRecord] = deque(maxlen=MAX_RECORDS)
-        # The range of offsets that records covers.
+        # The range of offsets that records covers, and their era.
         self.start = -1
         self.end = -1
+        self.era = FIRST_ERA
         self.read_at_s = -inf
         self.is_log_unavailable = False
         self.recovered_s = -inf
@@ -113,18 +121,18 @@
             return READER_INTERVAL_SHARE * self.interval_s
         return self.interval_s
 
-    async def read(self, start: int) -> LogPart:
+    async def read(self, start: int, era: int = FIRST_ERA) -> LogPart:
         """Read records from an offset on; raises the errors of the source."""
         reader = self.reader()
         self.log_reader_change(reader)
         if reader is not None and clock.now_s() >= self.bypassed_until_s:
-            answer = await self.query_reader(reader, start)
+            answer = await self.query_reader(reader, start, era)
             if answer is not None:
                 recovered_s = clock.now_s() - answer.returned_ms / MS_PER_S
                 self.recovered_s = max(self.recovered_s, recovered_s)
                 return answer.part
             self.bypassed_until_s = clock.now_s() + READER_BYPASS_S
-        return await self.read_source(start)
+        return await self.read_source(start, era)
 
     def log_reader_change(self, reader: Member | None) -> None:
         """Log a change of this place's reader."""
@@ -143,16 +151,18 @@
             self.bypassed_until_s = -inf
 
     async def query_reader(
-        self, reader: Member, start: int
+        self, reader: Member, start: int, era: int
     ) -> TailAnswer | None:
         """Query the reader; None if it fails, lacks records or is stale."""
         reason = "the reader has not cached these offsets"
         try:
             answer = await self.peers.read_tail(
-                reader.peer_address, start, timeout_ms=QUERY_TIMEOUT_MS
+                reader.peer_address, start, era, timeout_ms=QUERY_TIMEOUT_MS
             )
         except BerylcartError as error:
             answer, reason = None, error.detail
+        if answer is not None and answer.part.era != era:
+            answer, reason = None, "the reader's records are of another era"
         if answer is not None:
             max_age_ms = MAX_AGE_SHARE * self.interval_s * MS_PER_S
             if answer.age_ms <= max_age_ms:
@@ -166,11 +176,11 @@
         )
         return None
 
-    async def read_source(self, start: int) -> LogPart:
+    async def read_source(self, start: int, era: int) -> LogPart:
         """Read the log itself and cache the records for other daemons."""
         started_s = clock.now_s()
         try:
-            part = await self.source(start)
+            part = await self.source(start, era)
         except LogGapError:
             raise
         except BerylcartError:
@@ -184,9 +194,10 @@
 
     def cache_part(self, start: int, part: LogPart, started_s: float) -> None:
         """Cache records for other daemons' queries."""
-        if start != self.end:
+        if (part.era, start) != (self.era, self.end):
             self.records.clear()
             self.start = start
+            self.era = part.era
         if len(self.records) + len(part.records) > MAX_RECORDS:
             self.start = start
             self.records.clear()
@@ -194,9 +205,11 @@
         self.end = part.next_offset
         self.read_at_s = started_s
 
-    def on_read_tail(self, start: int) -> TailAnswer | None:
+    def on_read_tail(
+        self, start: int, era: int = FIRST_ERA
+    ) -> TailAnswer | None:
         """Return cached records for another daemon."""
-        if not self.start <= start <= self.end:
+        if era != self.era or not self.start <= start <= self.end:
             return None
         now_s = clock.now_s()
         records = tuple(each for each in self.records if each.offset >= start)
@@ -204,7 +217,7 @@
             MAX_RECOVERY_AGE_MS, (now_s - self.recovered_s) * MS_PER_S
         )
         return TailAnswer(
-            LogPart(records, self.end),
+            LogPart(records, self.end, era=self.era),
             int((now_s - self.read_at_s) * MS_PER_S),
             int(returned_ms),
         )
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -40,11 +40,13 @@
     True
     >>> is_newer_config(own, ConfigFreshness(2, 20, 100))
     False
+    >>> is_newer_config(own, ConfigFreshness(3, 7, 100, era=1))
+    True
     """
     if received.version != own.version:
         return received.version > own.version
-    if received.as_of_offset != own.as_of_offset:
-        return received.as_of_offset > own.as_of_offset
+    if received.position != own.position:
+        return received.position > own.position
     return received.age_ms < own.age_ms
 
 
--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -136,13 +136,18 @@
         is_active=update.is_active,
         offset=update.offset,
         age_ms=clamp_duration(update.age_ms),
+        era=update.era,
     )
 
 
 def decode_evacuation(message: pb.EvacuationMessage) -> EvacuationReport:
     """Decode the evacuation status of a place."""
     return EvacuationReport(
-        message.place, message.is_active, message.offset, message.age_ms
+        message.place,
+        message.is_active,
+        message.offset,
+        message.age_ms,
+        message.era,
     )
 
 
@@ -159,6 +164,7 @@
         config_version=gossip.config.version,
         config_offset=gossip.config.as_of_offset,
         config_age_ms=clamp_duration(gossip.config.age_ms),
+        config_era=gossip.config.era,
         vital_digests=[vital.digest for vital in gossip.vitals],
         vital_ages_ms=[
             clamp_duration(vital.heard_age_ms) for vital in gossip.vitals
@@ -189,6 +195,7 @@
             message.config_version,
             message.config_offset,
             message.config_age_ms,
+            message.config_era,
         ),
         vitals=decode_vitals(message),
         view_digest=message.view_digest,
@@ -274,7 +281,7 @@
     """Encode the reply to a request for a newer configuration."""
     if offer.checkpoint is None:
         age_ms = clamp_duration(offer.age_ms)
-        return pb.ConfigMessage(is_newer=False, age_ms=age_ms)
+        return pb.ConfigMessage(is_newer=False, age_ms=age_ms, era=offer.era)
     checkpoint = offer.checkpoint
     return pb.ConfigMessage(
         is_newer=True,
@@ -284,13 +291,14 @@
         text_zlib=compress(checkpoint.text),
         verdicts=[encode_verdict(item) for item in checkpoint.verdicts],
         age_ms=clamp_duration(offer.age_ms),
+        era=offer.era,
     )
 
 
 def decode_config_offer(message: pb.ConfigMessage) -> ConfigReply:
     """Decode the reply to a request for a newer configuration."""
     if not message.is_newer:
-        return ConfigReply(None, message.age_ms)
+        return ConfigReply(None, message.age_ms, message.era)
     checkpoint = Checkpoint(
         as_of_offset=message.as_of_offset,
         version=message.version,
@@ -298,7 +306,7 @@
         text=decompress(message.text_zlib),
         verdicts=tuple(decode_verdict(item) for item in message.verdicts),
     )
-    return ConfigReply(checkpoint, message.age_ms)
+    return ConfigReply(checkpoint, message.age_ms, message.era)
 
 
 def encode_answer_query(query: AnswerQuery) -> pb.CollectAnswerMessage:
--- a/packages/berylcart/src/berylcart/protocol/tail_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/tail_codec.py
@@ -21,6 +21,7 @@
         next_offset=tail.part.next_offset,
         age_ms=min(MAX_DURATION_MS, tail.age_ms),
         returned_ms=min(MAX_DURATION_MS, tail.returned_ms),
+        era=tail.part.era,
     )
 
 
@@ -32,5 +33,5 @@
         StoredRecord(record.key, record.value, record.offset)
         for record in message.records
     )
-    part = LogPart(records, message.next_offset)
+    part = LogPart(records, message.next_offset, era=message.era)
     return TailAnswer(part, message.age_ms, message.returned_ms)
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -7,6 +7,7 @@
 from berylcart.state.member_table import Member
 from berylcart.state.records import Checkpoint
 from berylcart.state.relay_messages import PromptPart
+from berylcart.state.tail import FIRST_ERA, LogPosition
 
 
 class MemberReport(NamedTuple):
@@ -62,6 +63,12 @@
     is_active: bool
     offset: int
     age_ms: int = 0
+    era: int = FIRST_ERA
+
+    @property
+    def position(self) -> LogPosition:
+        """Return the position of the record in the store."""
+        return LogPosition(self.era, self.offset)
 
 
 class PlacementQuery(NamedTuple):
@@ -111,12 +118,18 @@
 class ConfigFreshness(NamedTuple):
     """Report a configuration version and when the log last confirmed it.
 
-    age_ms ago, the log had been read up to as_of_offset.
+    age_ms ago, the log had been read up to as_of_offset of an era.
     """
 
     version: int = 0
     as_of_offset: int = -1
     age_ms: int = 0
+    era: int = FIRST_ERA
+
+    @property
+    def position(self) -> LogPosition:
+        """Return the position up to which the log had been read."""
+        return LogPosition(self.era, self.as_of_offset)
 
 
 class Gossip(NamedTuple):
@@ -164,6 +177,7 @@
 
     checkpoint: Checkpoint | None
     age_ms: int = 0
+    era: int = FIRST_ERA
 
 
 class AnswerQuery(NamedTuple):
--- a/packages/berylcart/src/berylcart/transport/peer_client.py
+++ b/packages/berylcart/src/berylcart/transport/peer_client.py
@@ -262,13 +262,13 @@
             ) from error
 
     async def read_tail(
-        self, address: str, start: int, *, timeout_ms: int
+        self, address: str, start: int, era: int, *, timeout_ms: int
     ) -> TailAnswer | None:
         """Fetch the tail of a log; None when the peer does not have it."""
         return await self._call(
             address,
             "ReadTail",
-            pb.ReadTailMessage(start=start),
+            pb.ReadTailMessage(start=start, era=era),
             pb.TailMessage,
             decode_tail,
             timeout_ms,
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -19,7 +19,7 @@
 from berylcart.protocol import piece_codec, placement_codec
 from berylcart.protocol.tail_codec import encode_tail
 from berylcart.state.errors import BerylcartError
-from berylcart.state.tail import TailAnswer
+from berylcart.state.tail import LogPosition, TailAnswer
 from berylcart.transport.peer_connection import PeerCallError, PeerConnection
 from berylcart.transport.socket_addresses import bind, bound_address
 
@@ -147,13 +147,13 @@
 def tail_methods(tail: TailHandlers) -> dict[str, RpcMethod]:
     """Return the methods of a daemon that reads a log, by name."""
 
-    async def read(start: int) -> TailAnswer | None:
-        return tail.on_read_tail(start)
+    async def read(position: LogPosition) -> TailAnswer | None:
+        return tail.on_read_tail(position.offset, position.era)
 
     return {
         "ReadTail": RpcMethod(
             pb.ReadTailMessage,
-            lambda message: int(message.start),
+            lambda message: LogPosition(message.era, message.start),
             read,
             encode_tail,
         )
--- a/packages/berylcart/tests/coordination/gateway/test_shared_tail.py
+++ b/packages/berylcart/tests/coordination/gateway/test_shared_tail.py
@@ -30,6 +30,7 @@
     def __init__(self):
         self.records = []
         self.first = 0
+        self.era = 0
         self.reads = []
         self.refused = set()
 
@@ -40,13 +41,14 @@
     def source(self, daemon_id):
         """Return the read function of one daemon."""
 
-        async def read(start):
+        async def read(start, era):
             self.reads.append(daemon_id)
             if daemon_id in self.refused or "all" in self.refused:
                 raise LogUnavailableError("refused")
-            if start < self.first:
+            if start < self.first or era != self.era:
                 raise LogGapError(start, self.first)
-            return LogPart(tuple(self.records[start:]), len(self.records))
+            records = tuple(self.records[start:])
+            return LogPart(records, len(self.records), era=era)
 
         return read
 
@@ -77,13 +79,13 @@
             INTERVAL_S,
         )
 
-    async def read_tail(self, address, start, *, timeout_ms):
+    async def read_tail(self, address, start, era, *, timeout_ms):
         """Query the daemon at an address."""
         if address in self.hanging:
             await anyio.sleep(timeout_ms / 1000)
         if address in self.failing | self.hanging:
             raise BerylcartError(Code.PEER_UNAVAILABLE, "no answer")
-        return self.tails[address].on_read_tail(start)
+        return self.tails[address].on_read_tail(start, era)
 
     @property
     def reader(self):
