Observe the time to the first event instead of assuming 0.4 s

Cause: a stage's due time left 0.4 s for the engine on every route.

Change: each daemon keeps the last 32 times of a route, and the third quartile of them replaces the assumed time.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -6,6 +6,7 @@
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batch_selection import LARGE_TRANSFER_BYTES
 from berylcart.coordination.gateway.event_splitter import EventSplitter
+from berylcart.coordination.gateway.first_event_times import FirstEventTimes
 from berylcart.coordination.gateway.forward_run import (
     MAX_SENDS,
     MIN_REMAINING_S,
@@ -79,6 +80,7 @@
         self.wire = wire
         self.engines = engines
         self.hedger = hedger
+        self.first_event_times = FirstEventTimes()
 
     async def forward(self, run: ForwardRun) -> int:
         """Forward a request and return the status of the response.
@@ -585,6 +587,9 @@
         """Write the response head of a stream, unless already written."""
         if not run.exchange.is_started:
             started_s = run.exchange.received_at_s
+            self.first_event_times.record(
+                run.work.route.name, timing.latency_ms / MS_PER_S
+            )
             events.info(
                 "stream.begun",
                 request_id=run.work.request.request_id,
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -325,6 +325,7 @@
                 lambda service: len(
                     self.policy.permitted_pool(service, work.places)
                 ),
+                self.forwarder.first_event_times.expected_s(route.name),
             ),
             link_mbps=self.link_mbps(route),
             places=work.places,
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_times.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_times.py
@@ -7,7 +7,8 @@
 from berylcart.coordination.gateway.batch_selection import batch_duration_s
 from berylcart.state.routes import BatchLimits, GatewayService, Route
 
-# Time to the first event apart from the stages, for a lightly loaded engine.
+# Time to the first event apart from the stages, for a lightly loaded engine;
+# used until times of the route are known.
 ENGINE_FIRST_EVENT_S = 0.4
 
 
@@ -66,11 +67,13 @@
     piece_counts: Sequence[int],
     services: Mapping[str, GatewayService],
     count_replicas: Callable[[str], int],
+    first_event_s: float = ENGINE_FIRST_EVENT_S,
 ) -> list[float]:
     """Estimate the time from each stage's first call to the first event.
 
     A queued order may start as late as its due time, so a time that this
-    estimate omits makes the answer late.
+    estimate omits makes the answer late. first_event_s is the time to the
+    first event after the last stage.
 
     >>> from berylcart.state.routes import RouteKind, RouteStage
     >>> services = {"s": GatewayService("s", 0, BatchLimits(
@@ -96,6 +99,6 @@
             if index in stage.after
         ]
         remaining_s[index] = times[index].processing_s + max(
-            later_s, default=ENGINE_FIRST_EVENT_S
+            later_s, default=first_event_s
         )
     return remaining_s
--- a/packages/berylcart/tests/coordination/stage_fleet.py
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -121,6 +121,7 @@
         self.sent: Counter[str] = Counter()
         self.completed: Counter[str] = Counter()
         self.missing_inputs = 0
+        self.first_event_s = FIRST_EVENT_S
         for name, service in services.items():
             self.vms[name] = [
                 make_replica(name, number)
@@ -233,7 +234,7 @@
     async def exchange(self, request, on_sent=lambda: None):
         """Stream an engine's answer."""
         on_sent()
-        yield Engine()
+        yield Engine(self.first_event_s)
 
     async def simulate(self, length_s, warm_up_s=0.0):
         """Send each route's requests at random times."""
@@ -287,9 +288,9 @@
 class Engine(ScriptedResponse):
     """Stream an answer."""
 
-    def __init__(self):
+    def __init__(self, first_event_s):
         super().__init__()
-        self.times_s = [FIRST_EVENT_S, STREAM_S]
+        self.times_s = [first_event_s, STREAM_S]
         self.chunks = [b"first", b"last"]
 
     async def read(self):
