Log each call's start with what kept it from being full

batch.started names the pieces taken and accepted, what is waiting, the free memory and the main cause of a call that is not full; the histogram berylcart_gateway_call_pieces counts calls by that cause.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -316,6 +316,7 @@
                 self.drop_inputs,
                 self.directory.is_evacuated,
             )
+            batcher.on_call_started = self.metrics.record_call
             self.batchers[service] = batcher
             if self.background_tasks is not None:
                 self.background_tasks.start_soon(
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -1,5 +1,6 @@
 """Define the Prometheus metrics of a gateway daemon."""
 
+from berylcart.coordination.gateway.batch_shortfall import Shortfall
 from berylcart.coordination.gateway.gateway import CompletedRequest
 from berylcart.coordination.gateway.second_attempts import (
     HedgeOutcome,
@@ -16,6 +17,7 @@
 from berylcart_daemon.metrics import LATENCY_BUCKETS_S
 
 MS_PER_S = 1000
+CALL_PIECES_BUCKETS = (1, 2, 4, 8, 16, 32, 64, 128)
 
 
 class GatewayMetrics:
@@ -52,6 +54,13 @@
             ["service"],
             registry=self.registry,
         )
+        self.call_pieces = Histogram(
+            "berylcart_gateway_call_pieces",
+            "Pieces of each call of a stage, by what kept it from being full.",
+            ["service", "shortfall"],
+            buckets=CALL_PIECES_BUCKETS,
+            registry=self.registry,
+        )
         self.placements = Counter(
             "berylcart_gateway_placements",
             "Requests by who chose their engine replica: home, alone.",
@@ -142,6 +151,12 @@
         seconds = served.latency_ms / MS_PER_S
         self.request_seconds.labels(served.route).observe(seconds)
 
+    def record_call(
+        self, service: str, pieces: int, shortfall: Shortfall
+    ) -> None:
+        """Record the start of a call of a stage."""
+        self.call_pieces.labels(service, shortfall).observe(pieces)
+
     def record_placement(self, service: str, is_home: bool) -> None:
         """Count a request by whether the service's home chose its replica."""
         chosen_by = "home" if is_home else "alone"
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -19,6 +19,10 @@
     select_batch,
     useful_entries,
 )
+from berylcart.coordination.gateway.batch_shortfall import (
+    Shortfall,
+    explain_shortfall,
+)
 from berylcart.coordination.gateway.load_shedder import LoadShedder
 from berylcart.coordination.gateway.order_queue import OrderQueue
 from berylcart.coordination.gateway.ports import PieceClient, TimedPiece
@@ -96,6 +100,10 @@
         )
         self.rates = QueueRates()
         self.tasks: TaskGroup | None = None
+        # Called with the service, the pieces of a call and its shortfall.
+        self.on_call_started: Callable[[str, int, Shortfall], None] = (
+            lambda service, pieces, shortfall: None
+        )
         # Results to free that were named before run() started.
         self.drops_before_run: list[str] = []
         self.load_shedder = LoadShedder(
@@ -235,13 +243,16 @@
             busy = [
                 each for each in snapshots.values() if each.available_in_s > 0
             ]
-            batch = select_batch(
-                useful_entries(self.orders.waiting, replica, busy, limits),
-                replica,
-                limits._replace(pieces=pieces),
-                now_s,
+            entries = useful_entries(
+                self.orders.waiting, replica, busy, limits
             )
+            accepted = limits._replace(pieces=pieces)
+            batch = select_batch(entries, replica, accepted, now_s)
             if batch:
+                shortfall = explain_shortfall(
+                    entries, batch, replica, accepted, limits, now_s
+                )
+                self.log_start(vm, batch, shortfall, limits, replica)
                 self.start_call(tasks, vm, batch, limits)
                 snapshots[vm.vm_id] = self.replica_tracker.snapshot(
                     vm, limits, now_s
@@ -288,6 +299,29 @@
             return False
         return True
 
+    def log_start(
+        self,
+        vm: Vm,
+        batch: Sequence[BatchPiece],
+        shortfall: Shortfall,
+        limits: BatchLimits,
+        replica: ReplicaSnapshot,
+    ) -> None:
+        """Log a call's start and what kept it from being full."""
+        self.on_call_started(self.service, len(batch), shortfall)
+        events.info(
+            "batch.started",
+            service=self.service,
+            vm_id=vm.vm_id,
+            first_request_id=batch[0].order.request_id,
+            pieces=len(batch),
+            max_pieces=limits.pieces,
+            shortfall=shortfall,
+            waiting=self.orders.count_waiting(),
+            orders=len(self.orders.waiting),
+            free_bytes=int(replica.free_bytes),
+        )
+
     def start_call(
         self,
         tasks: TaskGroup,
