Fill calls with orders from other places, nearer ones first

Change: an order still waits 0.1 s before a call starts for it alone in another place, but a call that starts anyway takes it along; orders near the replica come first unless one from elsewhere would be late after another call.

--- a/packages/berylcart/src/berylcart/coordination/gateway/batch_selection.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batch_selection.py
@@ -90,6 +90,8 @@
 
 # Whether the order has not started, its effective rank, due time, request id.
 SortKey = tuple[bool, float, float, str]
+# The same with, after the rank, whether nearer orders are selected first.
+NearKey = tuple[bool, float, bool, float, str]
 
 
 class QueuedOrder(NamedTuple):
@@ -195,17 +197,52 @@
     return READ_LATENCY_S + READ_TIME_FACTOR * size_bytes / bytes_per_s
 
 
-def is_eligible(
+def is_near(order: PieceOrder, replica: ReplicaSnapshot) -> bool:
+    """Return whether a replica needs no large transfer between places."""
+    is_local = order.place in ("", replica.place)
+    return is_local or order.moved_bytes < LARGE_TRANSFER_BYTES
+
+
+def is_worth_call(
     entry: QueuedOrder, replica: ReplicaSnapshot, now_s: float
 ) -> bool:
-    """Return whether a replica is permitted and near enough to the inputs."""
-    order = entry.order
-    if not order.permits(replica.place):
-        return False
-    is_local = order.place in ("", replica.place)
-    if is_local or order.moved_bytes < LARGE_TRANSFER_BYTES:
-        return True
-    return now_s - entry.since_s >= LOCALITY_WAIT_S
+    """Return whether a call may be started for an order alone.
+
+    An order waits a little for a nearer replica, but not if the call starts
+    anyway: a piece more costs far less than a call of its own.
+    """
+    has_waited = now_s - entry.since_s >= LOCALITY_WAIT_S
+    return has_waited or is_near(entry.order, replica)
+
+
+def near_key(
+    entry: QueuedOrder,
+    replica: ReplicaSnapshot,
+    batch_s: float,
+    now_s: float,
+) -> NearKey:
+    """Return the sort key of a call's candidates.
+
+    Of equally urgent orders, those near the replica come first, unless one
+    from elsewhere would be late after another call of batch_s.
+
+    >>> order = PieceOrder("r", "s", 0, 1, "k", (), 0, 9.0, 9.0, "hall-1", 40,
+    ...                    LARGE_TRANSFER_BYTES)
+    >>> soon = order._replace(due_s=0.2, place="hall-2")
+    >>> far = order._replace(due_s=5.0, place="hall-2")
+    >>> replica = ReplicaSnapshot("v1", "hall-1", 0.0, 1e6, 1.0)
+    >>> keys = [near_key(QueuedOrder(each, (0,), 0.0, 9.0), replica, 0.4, 0.0)
+    ...         for each in (soon, order, far)]
+    >>> keys == sorted(keys)
+    True
+    """
+    is_started, rank, due_s, name = entry.sort_key(now_s)
+    is_urgent = now_s <= entry.order.due_s <= now_s + batch_s
+    is_remote = not is_near(entry.order, replica)
+    is_postponed = is_remote and (
+        entry.is_low_priority(now_s) or not is_urgent
+    )
+    return is_started, rank, is_postponed, due_s, name
 
 
 def select_batch(
@@ -231,8 +268,11 @@
     >>> [each.order.request_id for each in batch]
     ['b', 'c']
     """
-    eligible = [each for each in waiting if is_eligible(each, replica, now_s)]
-    eligible.sort(key=lambda each: each.sort_key(now_s))
+    eligible = [each for each in waiting if each.order.permits(replica.place)]
+    if not any(is_worth_call(each, replica, now_s) for each in eligible):
+        return []
+    batch_s = batch_duration_s(limits, limits.pieces)
+    eligible.sort(key=lambda each: near_key(each, replica, batch_s, now_s))
     batch: list[BatchPiece] = []
     free_bytes = replica.free_bytes
     # If a low-priority order were started now, its remainder would be served
--- a/packages/berylcart/src/berylcart/coordination/gateway/batch_shortfall.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batch_shortfall.py
@@ -8,7 +8,6 @@
     QueuedOrder,
     ReplicaSnapshot,
     count_pieces,
-    is_eligible,
 )
 from berylcart.state.routes import BatchLimits
 
@@ -30,7 +29,6 @@
     replica: ReplicaSnapshot,
     accepted: BatchLimits,
     limits: BatchLimits,
-    now_s: float,
 ) -> Shortfall:
     """Return the main cause of a call's shortfall.
 
@@ -43,7 +41,7 @@
     >>> entry = QueuedOrder(order, (0, 1, 2), 0.0, 9.0)
     >>> replica = ReplicaSnapshot("v1", "hall-1", 0.0, 79, 1.0)
     >>> [str(explain_shortfall([entry], entry.first_pieces(count), replica,
-    ...                        limits, limits, 0.0)) for count in (2, 1)]
+    ...                        limits, limits)) for count in (2, 1)]
     ['none', 'memory']
     """
     if len(batch) >= limits.pieces:
@@ -52,7 +50,7 @@
         return Shortfall.LIMIT
     if len(batch) >= count_pieces(waiting):
         return Shortfall.EMPTY_QUEUE
-    eligible = [each for each in waiting if is_eligible(each, replica, now_s)]
+    eligible = [each for each in waiting if each.order.permits(replica.place)]
     if len(batch) >= count_pieces(eligible):
         return Shortfall.PLACE
     used_bytes = sum(each.order.result_bytes for each in batch)
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -250,7 +250,7 @@
             batch = select_batch(entries, replica, accepted, now_s)
             if batch:
                 shortfall = explain_shortfall(
-                    entries, batch, replica, accepted, limits, now_s
+                    entries, batch, replica, accepted, limits
                 )
                 self.log_start(vm, batch, shortfall, limits, replica)
                 self.start_call(tasks, vm, batch, limits)
--- a/packages/berylcart/tests/coordination/stage_fleet.py
+++ b/packages/berylcart/tests/coordination/stage_fleet.py
@@ -106,7 +106,13 @@
 class Fleet:
     """Run a gateway's stages on simulated replicas and a simulated clock."""
 
-    def __init__(self, services: dict[str, StageService], loads, seed=1):
+    def __init__(
+        self,
+        services: dict[str, StageService],
+        loads,
+        seed=1,
+        places=("lahore-1",),
+    ):
         self.services = services
         self.loads = loads
         self.random = random.Random(seed)
@@ -124,12 +130,18 @@
         self.first_event_s = FIRST_EVENT_S
         for name, service in services.items():
             self.vms[name] = [
-                make_replica(name, number)
+                make_replica(name, number, places[number % len(places)])
                 for number in range(service.replicas)
             ]
             for vm in self.vms[name]:
                 self.replicas[vm.address] = Replica(service.limits)
-        self.vms[SERVICE] = [make_replica(SERVICE, n) for n in range(5)]
+        self.vms[SERVICE] = [
+            make_replica(SERVICE, number, places[number % len(places)])
+            for number in range(5)
+        ]
+        self.place_by_address = {
+            vm.address: vm.place for vms in self.vms.values() for vm in vms
+        }
         self.keeper = make_route_keeper(services, loads)
         self.batchers: dict[str, Batcher] = {}
         self.budget = RetryWindow(0.2, 10.0, 54, lambda: 1)
@@ -142,7 +154,7 @@
             self.request_limits,
         )
         self.home = OrderRouter("d1", None, list, self.batcher_of)
-        stages = StageExecutor(self.home, self.spawn, lambda _: "lahore-1")
+        stages = StageExecutor(self.home, self.spawn, self.place_of)
         wire = FleetWire()
         self.gateway = Gateway(
             self.keeper, wire, policy, Forwarder(self, policy, wire), stages
@@ -153,6 +165,10 @@
         """Return the replicas of a service."""
         return tuple(self.vms.get(service, ()))
 
+    def place_of(self, handle):
+        """Return the place of the replica that holds a result."""
+        return self.place_by_address[self.holder_address(handle)]
+
     def limits(self, service):
         """Return a service's limits."""
         info = self.services.get(service)
@@ -323,14 +339,14 @@
         return head
 
 
-def make_replica(service, number):
+def make_replica(service, number, place):
     """Describe a replica."""
     name = f"{service}-{number}"
     return Vm(
         name,
         1,
         name,
-        "lahore-1",
+        place,
         VmRole.UPSTREAM,
         service,
         VmState.LIVE,
