Keep taking small pieces where a large result has no room

Cause: a replica that rejected one result for lack of memory counted as full for a second.

Change: what is left is less than the rejected result, so half of its size is assumed.

--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -406,7 +406,7 @@
         finally:
             state.calls -= 1
             state.reserved_bytes -= sum(e.order.result_bytes for e in batch)
-            if state.is_full:
+            if state.rejected_bytes < inf:
                 state.record_full(clock.now_s())
             self.orders.changed.set()
 
@@ -512,7 +512,10 @@
                 BerylcartError(Code.UPSTREAM_REJECTED, "an input is gone")
             )
         elif failure is PieceFailure.ROOM:
-            self.replica_tracker.state(vm).is_full = True
+            state = self.replica_tracker.state(vm)
+            state.rejected_bytes = min(
+                state.rejected_bytes, piece.order.result_bytes
+            )
             self.requeue_refused(piece)
         else:
             self.retry_piece(piece, failure)
--- a/packages/berylcart/src/berylcart/coordination/gateway/replica_state.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/replica_state.py
@@ -16,6 +16,9 @@
 REPORT_WEIGHT = 0.3
 # The estimate decays towards 1 so that a slow replica is tried again.
 SLOWDOWN_HALF_LIFE_S = 6.0
+# The memory that is left is less than the rejected result; its expected value
+# is half of that.
+REJECTED_SHARE = 0.5
 # How long the estimate of a full replica's capacity is used.
 FULL_ESTIMATE_LIFETIME_S = 1.0
 
@@ -54,8 +57,9 @@
         # memory, and when that was.
         self.full_bytes = 0.0
         self.full_at_s = -inf
-        # Set by a running call if a result did not fit into the memory.
-        self.is_full = False
+        # The smallest result of a running call that did not fit into the
+        # memory, inf if all did.
+        self.rejected_bytes = inf
 
     def slowdown_at(self, now_s: float) -> float:
         """Return the slowdown, decayed towards 1 by the estimate's age."""
@@ -90,7 +94,8 @@
     def free_bytes(self, limit_bytes: float, now_s: float) -> float:
         """Estimate the memory available for more results.
 
-        A replica that rejected a result counts as full until one is freed.
+        A replica that rejected a result has room for smaller ones only, until
+        results are freed.
         """
         if now_s - self.full_at_s < FULL_ESTIMATE_LIFETIME_S:
             limit_bytes = min(limit_bytes, self.full_bytes)
@@ -98,9 +103,10 @@
 
     def record_full(self, now_s: float) -> None:
         """Record that the results held now fill the memory."""
-        self.full_bytes = self.used_bytes(now_s)
+        expected_bytes = REJECTED_SHARE * self.rejected_bytes
+        self.full_bytes = self.used_bytes(now_s) + expected_bytes
         self.full_at_s = now_s
-        self.is_full = False
+        self.rejected_bytes = inf
 
     def add_result(self, handle: str, held: HeldResult) -> None:
         """Record a result that uses memory until it is freed or expires."""
