Log in one line where a request's time went

request.done names the aim, the time of each completed stage and the time to the first event; what is between the last stage and the first event is the engine's. The time in a stage's queue stands in order.completed of its home.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -426,6 +426,9 @@
             code=served.code,
             ran=served.ran,
             latency_ms=round(served.latency_ms, 1),
+            target_ms=served.timing.target_ms,
+            stages_ms="+".join(map(str, served.timing.stages_ms)),
+            first_event_ms=served.timing.first_event_ms,
         )
         self.metrics.record_request(served)
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
@@ -126,6 +126,7 @@
         self.failure: UpstreamError | None = None
         self.kept: FallbackResponse | None = None
         self.placed: PlacedRequest | None = None
+        self.first_event_at_s: float | None = None
 
     @property
     def may_execute_again(self) -> bool:
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -587,6 +587,7 @@
         """Write the response head of a stream, unless already written."""
         if not run.exchange.is_started:
             started_s = run.exchange.received_at_s
+            run.first_event_at_s = now_s()
             self.first_event_times.record(
                 run.work.route.name, timing.latency_ms / MS_PER_S
             )
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -61,6 +61,19 @@
     code: int
     ran: Ran
     latency_ms: float
+    timing: "RequestTiming"
+
+
+class RequestTiming(NamedTuple):
+    """Tell where the time of a request went, in ms.
+
+    stages_ms are the completed stages' times, first_event_ms is the time from
+    the request's arrival to its first event, None if there was none.
+    """
+
+    target_ms: int = 0
+    stages_ms: tuple[int, ...] = ()
+    first_event_ms: int | None = None
 
 
 class RequestTarget(NamedTuple):
@@ -154,6 +167,7 @@
                     0 if code is None else int(code),
                     progress.ran,
                     elapsed_s * MS_PER_S,
+                    labels.timing(exchange),
                 )
             )
 
@@ -192,7 +206,7 @@
         deadline_s = exchange.received_at_s + limit_ms / MS_PER_S
         with anyio.CancelScope(deadline=deadline_s) as scope:
             return await self.run(
-                exchange, request, target, deadline_s, progress
+                exchange, request, target, deadline_s, progress, labels
             )
         assert scope.cancelled_caught
         raise BerylcartError(
@@ -208,6 +222,7 @@
         target: RequestTarget,
         deadline_s: float,
         progress: Progress,
+        labels: "RequestLabels",
     ) -> int:
         """Run a request's stages and forward it."""
         route = target.route
@@ -223,11 +238,12 @@
             places=places,
         )
         run = ForwardRun(work, exchange, progress)
+        labels.run = run
         if not route.stages:
             return await self.forwarder.forward(run)
         for number in range(1, MAX_STAGE_RUNS + 1):
             try:
-                return await self.run_staged(run, target.rank)
+                return await self.run_staged(run, target.rank, labels)
             except InputsGoneError:
                 events.warning(
                     "request.inputs_lost",
@@ -243,7 +259,9 @@
         """Return whether the retry budget allows a resend, if it is one."""
         return not run.sends or self.policy.budget.try_take(run.work.service)
 
-    async def run_staged(self, run: ForwardRun, rank: int) -> int:
+    async def run_staged(
+        self, run: ForwardRun, rank: int, labels: "RequestLabels"
+    ) -> int:
         """Run the stages of a request, then forward it."""
         work = run.work
         vm = await self.forwarder.predict_placement(run) or self.policy.choose(
@@ -253,6 +271,7 @@
             work.places,
         )
         plan = self.plan(run, rank, vm)
+        labels.plan = plan
         for index, stage in enumerate(work.route.stages):
             if plan.count(index):
                 self.policy.check_stage(stage.service, work.places)
@@ -350,6 +369,22 @@
         self.route = NO_ROUTE
         self.workspace = ""
         self.config_version = 0
+        self.run: ForwardRun | None = None
+        self.plan: StagePlan | None = None
+
+    def timing(self, exchange: CallerExchange) -> RequestTiming:
+        """Return where the request's time went."""
+        if self.run is None:
+            return RequestTiming()
+        first_s = self.run.first_event_at_s
+        stages = self.plan.latencies_ms if self.plan is not None else {}
+        return RequestTiming(
+            self.run.work.route.target_ms,
+            tuple(latency_ms for _, latency_ms in sorted(stages.items())),
+            None
+            if first_s is None
+            else int((first_s - exchange.received_at_s) * MS_PER_S),
+        )
 
     def set_target(self, target: RequestTarget) -> None:
         """Set the route and the workspace."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/stage_executor.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stage_executor.py
@@ -64,6 +64,8 @@
         self.link_mbps = link_mbps
         self.places = places
         self.results: dict[int, tuple[str, ...]] = {}
+        # By stage, the time from its complete inputs to its results.
+        self.latencies_ms: dict[int, int] = {}
         self.is_complete = [anyio.Event() for _ in route.stages]
         self.pending_readers = [
             sum(index in stage.after for stage in route.stages)
@@ -201,13 +203,15 @@
             plan.error = plan.error or error
             tasks.cancel_scope.cancel()
             return
+        latency_ms = int((now_s() - started_s) * MS_PER_S)
+        plan.latencies_ms[index] = latency_ms
         events.info(
             "stage.completed",
             request_id=plan.request.request_id,
             stage=index,
             service=plan.route.stages[index].service,
             pieces=plan.count(index),
-            latency_ms=int((now_s() - started_s) * MS_PER_S),
+            latency_ms=latency_ms,
             to_due_ms=int((plan.due_s - now_s()) * MS_PER_S),
         )
         is_already_freed = plan.is_only_reader(index)
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -194,6 +194,19 @@
     run(check)
 
 
+def test_completed_request_tells_where_its_time_went():
+    async def check():
+        rig = Rig(CHAIN, ScriptedResponse())
+        rig.wire.request = KEYED._replace(piece_counts=(2, 1, 0))
+        await rig.serve()
+        (served,) = rig.served
+        assert served.timing.stages_ms == (100, 100, 0)
+        assert served.timing.target_ms == CHAIN.target_ms
+        assert served.timing.first_event_ms >= 200
+
+    run(check)
+
+
 def test_results_are_dropped_while_the_prompt_is_read():
     async def check():
         rig = Rig(STAGED, ScriptedResponse(starts_after_s=1.0))
