--- a/packages/berylcart/src/berylcart/coordination/gateway/store_era.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/store_era.py
@@ -19,6 +19,9 @@
 # Daemons that read or write the store again per second after a change of the
 # era, a quarter of the smallest rate of writes that platforms permit.
 DAEMONS_PER_S = 100.0
+# The largest number of 18 digits; a larger one is malformed, and would make
+# all answers of the store count as outdated.
+MAX_ERA = 10**18 - 1
 
 
 def do_nothing() -> None:
@@ -45,7 +48,7 @@
 
     def observe(self, era: int, source: str) -> bool:
         """Record a reported era; return False if a newer one is known."""
-        if era <= self.current:
+        if era <= self.current or era > MAX_ERA:
             return era == self.current
         events.warning(
             "store.era_changed", old=self.current, new=era, source=source
