--- a/packages/berylcart/src/berylcart/coordination/gateway/batch_selection.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batch_selection.py
@@ -91,7 +91,7 @@
 # Whether the order has not started, its effective rank, due time, request id.
 SortKey = tuple[bool, float, float, str]
 # The same with, after the rank, whether nearer orders are selected first.
-NearKey = tuple[bool, float, bool, float, str]
+SelectionKey = tuple[bool, float, bool, float, str]
 
 
 class QueuedOrder(NamedTuple):
@@ -215,12 +215,12 @@
     return has_waited or is_near(entry.order, replica)
 
 
-def near_key(
+def selection_key(
     entry: QueuedOrder,
     replica: ReplicaSnapshot,
     batch_s: float,
     now_s: float,
-) -> NearKey:
+) -> SelectionKey:
     """Return the sort key of a call's candidates.
 
     Of equally urgent orders, those near the replica come first, unless one
@@ -231,8 +231,9 @@
     >>> soon = order._replace(due_s=0.2, place="hall-2")
     >>> far = order._replace(due_s=5.0, place="hall-2")
     >>> replica = ReplicaSnapshot("v1", "hall-1", 0.0, 1e6, 1.0)
-    >>> keys = [near_key(QueuedOrder(each, (0,), 0.0, 9.0), replica, 0.4, 0.0)
-    ...         for each in (soon, order, far)]
+    >>> queue = [QueuedOrder(each, (0,), 0.0, 9.0)
+    ...          for each in (soon, order, far)]
+    >>> keys = [selection_key(each, replica, 0.4, 0.0) for each in queue]
     >>> keys == sorted(keys)
     True
     """
@@ -272,7 +273,9 @@
     if not any(is_worth_call(each, replica, now_s) for each in eligible):
         return []
     batch_s = batch_duration_s(limits, limits.pieces)
-    eligible.sort(key=lambda each: near_key(each, replica, batch_s, now_s))
+    eligible.sort(
+        key=lambda each: selection_key(each, replica, batch_s, now_s)
+    )
     batch: list[BatchPiece] = []
     free_bytes = replica.free_bytes
     # If a low-priority order were started now, its remainder would be served
--- a/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/batcher.py
@@ -252,7 +252,7 @@
                 shortfall = explain_shortfall(
                     entries, batch, replica, accepted, limits
                 )
-                self.log_start(vm, batch, shortfall, limits, replica)
+                self.report_start(vm, batch, shortfall, limits, replica)
                 self.start_call(tasks, vm, batch, limits)
                 snapshots[vm.vm_id] = self.replica_tracker.snapshot(
                     vm, limits, now_s
@@ -299,7 +299,7 @@
             return False
         return True
 
-    def log_start(
+    def report_start(
         self,
         vm: Vm,
         batch: Sequence[BatchPiece],
@@ -307,7 +307,7 @@
         limits: BatchLimits,
         replica: ReplicaSnapshot,
     ) -> None:
-        """Log a call's start and what kept it from being full."""
+        """Log and count a call's start and what kept it from being full."""
         self.on_call_started(self.service, len(batch), shortfall)
         events.info(
             "batch.started",
--- a/packages/berylcart/src/berylcart/coordination/gateway/first_event_times.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/first_event_times.py
@@ -10,8 +10,8 @@
 MIN_SAMPLES = 5
 # Some seconds of one daemon's requests for a route under load.
 MAX_SAMPLES = 32
-# A higher quantile delays orders for the sake of a few slow attempts, a lower
-# one makes every other answer late that starts at its due time.
+# An order may start as late as its due time, so that a median would make half
+# of the answers late; a higher quantile follows single slow attempts.
 QUANTILE = 0.75
 # At 300 bytes per route, 1 MB at most.
 MAX_ROUTES = 4096
