Wait half a second for a peer's manifest on a restored store

A starting daemon waited 2 s for a version from a peer; where all daemons start together none has one, and on a store that reports eras every such start would have refused callers for that long. Joining and pulling take a few round trips.

--- a/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
@@ -16,8 +16,9 @@
 MS_PER_S = 1000
 RETRY_AFTER_MS = 500
 MAX_AGE_MS = 3_600_000
-# A starting daemon joins its peers and pulls their version within this time.
-PEER_WAIT_S = 2.0
+# Joining the peers and pulling their version takes a few round trips. Daemons
+# that all start together have no version to give and wait in vain.
+PEER_WAIT_S = 0.5
 
 
 class RouteTableHolder:
