--- a/packages/berylcart/tests/coordination/gateway/test_full_replicas.py
+++ b/packages/berylcart/tests/coordination/gateway/test_full_replicas.py
@@ -5,19 +5,13 @@
     FULL_ESTIMATE_LIFETIME_S,
     ReplicaState,
 )
-from berylcart.state.routes import BatchLimits, RouteKind, RouteStage
+from berylcart.state.routes import RouteStage
 
-from ..gateway_fakes import make_route
 from ..serving_fakes import run
 from ..stage_fleet import Fleet, Load, StageService, deterministic_scheduling
+from .test_first_event_times import LIMITS, SUMMARY
 
-ROOM_BYTES = 17_600_000
-LIMITS = BatchLimits(1, 2, 8, 200.0, 21.25, ROOM_BYTES, 4.0, 10_000.0)
-SUMMARY = make_route(
-    RouteKind.STREAM,
-    gap_ms=150,
-    stages=(RouteStage("portal", (), 1_500_000),),
-)._replace(name="summary", path_prefix="/s/", target_ms=790, priority=0)
+ROOM_BYTES = LIMITS.room_bytes
 LETTER = SUMMARY._replace(
     name="letter",
     path_prefix="/l/",
--- a/packages/berylcart/tests/protocol/test_peer_codec.py
+++ b/packages/berylcart/tests/protocol/test_peer_codec.py
@@ -6,6 +6,7 @@
 from berylcart.protocol import peer_codec as codec
 from berylcart.protocol import peer_pb2 as pb
 from berylcart.protocol.json_codec import MessageError
+from berylcart.protocol.tail_codec import decode_tail, encode_tail
 from berylcart.state.errors import BerylcartError
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import (
@@ -15,6 +16,7 @@
     LimitReport,
 )
 from berylcart.state.records import Checkpoint, Verdict
+from berylcart.state.tail import FIRST_ERA, LogPart, TailAnswer
 from google.protobuf.message import DecodeError
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -85,3 +87,21 @@
 def test_any_bytes_are_decoded_or_raise(message_type, decode, data):
     with contextlib.suppress(*DECODE_ERRORS):
         assert decode(message_type.FromString(data)) is not None
+
+
+def test_positions_keep_their_era():
+    report = EvacuationReport("hall-1", True, 7, era=3)
+    message = codec.encode_evacuation(report)
+    assert codec.decode_evacuation(message) == report
+    offer = ConfigReply(CHECKPOINT, 0, era=3)
+    message = codec.encode_config_offer(offer)
+    assert codec.decode_config_offer(message) == offer
+    tail = TailAnswer(LogPart((), 7, era=3), 0, 0)
+    assert decode_tail(encode_tail(tail)) == tail
+
+
+def test_positions_of_an_older_daemon_are_of_the_first_era():
+    message = pb.EvacuationMessage(place="hall-1", is_active=True, offset=7)
+    assert codec.decode_evacuation(message).era == FIRST_ERA
+    tail = decode_tail(pb.TailMessage(is_known=True, next_offset=7))
+    assert tail.part.era == FIRST_ERA
