--- a/packages/berylcart/src/berylcart/coordination/gateway/evacuations.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/evacuations.py
@@ -149,6 +149,14 @@
                 self.apply_report(each, STORE, is_copied=is_all)
         if not is_offset(end_offset):
             return
+        if era > self.read_position.era:
+            events.info(
+                "evacuations.reread",
+                era=era,
+                listed=len(reports),
+                known=len(self.places),
+                is_doubtful=self.needs_full_read,
+            )
         if is_all:
             listed = {each.place for each in reports if each.is_active}
             self.withdraw_unlisted(listed, LogPosition(era, end_offset))
