Name only daemons in contact to callers

An entry list named every member that was not declared dead, and detecting a loss took longer for each further one: 1.4 s for two of four, 5.5 s for the last.

A list now names a member only while its last sign of life, direct or relayed, is younger than four fifths of contact_ms. Signs expire by themselves, so this holds for any number of losses at once. They are kept recent by a call to a recently heard member every fifth of contact_ms, by probing members silent for two fifths of it, and in large fleets by a table of all ages, a byte each. A pause of the own process does not count as the others' silence.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -131,7 +131,10 @@
             own_member,
             self.peers,
             self.seeds,
-            MembershipSettings(entry_keep_ms=self.settings.entries_keep_ms),
+            MembershipSettings(
+                contact_ms=self.settings.contact_ms,
+                entry_keep_ms=self.settings.entries_keep_ms,
+            ),
             self.sync,
         )
         self.evacuations.on_update = self.membership.broadcast_evacuations
@@ -482,6 +485,7 @@
         self.metrics.in_flight.set(self.gateway.in_flight)
         self.metrics.config_version.set(self.route_table_holder.version)
         self.metrics.members.set(len(self.membership.running()))
+        self.metrics.silent_members.set(self.membership.silent_count())
         self.metrics.store_era.set(self.store_era.current)
         places = self.evacuations.places
         self.metrics.evacuated_places.set(len(places))
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -78,6 +78,11 @@
             "Daemons that are known to run.",
             registry=self.registry,
         )
+        self.silent_members = Gauge(
+            "berylcart_gateway_silent_members",
+            "Daemons thought to run that entry lists leave out as silent.",
+            registry=self.registry,
+        )
         self.store_era = Gauge(
             "berylcart_gateway_store_era",
             "Newest known era of the store, 0 if it reports none.",
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_settings.py
@@ -38,6 +38,8 @@
     memory_mb: int = 0
     # Lifetime of entry lists; some callers keep a list three times as long.
     entries_keep_ms: int = 1000
+    # Entry lists leave out daemons that have been silent for this long.
+    contact_ms: int = 3000
     # Polling period, well below the time within which new work to a leaving
     # replica must stop.
     replicas_interval_ms: int = 600
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -210,6 +210,7 @@
             view_digest=self.roster.view_digest(),
             limits=tuple(self._pick_limit_reports()),
             evacuations=tuple(self._hooks.evacuations()),
+            ages=self.roster.vitals.ages(settings.vitals_per_message, now_s()),
         )
 
     def compose_all(self) -> Gossip:
@@ -258,6 +259,7 @@
         for report in gossip.members:
             roster.merge_report(report, now, is_broadcast=not is_joining)
         roster.vitals.merge_samples(gossip.vitals, now)
+        roster.vitals.merge_ages(gossip.ages, now)
         for mark in gossip.leaving:
             self.mark(mark)
         for limit in gossip.limits:
--- a/packages/berylcart/src/berylcart/coordination/membership/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/membership.py
@@ -8,6 +8,7 @@
 
 from berylcart import events
 from berylcart.clock import now_s
+from berylcart.coordination.membership.contact import plan_calls
 from berylcart.coordination.membership.entries import EntryList, choose_entries
 from berylcart.coordination.membership.exchanger import Exchanger
 from berylcart.coordination.membership.gossip import Gossiper
@@ -36,6 +37,8 @@
 
 MAX_LEAVE_NOTICES = 8
 MAX_GOSSIP_TASKS = 4
+# Random part of the call period, so that daemons do not call in step.
+CALL_JITTER = (0.75, 1.25)
 
 
 class Membership:
@@ -80,14 +83,15 @@
             peers, seeds, self._gossiper, settings, self._rng
         )
         self._probe_order = ProbeOrder(self._rng)
+        self._probing: set[str] = set()
         self._gossip_tasks = 0
         self._broadcast_queued = anyio.Event()
         self._gossiper.on_broadcast_queued = self._wake_gossip_loop
 
     async def run(self) -> None:
-        """Join through the seeds, then probe and gossip until cancelled."""
+        """Join through the seeds, then call members until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._probe_loop)
+            tasks.start_soon(self._call_loop, tasks)
             tasks.start_soon(self._gossip_loop, tasks)
             tasks.start_soon(self._exchanger.run)
 
@@ -127,8 +131,21 @@
         return self._roster.running()
 
     def entries_for(self, places: Sequence[str], limit: int) -> EntryList:
-        """List the entries in places, which are ordered nearest first."""
-        entries = choose_entries(self.members(), places, limit, self._rng)
+        """List the entries in places, which are ordered nearest first.
+
+        Members that have been silent for contact_ms are not listed.
+        """
+        now = now_s()
+        heard_until = now - self._pause_detector.unrecorded_pause_s(now)
+        reachable = [
+            self.local_member,
+            *(
+                member
+                for member in self._roster.members()
+                if not self._roster.is_silent(member.daemon_id, heard_until)
+            ),
+        ]
+        entries = choose_entries(reachable, places, limit, self._rng)
         return EntryList(entries, self._settings.entry_keep_ms)
 
     def count_heard(
@@ -147,6 +164,10 @@
         )
         return HeardCount(heard, len(daemon_ids))
 
+    def silent_count(self) -> int:
+        """Count the live members that callers are not told to use."""
+        return self._roster.silent_count()
+
     def heard_at(self, daemon_id: str) -> float:
         """Return the runtime's time at which a member was last heard."""
         return self._roster.vitals.get(daemon_id).heard_at
@@ -189,21 +210,45 @@
         self._gossiper.merge_message(gossip)
         return self._gossiper.compose_all()
 
-    async def _probe_loop(self) -> None:
+    async def _call_loop(self, tasks: TaskGroup) -> None:
+        """Call a member each period, and probe silent ones.
+
+        A call that waits for a timeout does not delay the next one.
+        """
+        period_s = min(
+            self._settings.probe_period_ms / MS_PER_S,
+            self._roster.silence.call_period_s,
+        )
         while self.local_member.is_live:
-            period_ms = self._settings.probe_period_ms * self._health.factor
-            start = now_s()
-            name = self._probe_order.next(self._roster.live_ids())
-            if name is not None:
-                await self._prober.probe(name)
-            next_at = start + period_ms / MS_PER_S
-            await anyio.sleep_until(next_at)
+            self._start_calls(tasks)
+            await anyio.sleep(period_s * self._rng.uniform(*CALL_JITTER))
+
+    def _start_calls(self, tasks: TaskGroup) -> None:
+        plan = plan_calls(
+            self._roster.candidates(now_s()),
+            self._roster.silence.recent_s,
+            self._rng,
+        )
+        name = self._probe_order.next(plan.recent)
+        if name is not None:
+            tasks.start_soon(self._prober.call, name)
+        for name in plan.probes:
+            if name not in self._probing:
+                tasks.start_soon(self._probe, name, plan.recent)
+
+    async def _probe(self, name: str, helpers: Sequence[str]) -> None:
+        self._probing.add(name)
+        try:
+            await self._prober.probe(name, helpers)
+        finally:
+            self._probing.discard(name)
 
     async def _gossip_loop(self, tasks: TaskGroup) -> None:
         period_s = self._settings.gossip_period_ms / MS_PER_S
-        self._pause_detector.tick(now_s(), period_s)
+        self._run_maintenance(period_s, tasks)
         while self.local_member.is_live:
-            self._run_maintenance(await self._wait_for_gossip_round(period_s))
+            waited_s = await self._wait_for_gossip_round(period_s)
+            self._run_maintenance(waited_s, tasks)
             if self._gossiper.has_broadcasts():
                 self._start_gossip(tasks)
 
@@ -224,7 +269,7 @@
             await self._broadcast_queued.wait()
         return period_s
 
-    def _run_maintenance(self, period_s: float) -> None:
+    def _run_maintenance(self, period_s: float, tasks: TaskGroup) -> None:
         now = now_s()
         paused_s = self._pause_detector.tick(now, period_s)
         if paused_s > 0:
@@ -233,7 +278,10 @@
             )
             self._health.record_fault()
             self._roster.postpone_suspicions(paused_s)
+            self._roster.silence.record_pause(now, paused_s)
+            self._start_calls(tasks)
         self._roster.expire(now)
+        self._roster.update_contact(now)
         self._gossiper.demand.prune(now)
 
     def _start_gossip(self, tasks: TaskGroup) -> None:
--- a/packages/berylcart/src/berylcart/coordination/membership/probe.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/probe.py
@@ -43,7 +43,7 @@
 
 
 class LocalHealth:
-    """Slow down probing while this process itself seems impaired.
+    """Prolong timeouts while this process itself seems impaired.
 
     >>> health = LocalHealth()
     >>> health.record_fault()
@@ -59,11 +59,11 @@
 
     @property
     def factor(self) -> int:
-        """Return the multiplier for probe timeouts and periods."""
+        """Return the multiplier for probe timeouts."""
         return 1 + self._penalty
 
     def record_fault(self) -> None:
-        """Count a failed probe or a pause of this process."""
+        """Count a probe that nobody answered or a pause of this process."""
         self._penalty = min(MAX_HEALTH_PENALTY, self._penalty + 1)
 
     def record_success(self) -> None:
@@ -116,6 +116,17 @@
             return self._paused_at
         return now
 
+    def unrecorded_pause_s(self, now: float) -> float:
+        """Return the length of a pause that no tick has recorded yet.
+
+        >>> detector = PauseDetector(slack_s=0.5)
+        >>> _ = detector.tick(1.0, expected_s=0.2)
+        >>> detector.unrecorded_pause_s(1.9), detector.unrecorded_pause_s(6.5)
+        (0.0, 5.0)
+        """
+        late_s = now - self._last_tick - self._slack_s
+        return late_s if late_s > self._slack_s else 0.0
+
     def was_late(self, start: float, now: float, budget_s: float) -> bool:
         """Return whether a pause affected work that ran from start to now."""
         if now - start > budget_s + self._slack_s:
--- a/packages/berylcart/src/berylcart/coordination/membership/prober.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/prober.py
@@ -1,5 +1,6 @@
 """Probe members directly and indirectly."""
 
+from collections.abc import Sequence
 from random import Random
 
 import anyio
@@ -48,7 +49,16 @@
         self._gossiper.merge_message(gossip)
         return gossip.sender.daemon_id == name
 
-    async def probe(self, name: str) -> None:
+    async def call(self, name: str) -> None:
+        """Exchange gossip with a member that was heard recently."""
+        target = self._gossiper.roster.get(name)
+        if target is None:
+            return
+        timeout_ms = self._settings.probe_timeout_ms * self._health.factor
+        if await self.ping(name, target.peer_address, timeout_ms):
+            self._health.record_success()
+
+    async def probe(self, name: str, helpers: Sequence[str]) -> None:
         """Probe a member; suspect it if direct and indirect probes fail."""
         target = self._gossiper.roster.get(name)
         if target is None:
@@ -60,19 +70,20 @@
         if await self.ping(name, target.peer_address, direct_ms):
             self._health.record_success()
             return
-        if await self._is_reached_indirectly(target, indirect_ms):
+        if await self._is_reached_indirectly(target, helpers, indirect_ms):
             return
+        self._health.record_fault()
         budget_s = (direct_ms + indirect_ms) / MS_PER_S
         now = now_s()
-        self._health.record_fault()
-        if not self._pause_detector.was_late(start, now, budget_s):
-            self._gossiper.roster.suspect(name, now)
+        is_late = self._pause_detector.was_late(start, now, budget_s)
+        roster = self._gossiper.roster
+        if not is_late and roster.vitals.get(name).heard_at < start:
+            roster.suspect(name, now)
 
     async def _is_reached_indirectly(
-        self, target: Member, timeout_ms: int
+        self, target: Member, helpers: Sequence[str], timeout_ms: int
     ) -> bool:
-        names = self._gossiper.roster.live_ids()
-        others = [name for name in names if name != target.daemon_id]
+        others = [name for name in helpers if name != target.daemon_id]
         count = min(self._settings.indirect_probes, len(others))
         is_reached = False
         request = PingRequest(
--- a/packages/berylcart/src/berylcart/coordination/membership/roster.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/roster.py
@@ -1,8 +1,10 @@
 """Hold this daemon's view of the other members."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
+from berylcart import events
 from berylcart.coordination.membership.broadcast_queue import BroadcastQueue
+from berylcart.coordination.membership.contact import Candidate, SilenceLimit
 from berylcart.coordination.membership.settings import (
     MS_PER_S,
     MembershipSettings,
@@ -21,6 +23,9 @@
 )
 from berylcart.state.peer_messages import MemberReport
 
+# Members that were never heard have no finite silence.
+MAX_LOGGED_SILENCE_S = 3600
+
 
 class Roster:
     """Merge reports about members; all times are in seconds."""
@@ -33,7 +38,10 @@
     ) -> None:
         self.local_member = local_member
         self.broadcasts: BroadcastQueue[str] = BroadcastQueue()
-        self.vitals = VitalsTable(settings.dead_retention_ms / MS_PER_S)
+        self.silence = SilenceLimit(settings)
+        self.vitals = VitalsTable(
+            settings.dead_retention_ms / MS_PER_S, local_member.daemon_id
+        )
         self._settings = settings
         self._on_change = on_change
         self._members: dict[str, Member] = {}
@@ -43,6 +51,7 @@
         self._suspicion_ends: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
         self._disputed_deaths: dict[str, Member] = {}
+        self._silent: set[str] = set()
 
     def __len__(self) -> int:
         """Count the live members, this daemon included."""
@@ -250,6 +259,43 @@
         self._disputed_deaths.pop(name, None)
         self.broadcasts.discard(name)
 
+    def candidates(self, now: float) -> Iterator[Candidate]:
+        """Yield the silence of each other live member."""
+        for name in self.live_ids():
+            yield Candidate(
+                name,
+                self.silence.silence_s(self.vitals.get(name).heard_at, now),
+                self._members[name].state is MemberState.SUSPECT,
+            )
+
+    def is_silent(self, daemon_id: str, now: float) -> bool:
+        """Return whether a member has been silent for too long."""
+        return self.silence.is_exceeded(
+            self.vitals.get(daemon_id).heard_at, now
+        )
+
+    def silent_count(self) -> int:
+        """Return how many live members were silent at the last update."""
+        return len(self._silent)
+
+    def update_contact(self, now: float) -> None:
+        """Log which live members became silent or were heard again."""
+        silent = {
+            name for name in self.live_ids() if self.is_silent(name, now)
+        }
+        for name in sorted(silent ^ self._silent):
+            heard_at = self.vitals.get(name).heard_at
+            events.info(
+                "membership.contact",
+                daemon=name,
+                is_silent=name in silent,
+                silence_ms=int(
+                    min(now - heard_at, MAX_LOGGED_SILENCE_S) * MS_PER_S
+                ),
+                members=len(self),
+            )
+        self._silent = silent
+
     def report_of(self, name: str, now: float) -> MemberReport | None:
         """Build the report on one member, which may be this daemon."""
         if name == self.local_member.daemon_id:
--- a/packages/berylcart/src/berylcart/coordination/membership/settings.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/settings.py
@@ -12,9 +12,11 @@
     The suspicion timeout is suspicion_periods probe periods for up to ten
     members and grows with the logarithm of their number. miss_probability is
     the probability that at least one member misses an update; it receives the
-    update by the next full-state exchange.
+    update by the next full-state exchange. Callers are not told to use a
+    member that has been silent for contact_ms.
     """
 
+    contact_ms: int = 3000
     probe_period_ms: int = 1000
     probe_timeout_ms: int = 400
     indirect_timeout_ms: int = 500
--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -7,6 +7,7 @@
 from berylcart.state.leaving_marks import LeavingMark
 from berylcart.state.member_table import Member, MemberState
 from berylcart.state.peer_messages import (
+    AgeTable,
     AnswerQuery,
     AnswerState,
     ConfigFreshness,
@@ -178,6 +179,8 @@
         evacuations=[
             encode_evacuation(update) for update in gossip.evacuations
         ],
+        ages_digest=gossip.ages.members_digest,
+        age_steps=gossip.ages.age_steps,
     )
 
 
@@ -203,6 +206,7 @@
         evacuations=tuple(
             decode_evacuation(item) for item in message.evacuations
         ),
+        ages=AgeTable(message.ages_digest, message.age_steps),
     )
 
 
--- a/packages/berylcart/src/berylcart/state/member_table.py
+++ b/packages/berylcart/src/berylcart/state/member_table.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Iterable, Mapping
 from enum import IntEnum
+from functools import lru_cache
 from typing import NamedTuple
 
 from xxhash import xxh64_intdigest
 
+# Each message refers to many members by digest.
+MAX_CACHED_DIGESTS = 8192
+
 
 class MemberState(IntEnum):
     """Member states; within an incarnation the higher value wins."""
@@ -108,6 +112,7 @@
     return local
 
 
+@lru_cache(maxsize=MAX_CACHED_DIGESTS)
 def member_digest(daemon_id: str) -> int:
     """Return the 64-bit hash of a daemon's id.
 
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -132,6 +132,17 @@
         return LogPosition(self.era, self.as_of_offset)
 
 
+class AgeTable(NamedTuple):
+    """Hold when each member was last heard, in the order of their digests.
+
+    Each byte is an age in steps of 20 ms; 255 stands for any higher age. The
+    table can be read by daemons that know the same members.
+    """
+
+    members_digest: int = 0
+    age_steps: bytes = b""
+
+
 class Gossip(NamedTuple):
     """Carry all or part of the sender's view of the cluster.
 
@@ -148,6 +159,7 @@
     view_digest: int = 0
     limits: tuple[LimitReport, ...] = ()
     evacuations: tuple[EvacuationReport, ...] = ()
+    ages: AgeTable = AgeTable()
 
 
 class Ping(NamedTuple):
