--- a/packages/berylcart/src/berylcart/coordination/membership/prober.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/prober.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from random import Random
+from typing import NamedTuple
 
 import anyio
 
@@ -18,6 +19,13 @@
 from berylcart.state.peer_messages import Ping, PingRequest
 
 
+class IndirectResult(NamedTuple):
+    """Hold whether a member was reached and how many helpers answered."""
+
+    is_reached: bool
+    answers: int
+
+
 class Prober:
     """Probe members and suspect those that no daemon reaches."""
 
@@ -59,7 +67,10 @@
             self._health.record_success()
 
     async def probe(self, name: str, helpers: Sequence[str]) -> None:
-        """Probe a member; suspect it if direct and indirect probes fail."""
+        """Probe a member; suspect it if direct and indirect probes fail.
+
+        If no helper answers either, this process itself may be impaired.
+        """
         target = self._gossiper.roster.get(name)
         if target is None:
             return
@@ -70,30 +81,36 @@
         if await self.ping(name, target.peer_address, direct_ms):
             self._health.record_success()
             return
-        if await self._is_reached_indirectly(target, helpers, indirect_ms):
+        result = await self._probe_indirectly(target, helpers, indirect_ms)
+        if result.is_reached:
             return
-        self._health.record_fault()
-        budget_s = (direct_ms + indirect_ms) / MS_PER_S
+        if not result.answers:
+            self._health.record_fault()
+        waits_ms = direct_ms + indirect_ms + self._settings.probe_timeout_ms
+        budget_s = waits_ms / MS_PER_S
         now = now_s()
         is_late = self._pause_detector.was_late(start, now, budget_s)
         roster = self._gossiper.roster
         if not is_late and roster.vitals.get(name).heard_at < start:
             roster.suspect(name, now)
 
-    async def _is_reached_indirectly(
+    async def _probe_indirectly(
         self, target: Member, helpers: Sequence[str], timeout_ms: int
-    ) -> bool:
+    ) -> IndirectResult:
         others = [name for name in helpers if name != target.daemon_id]
         count = min(self._settings.indirect_probes, len(others))
         is_reached = False
+        answers = 0
         request = PingRequest(
             target.daemon_id, target.peer_address, timeout_ms
         )
         async with anyio.create_task_group() as tasks:
 
             async def probe_through(helper: Member) -> None:
-                nonlocal is_reached
-                if await self._request_probe(helper, request):
+                nonlocal is_reached, answers
+                reached = await self._request_probe(helper, request)
+                answers += reached is not None
+                if reached:
                     is_reached = True
                     tasks.cancel_scope.cancel()
 
@@ -101,14 +118,16 @@
                 helper = self._gossiper.roster.get(name)
                 if helper is not None:
                     tasks.start_soon(probe_through, helper)
-        return is_reached
+        return IndirectResult(is_reached, answers)
 
     async def _request_probe(
         self, helper: Member, request: PingRequest
-    ) -> bool:
+    ) -> bool | None:
+        """Ask a helper to probe; None if the helper itself is silent."""
+        timeout_ms = request.timeout_ms + self._settings.probe_timeout_ms
         try:
             return await self._peers.ping_request(
-                helper.peer_address, request, timeout_ms=request.timeout_ms
+                helper.peer_address, request, timeout_ms=timeout_ms
             )
         except BerylcartError:
-            return False
+            return None
--- a/packages/berylcart/tests/coordination/membership/test_membership.py
+++ b/packages/berylcart/tests/coordination/membership/test_membership.py
@@ -76,6 +76,19 @@
     run_fleet(scenario, seed)
 
 
+def test_lost_targets_do_not_prolong_probe_timeouts(run_fleet):
+    async def scenario(fleet):
+        nodes = await fleet.start_all(7)
+        for node in nodes[4:]:
+            node.kill()
+        for _ in range(50):
+            factors = [node.membership._health.factor for node in nodes[:4]]
+            assert factors == [1, 1, 1, 1]
+            await anyio.sleep(0.1)
+
+    run_fleet(scenario)
+
+
 def test_false_suspicion_is_refuted(run_fleet):
     async def scenario(fleet):
         nodes = await fleet.start_all(7)
