Find prompt parts that crash replicas and refuse them

Nothing related a crash to what the requests on the replica had in common.

A crash is a broken connection to a replica that then refuses connections. It counts against the shared parts of the requests on it whose answer had not begun; an answer that begins clears its parts; crashes that a blocked part explains count for no other. Daemons share the evidence in gossip, and a block is kept in the platform's store. Requests with a blocked part are refused with 503 before their stages and before each send, with 502 if they had been sent.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -16,6 +16,7 @@
     buffer_limit_bytes,
 )
 from berylcart.coordination.gateway.cold_sender_shares import ColdBounds
+from berylcart.coordination.gateway.crash_watch import CrashWatch
 from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.forwarder import (
     Forwarder,
@@ -25,6 +26,7 @@
 from berylcart.coordination.gateway.home_capacity import capacity_permille
 from berylcart.coordination.gateway.joint_placement import JointPlacement
 from berylcart.coordination.gateway.order_router import OrderRouter
+from berylcart.coordination.gateway.part_faults import PartFaults
 from berylcart.coordination.gateway.permitted_places import (
     entry_places,
     permits,
@@ -56,6 +58,7 @@
 from berylcart.transport.peer_server import PeerServer
 from berylcart.transport.relay_client import RelayClient
 
+from berylcart_daemon.blocked_parts_sync import BlockedPartsSync
 from berylcart_daemon.gateway_metrics import GatewayMetrics
 from berylcart_daemon.gateway_peer_handlers import GatewayPeerHandlers
 from berylcart_daemon.gateway_ports import GatewayPorts, PageState
@@ -110,11 +113,13 @@
 
     def build_membership(self) -> None:
         """Build membership, route sync and the shared reading of replicas."""
+        self.part_faults = PartFaults()
         self.sync = RouteSync(
             self.route_table_holder,
             self.evacuations,
             self.directory,
             self.peers,
+            self.part_faults,
         )
         own_member = Member(
             self.settings.daemon_id,
@@ -138,6 +143,8 @@
             self.sync,
         )
         self.evacuations.on_update = self.membership.broadcast_evacuations
+        self.part_faults.on_update = self.membership.broadcast_parts
+        self.part_faults.on_refused = self.metrics.record_blocked_part
         self.peak_members = 1
         self.store_era.daemons = lambda: len(self.membership.running())
         interval_s = self.settings.replicas_interval_ms / MS_PER_S
@@ -218,6 +225,9 @@
                 self.ports.wire,
                 self.joint_placement,
                 self.make_second_attempts(),
+                CrashWatch(
+                    self.part_faults, self.relay.is_refusing, self.spawn
+                ),
             ),
             StageExecutor(self.order_router, self.spawn, self.place_of),
         )
@@ -285,6 +295,12 @@
         """List the ids of the running daemons."""
         return [member.daemon_id for member in self.membership.running()]
 
+    def is_first_member(self) -> bool:
+        """Tell whether this daemon's id is the first of the running ones."""
+        return self.settings.daemon_id == min(
+            self.member_ids(), default=self.settings.daemon_id
+        )
+
     def seeds(self) -> Sequence[str]:
         """List the configured and discovered peer addresses for joining."""
         addresses = [*self.settings.seeds, *self.discovered_seeds]
@@ -486,6 +502,8 @@
         self.metrics.config_version.set(self.route_table_holder.version)
         self.metrics.members.set(len(self.membership.running()))
         self.metrics.silent_members.set(self.membership.silent_count())
+        self.metrics.blocked_parts.set(self.part_faults.count_blocked())
+        self.metrics.suspected_parts.set(len(self.part_faults.known))
         self.metrics.store_era.set(self.store_era.current)
         places = self.evacuations.places
         self.metrics.evacuated_places.set(len(places))
@@ -551,6 +569,14 @@
         tasks.start_soon(run_with_restarts, self.sync.run)
         tasks.start_soon(run_with_restarts, self.run_housekeeping)
         tasks.start_soon(run_with_restarts, self.maintain_registration)
+        if self.ports.blocked_parts is not None:
+            blocked_parts = BlockedPartsSync(
+                self.part_faults,
+                self.ports.blocked_parts,
+                self.store_era,
+                self.is_first_member,
+            )
+            tasks.start_soon(run_with_restarts, blocked_parts.run)
         lag = LoopLagMonitor(
             self.metrics.loop_lag_seconds.observe, self.count_work
         )
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -83,6 +83,21 @@
             "Daemons thought to run that entry lists leave out as silent.",
             registry=self.registry,
         )
+        self.blocked_parts = Gauge(
+            "berylcart_gateway_blocked_parts",
+            "Prompt parts whose requests are refused as replicas crash.",
+            registry=self.registry,
+        )
+        self.suspected_parts = Gauge(
+            "berylcart_gateway_suspected_parts",
+            "Prompt parts that were in crashes, the blocked ones included.",
+            registry=self.registry,
+        )
+        self.blocked_part_requests = Counter(
+            "berylcart_gateway_blocked_part_requests",
+            "Requests refused for a blocked part.",
+            registry=self.registry,
+        )
         self.store_era = Gauge(
             "berylcart_gateway_store_era",
             "Newest known era of the store, 0 if it reports none.",
@@ -144,6 +159,10 @@
         """Count a slow request that got no second attempt."""
         self.second_attempts_held.labels(service, reason.value).inc()
 
+    def record_blocked_part(self, part_id: str) -> None:
+        """Count a request that was refused for a blocked part."""
+        self.blocked_part_requests.inc()
+
     def record_request(self, served: CompletedRequest) -> None:
         """Count a finished request and observe its latency."""
         self.requests.labels(
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -1,6 +1,6 @@
 """Define the interfaces that a platform implements for a gateway daemon."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from berylcart.coordination.gateway.evacuations import Evacuations
@@ -65,6 +65,22 @@
         ...
 
 
+class BlockedPartStore(Protocol):
+    """Store the blocked prompt parts where all daemons can read them."""
+
+    async def put(self, part_id: str, replicas: Sequence[str]) -> None:
+        """Store a part with its crashed replicas; raises BerylcartError."""
+        ...
+
+    async def remove(self, part_id: str) -> None:
+        """Remove a part; raises BerylcartError."""
+        ...
+
+    async def parts(self) -> Mapping[str, Sequence[str]]:
+        """Return the parts with their replicas; raises BerylcartError."""
+        ...
+
+
 class ReplicaList(VmList, Protocol):
     """List the replicas by following a log of their changes.
 
@@ -98,3 +114,4 @@
     pieces: PieceClient
     member_registry: MemberRegistry
     store_era: StoreEra
+    blocked_parts: BlockedPartStore | None = None
--- a/packages/berylcart-daemon/src/berylcart_daemon/route_sync.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/route_sync.py
@@ -8,6 +8,7 @@
 import anyio
 from berylcart import events
 from berylcart.coordination.gateway.evacuations import Evacuations
+from berylcart.coordination.gateway.part_faults import PartFaults
 from berylcart.coordination.gateway.route_table_holder import RouteTableHolder
 from berylcart.coordination.membership.hooks import MembershipHooks
 from berylcart.coordination.membership.peer_port import Peers
@@ -20,6 +21,7 @@
     ConfigQuery,
     EvacuationReport,
     LimitReport,
+    PartReport,
 )
 
 PULL_TIMEOUT_MS = 1000
@@ -34,11 +36,13 @@
         known_evacuations: Evacuations,
         directory: VmDirectory,
         peers: Peers,
+        part_faults: PartFaults,
     ) -> None:
         self.route_table_holder = route_table_holder
         self.known_evacuations = known_evacuations
         self.directory = directory
         self.peers = peers
+        self.part_faults = part_faults
         self.pull_addresses: Sequence[str] = ()
         self.pull_requested = anyio.Event()
         self.on_member_change: Callable[[], None] = lambda: None
@@ -75,6 +79,14 @@
         """Merge the evacuations known to a peer."""
         self.known_evacuations.apply_peer_reports(sender_id, reports)
 
+    def parts(self) -> Sequence[PartReport]:
+        """Give the suspected and blocked prompt parts."""
+        return self.part_faults.reports()
+
+    def on_parts(self, sender_id: str, reports: Sequence[PartReport]) -> None:
+        """Merge the suspected and blocked prompt parts of a peer."""
+        self.part_faults.merge(sender_id, reports)
+
     def on_leaving(self, mark: LeavingMark) -> None:
         """Mark an upstream VM as leaving, so that it gets no new work."""
         self.directory.mark_leaving(mark.vm_id, mark.incarnation)
--- /dev/null
+++ b/packages/berylcart-daemon/tests/test_blocked_parts_sync.py
@@ -0,0 +1,132 @@
+"""Test that blocked prompt parts outlast the daemons."""
+
+import anyio
+import trio
+from berylcart.coordination.gateway.part_faults import BLOCK_S, PartFaults
+from berylcart.coordination.gateway.store_era import StoreEra
+from berylcart.state.errors import LogUnavailableError
+from berylcart.state.relay_messages import Prompt, PromptPart
+from berylcart_daemon.blocked_parts_sync import DEFER_S, BlockedPartsSync
+from trio.testing import MockClock
+
+PROMPT = Prompt("m", (PromptPart("dead", 9), PromptPart("own", 9)))
+
+
+class FakeStore:
+    """Hold the blocked parts; every call fails while it is down."""
+
+    def __init__(self):
+        self.kept = {}
+        self.puts = 0
+        self.is_down = False
+
+    def check(self):
+        """Fail while the store is down."""
+        if self.is_down:
+            raise LogUnavailableError("down")
+
+    async def put(self, part_id, replicas):
+        """Store a part."""
+        self.check()
+        self.puts += 1
+        self.kept[part_id] = replicas
+
+    async def remove(self, part_id):
+        """Remove a part."""
+        self.check()
+        self.kept.pop(part_id, None)
+
+    async def parts(self):
+        """Return the parts."""
+        self.check()
+        return dict(self.kept)
+
+
+def run_paused(scenario):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            await scenario(tasks)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def start(tasks, store, era=None):
+    """Start the synchronization of a new daemon and return its faults."""
+    faults = PartFaults()
+    sync = BlockedPartsSync(faults, store, era or StoreEra(), lambda: True)
+    tasks.start_soon(sync.run)
+    return faults
+
+
+async def block(faults):
+    for number in range(5):
+        faults.record_crash(f"v{number}/1", PROMPT, "r")
+        await anyio.sleep(1)
+    await anyio.sleep(3)
+
+
+def test_block_outlasts_a_restart_of_all_daemons():
+    async def scenario(tasks):
+        store = FakeStore()
+        await block(start(tasks, store))
+        restarted = start(tasks, store)
+        await anyio.sleep(1)
+        assert restarted.is_blocked(PROMPT)
+
+    run_paused(scenario)
+
+
+def test_block_is_stored_once_the_store_is_back():
+    async def scenario(tasks):
+        store = FakeStore()
+        store.is_down = True
+        await block(start(tasks, store))
+        assert not store.kept
+        store.is_down = False
+        await anyio.sleep(3)
+        assert list(store.kept) == ["dead"]
+
+    run_paused(scenario)
+
+
+def test_block_of_a_daemon_without_the_store_is_stored_by_another():
+    async def scenario(tasks):
+        store, cut_off = FakeStore(), FakeStore()
+        cut_off.is_down = True
+        faults = start(tasks, cut_off)
+        peer = start(tasks, store)
+        await block(faults)
+        peer.merge("d1", faults.reports())
+        assert not store.kept
+        await anyio.sleep(DEFER_S + 2)
+        assert list(store.kept) == ["dead"]
+        faults.merge("d2", peer.reports())
+        assert not faults.unstored()
+
+    run_paused(scenario)
+
+
+def test_block_is_stored_again_after_the_store_lost_it():
+    async def scenario(tasks):
+        store, era = FakeStore(), StoreEra()
+        await block(start(tasks, store, era))
+        store.kept.clear()
+        era.observe(era.current + 1, "store")
+        await anyio.sleep(3)
+        assert list(store.kept) == ["dead"]
+
+    run_paused(scenario)
+
+
+def test_forgotten_block_is_removed_from_the_store():
+    async def scenario(tasks):
+        store = FakeStore()
+        faults = start(tasks, store)
+        await block(faults)
+        assert (list(store.kept), store.puts) == (["dead"], 1)
+        await anyio.sleep(BLOCK_S + 2)
+        assert not store.kept
+        assert not faults.known
+
+    run_paused(scenario)
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -5,6 +5,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batch_selection import LARGE_TRANSFER_BYTES
+from berylcart.coordination.gateway.crash_watch import CrashWatch
 from berylcart.coordination.gateway.event_splitter import EventSplitter
 from berylcart.coordination.gateway.first_event_times import FirstEventTimes
 from berylcart.coordination.gateway.forward_run import (
@@ -42,6 +43,7 @@
 from berylcart.coordination.serving.hedging import RaceParticipant, first_reply
 from berylcart.state.errors import (
     BerylcartError,
+    BrokenConnectionError,
     Code,
     InputsGoneError,
     Ran,
@@ -64,7 +66,8 @@
 class Forwarder:
     """Send requests to replicas, with retries and hedged attempts.
 
-    hedger is None if hedging is disabled.
+    hedger is None if hedging is disabled, crash_watch if requests are not
+    checked for parts on which replicas crash.
     """
 
     def __init__(
@@ -74,12 +77,14 @@
         wire: MessageCodec,
         engines: JointPlacement | None = None,
         hedger: HedgingPolicy | None = None,
+        crash_watch: CrashWatch | None = None,
     ) -> None:
         self.relay = relay
         self.policy = policy
         self.wire = wire
         self.engines = engines
         self.hedger = hedger
+        self.crash_watch = crash_watch
         self.first_event_times = FirstEventTimes()
 
     async def forward(self, run: ForwardRun) -> int:
@@ -88,7 +93,9 @@
         Raises UpstreamError of the last failure.
         """
         while True:
+            self.check_parts(run)
             vm = await self.place(run) or self.choose(run)
+            self.check_parts(run)
             try:
                 if self.hedger is not None and run.may_hedge:
                     return await self.send_hedged(run, vm, self.hedger)
@@ -98,6 +105,12 @@
                 if not self.may_send_again(run, error):
                     return await self.send_fallback(run, error)
 
+    def check_parts(self, run: ForwardRun) -> None:
+        """Raise PART_BLOCKED if replicas crash on a part of the prompt."""
+        if self.crash_watch is not None:
+            prompt = run.work.request.prompt
+            self.crash_watch.faults.check(prompt, run.progress.ran)
+
     def is_placed(self, run: ForwardRun) -> bool:
         """Return whether the service's home daemon chooses the first replica.
 
@@ -193,6 +206,19 @@
                 run.failure.retry_after_ms = error.retry_after_ms
             raise run.failure from None
 
+    def record_event(self, run: ForwardRun, timing: AttemptTiming) -> None:
+        """Record that an answer has begun; partial events do not count."""
+        if not timing.has_event:
+            timing.has_event = True
+            if self.crash_watch is not None:
+                prompt = run.work.request.prompt
+                self.crash_watch.faults.record_answer(prompt)
+
+    def record_break(self, run: ForwardRun, vm: Vm) -> None:
+        """Record a connection that broke before its answer began."""
+        if self.crash_watch is not None:
+            self.crash_watch.record_break(vm, run.work.request)
+
     def log_failure(
         self, run: ForwardRun, vm: Vm, number: int, error: UpstreamError
     ) -> None:
@@ -271,6 +297,12 @@
             first, second, delay_ms / MS_PER_S, merge_failures
         )
 
+    def has_blocked_part(self, run: ForwardRun) -> bool:
+        """Return whether replicas crash on a part of the prompt."""
+        if self.crash_watch is None:
+            return False
+        return self.crash_watch.faults.is_blocked(run.work.request.prompt)
+
     def choose_hedge_replica(
         self, run: ForwardRun, first: Vm, hedger: HedgingPolicy
     ) -> Vm | None:
@@ -279,7 +311,7 @@
         Another place is preferred, as the cause of the delay may affect all
         replicas of a place. Ejected replicas are not used.
         """
-        if not run.may_start_hedge:
+        if not run.may_start_hedge or self.has_blocked_part(run):
             return None
         service = run.work.service
         affinity = run.work.request.prompt.affinity
@@ -370,6 +402,9 @@
             if ran is Ran.NO:
                 run.runs -= 1
             self.log_failure(run, vm, number, error)
+            is_broken = isinstance(error, BrokenConnectionError)
+            if is_broken and not timing.has_event:
+                self.record_break(run, vm)
             if self.hedger is not None and error.retry_after_ms is not None:
                 self.hedger.record_refusal(vm)
             raise
@@ -506,6 +541,8 @@
             if data is None:
                 break
             body += data
+            if head.status in HTTP_OK:
+                self.record_event(run, timing)
             run.add_buffered(len(data))
             if len(body) > BUFFERED_BYTES:
                 has_begun = True
@@ -569,6 +606,8 @@
             data = run.split_stream(splitter, data)
             if scanner.count > known_events:
                 progress_timeout.restart(run.event_timeout_s())
+            if scanner.count > known_events or not run.scans_events:
+                self.record_event(run, timing)
             if data:
                 await claim_stream(run, splitter, entrant)
                 with progress_timeout.suspended():
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway_policy.py
@@ -56,7 +56,7 @@
 
     has_lost_race is set if another attempt of the request won before this one
     received a first byte, has_stalled if its replica had also been silent
-    before.
+    before. has_event is set once the answer has begun.
     """
 
     def __init__(self, vm: Vm) -> None:
@@ -65,6 +65,7 @@
         self.first_byte_s: float | None = None
         self.has_lost_race = False
         self.has_stalled = False
+        self.has_event = False
 
     def record_first_byte(self) -> None:
         """Record the first byte of the response."""
--- a/packages/berylcart/src/berylcart/coordination/membership/gossip.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/gossip.py
@@ -105,7 +105,7 @@
         self._limits: dict[str, ReceivedLimit] = {}
         self._limit_broadcasts: BroadcastQueue[str] = BroadcastQueue()
         self._limit_broadcasts.on_add = self._signal_broadcast_queued
-        self._evacuation_sends_left = 0
+        self._hooks_data_sends_left = 0
 
     def _signal_broadcast_queued(self) -> None:
         self.on_broadcast_queued()
@@ -150,12 +150,12 @@
                 del self._limits[name]
         return picked
 
-    def broadcast_evacuations(self) -> None:
-        """Send the evacuations sooner, after a change.
+    def broadcast_hooks_data(self) -> None:
+        """Send evacuations and suspected parts sooner, after a change.
 
         Every message includes all of them, so nothing is queued.
         """
-        self._evacuation_sends_left = self.roster.transmissions()
+        self._hooks_data_sends_left = self.roster.transmissions()
         self._signal_broadcast_queued()
 
     def has_broadcasts(self) -> bool:
@@ -167,7 +167,7 @@
             self._limit_broadcasts,
         )
         queued = sum(len(queue) for queue in queues)
-        sends_left = self._config_sends_left + self._evacuation_sends_left
+        sends_left = self._config_sends_left + self._hooks_data_sends_left
         return queued + sends_left > 0
 
     def _broadcast_config_change(self) -> ConfigFreshness:
@@ -191,7 +191,7 @@
         settings = self._settings
         config = self._broadcast_config_change()
         self._config_sends_left = max(0, self._config_sends_left - 1)
-        self._evacuation_sends_left = max(0, self._evacuation_sends_left - 1)
+        self._hooks_data_sends_left = max(0, self._hooks_data_sends_left - 1)
         marks = self._leaving_mark_broadcasts.next_keys(
             settings.marks_per_message
         )
@@ -210,6 +210,7 @@
             view_digest=self.roster.view_digest(),
             limits=tuple(self._pick_limit_reports()),
             evacuations=tuple(self._hooks.evacuations()),
+            parts=tuple(self._hooks.parts()),
             ages=self.roster.vitals.ages(settings.vitals_per_message, now_s()),
         )
 
@@ -226,6 +227,7 @@
             config=config,
             view_digest=self.roster.view_digest(),
             evacuations=tuple(self._hooks.evacuations()),
+            parts=tuple(self._hooks.parts()),
         )
 
     def _pick_member_reports(self, target_id: str) -> list[MemberReport]:
@@ -266,6 +268,8 @@
             self._hooks.on_limit(limit)
         if gossip.evacuations:
             self._hooks.on_evacuations(sender.daemon_id, gossip.evacuations)
+        if gossip.parts:
+            self._hooks.on_parts(sender.daemon_id, gossip.parts)
         own_id = roster.local_member.daemon_id
         self.demand.add(
             (item for item in gossip.demand if item.daemon_id != own_id), now
--- a/packages/berylcart/src/berylcart/coordination/membership/hooks.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/hooks.py
@@ -9,6 +9,7 @@
     Demand,
     EvacuationReport,
     LimitReport,
+    PartReport,
 )
 
 
@@ -48,5 +49,12 @@
     ) -> None:
         """Handle the evacuations that a peer knows."""
 
+    def parts(self) -> Sequence[PartReport]:
+        """Return the suspected prompt parts, to send with every message."""
+        return ()
+
+    def on_parts(self, sender_id: str, reports: Sequence[PartReport]) -> None:
+        """Handle the suspected prompt parts that a peer knows."""
+
     def on_leaving(self, mark: LeavingMark) -> None:
         """Handle the leaving mark of an upstream VM."""
--- a/packages/berylcart/src/berylcart/coordination/membership/membership.py
+++ b/packages/berylcart/src/berylcart/coordination/membership/membership.py
@@ -182,7 +182,11 @@
 
     def broadcast_evacuations(self) -> None:
         """Broadcast the known evacuations without delay."""
-        self._gossiper.broadcast_evacuations()
+        self._gossiper.broadcast_hooks_data()
+
+    def broadcast_parts(self) -> None:
+        """Broadcast the suspected prompt parts without delay."""
+        self._gossiper.broadcast_hooks_data()
 
     def is_leaving(self, vm_id: str, incarnation: int) -> bool:
         """Return whether an upstream VM's incarnation is marked as leaving."""
--- a/packages/berylcart/src/berylcart/protocol/peer_codec.py
+++ b/packages/berylcart/src/berylcart/protocol/peer_codec.py
@@ -19,6 +19,8 @@
     HeartbeatSummary,
     LimitReport,
     MemberReport,
+    PartCrash,
+    PartReport,
     Ping,
     PingRequest,
     StoredAnswer,
@@ -152,6 +154,42 @@
     )
 
 
+def encode_part(update: PartReport) -> pb.PartMessage:
+    """Encode the evidence against a prompt part."""
+    message = pb.PartMessage(
+        part_id=update.part_id,
+        crashes=[
+            pb.PartCrashMessage(
+                replica=crash.replica, age_ms=clamp_duration(crash.age_ms)
+            )
+            for crash in update.crashes
+        ],
+        is_stored=update.is_stored,
+        depth=min(update.depth, MAX_DURATION_MS),
+    )
+    if update.begun_age_ms is not None:
+        message.begun_age_ms = clamp_duration(update.begun_age_ms)
+    if update.blocked_age_ms is not None:
+        message.blocked_age_ms = clamp_duration(update.blocked_age_ms)
+    return message
+
+
+def decode_part(message: pb.PartMessage) -> PartReport:
+    """Decode the evidence against a prompt part."""
+    has_begun = message.HasField("begun_age_ms")
+    is_blocked = message.HasField("blocked_age_ms")
+    return PartReport(
+        message.part_id,
+        tuple(
+            PartCrash(crash.replica, crash.age_ms) for crash in message.crashes
+        ),
+        message.begun_age_ms if has_begun else None,
+        message.blocked_age_ms if is_blocked else None,
+        message.is_stored,
+        message.depth,
+    )
+
+
 def encode_gossip(gossip: Gossip) -> pb.GossipMessage:
     """Encode the sender's view of the cluster."""
     return pb.GossipMessage(
@@ -181,6 +219,7 @@
         ],
         ages_digest=gossip.ages.members_digest,
         age_steps=gossip.ages.age_steps,
+        parts=[encode_part(update) for update in gossip.parts],
     )
 
 
@@ -207,6 +246,7 @@
             decode_evacuation(item) for item in message.evacuations
         ),
         ages=AgeTable(message.ages_digest, message.age_steps),
+        parts=tuple(decode_part(item) for item in message.parts),
     )
 
 
--- a/packages/berylcart/src/berylcart/state/errors.py
+++ b/packages/berylcart/src/berylcart/state/errors.py
@@ -35,6 +35,7 @@
     NO_UPSTREAM = 2005
     CONFIG_STALE = 2006
     WORKSPACE_LIMIT = 2007
+    PART_BLOCKED = 2008
     DEADLINE_EXCEEDED = 3000
     UPSTREAM_FAILED = 3001
     OUTCOME_UNKNOWN = 3002
@@ -97,6 +98,9 @@
     Code.WORKSPACE_LIMIT: CodeInfo(
         429, 3, "the workspace has reached its limit"
     ),
+    Code.PART_BLOCKED: CodeInfo(
+        503, 3, "replicas crash on a part of the prompt"
+    ),
     Code.DEADLINE_EXCEEDED: CodeInfo(504, 4, "the deadline passed"),
     Code.UPSTREAM_FAILED: CodeInfo(502, 4, "every permitted attempt failed"),
     Code.OUTCOME_UNKNOWN: CodeInfo(
@@ -202,6 +206,13 @@
         self.is_draining = is_draining
 
 
+class BrokenConnectionError(UpstreamError):
+    """The connection to the upstream broke after the request was sent."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Code.UPSTREAM_FAILED, detail, ran=Ran.UNKNOWN)
+
+
 class UnreachableError(UpstreamError):
     """The attempt did not reach its upstream."""
 
--- a/packages/berylcart/src/berylcart/state/peer_messages.py
+++ b/packages/berylcart/src/berylcart/state/peer_messages.py
@@ -132,6 +132,29 @@
         return LogPosition(self.era, self.as_of_offset)
 
 
+class PartCrash(NamedTuple):
+    """Hold a crash of one incarnation of a replica."""
+
+    replica: str
+    age_ms: int
+
+
+class PartReport(NamedTuple):
+    """Report a prompt part that was in crashes of replicas.
+
+    begun_age_ms tells when an answer last began on it, blocked_age_ms when it
+    was blocked; each is None if that did not happen. depth is its position in
+    prompts.
+    """
+
+    part_id: str
+    crashes: tuple[PartCrash, ...] = ()
+    begun_age_ms: int | None = None
+    blocked_age_ms: int | None = None
+    is_stored: bool = False
+    depth: int = 0
+
+
 class AgeTable(NamedTuple):
     """Hold when each member was last heard, in the order of their digests.
 
@@ -160,6 +183,7 @@
     limits: tuple[LimitReport, ...] = ()
     evacuations: tuple[EvacuationReport, ...] = ()
     ages: AgeTable = AgeTable()
+    parts: tuple[PartReport, ...] = ()
 
 
 class Ping(NamedTuple):
--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -7,7 +7,13 @@
 
 from berylcart import events
 from berylcart.protocol.http_responses import AnswerError
-from berylcart.state.errors import Code, Ran, UnreachableError, UpstreamError
+from berylcart.state.errors import (
+    BrokenConnectionError,
+    Code,
+    Ran,
+    UnreachableError,
+    UpstreamError,
+)
 from berylcart.state.relay_messages import (
     Headers,
     ResponseHead,
@@ -121,9 +127,12 @@
     try:
         yield
     except (OSError, AnswerError, ValueError) as error:
+        detail = f"{connection.address}: {type(error).__name__}: {error}"
+        if isinstance(error, OSError) and connection.is_sent:
+            raise BrokenConnectionError(detail) from error
         raise UpstreamError(
             Code.UPSTREAM_FAILED,
-            f"{connection.address}: {type(error).__name__}: {error}",
+            detail,
             ran=Ran.UNKNOWN if connection.is_sent else Ran.NO,
         ) from error
 
@@ -158,6 +167,19 @@
             detail = str(error)
         raise UnreachableError(f"{address}: {detail}")
 
+    async def is_refusing(self, address: str) -> bool:
+        """Return whether an address refuses connections."""
+        try:
+            with anyio.move_on_after(CONNECT_TIMEOUT_S):
+                channel = await connect(address)
+                self.opened_count += 1
+                channel.close()
+        except ConnectionError:
+            return True
+        except OSError:
+            return False
+        return False
+
     @asynccontextmanager
     async def exchange(
         self,
