Treat a stream that ends inside an event as broken off

An upstream may end a stream with its connection, without a length or chunks. If it ended inside an event, the response was finished, so it looked complete to the caller, and the partial event was sent on resumable routes. Such a stream is now a failed attempt: it is resumed elsewhere where the route allows it, else the response stays truncated. A stream that ends after an event is whole, as before.

Two tests streamed bodies that are no events (b"ab", b"whole") and thus end inside one; they now stream whole events and assert the same.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
@@ -233,12 +233,6 @@
         self.add_buffered(-len(splitter.partial))
         splitter.discard_partial()
 
-    @property
-    def scans_events(self) -> bool:
-        """Return whether the events of the response are counted."""
-        route = self.work.route
-        return route.is_resumable or bool(route.gap_ms)
-
     def split_stream(self, splitter: EventSplitter, data: bytes) -> bytes:
         """Process bytes of a stream and return those to forward.
 
@@ -250,8 +244,7 @@
                 return splitter.feed(data)
             finally:
                 self.add_buffered(len(splitter.partial) - known_bytes)
-        if self.work.route.gap_ms:
-            splitter.scanner.feed(data)
+        splitter.scanner.feed(data)
         return data
 
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -606,13 +606,18 @@
             data = run.split_stream(splitter, data)
             if scanner.count > known_events:
                 progress_timeout.restart(run.event_timeout_s())
-            if scanner.count > known_events or not run.scans_events:
                 self.record_event(run, timing)
             if data:
                 await claim_stream(run, splitter, entrant)
                 with progress_timeout.suspended():
                     await self.start_stream(run, answer.head.headers, timing)
                     await run.exchange.send(data)
+        if scanner.has_field:
+            raise UpstreamError(
+                Code.UPSTREAM_FAILED,
+                "the stream ended inside an event",
+                ran=Ran.UNKNOWN,
+            )
         await claim_stream(run, splitter, entrant)
         progress_timeout.restart(None)
         await self.start_stream(run, answer.head.headers, timing)
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -18,6 +18,7 @@
     Ran,
     UpstreamError,
 )
+from berylcart.state.routes import RouteKind
 
 from ..gateway_fakes import (
     BOOKING,
@@ -30,6 +31,7 @@
     STREAM,
     Forwarding,
     ScriptedResponse,
+    make_route,
     make_vm,
 )
 from ..serving_fakes import run
@@ -234,6 +236,49 @@
     run(check)
 
 
+UNBOUNDED = make_route(RouteKind.STREAM)
+WHOLE = b"id: 1\ndata: a\n\n"
+PARTIAL = b"id: 2\nda"
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE, UNBOUNDED])
+def test_stream_that_ends_after_an_event_is_whole(route):
+    async def scenario():
+        forwarding = Forwarding(route, ScriptedResponse(chunks=(WHOLE,)))
+        await forwarding.forward()
+        assert forwarding.exchange.is_finished
+        assert forwarding.exchange.data == WHOLE
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("route", [STREAM, UNBOUNDED])
+@pytest.mark.parametrize("chunks", [(WHOLE, PARTIAL), (WHOLE + PARTIAL,)])
+def test_stream_that_ends_inside_an_event_never_looks_complete(route, chunks):
+    async def scenario():
+        forwarding = Forwarding(route, ScriptedResponse(chunks=chunks))
+        await forwarding.fail()
+        assert not forwarding.exchange.is_finished
+
+    run(scenario)
+
+
+def test_stream_that_ends_inside_an_event_is_resumed_elsewhere():
+    async def scenario():
+        rest = b"id: 2\ndata: b\n\n"
+        forwarding = Forwarding(
+            RESUMABLE,
+            ScriptedResponse(chunks=(WHOLE, PARTIAL)),
+            ScriptedResponse(chunks=(rest,)),
+        )
+        await forwarding.forward()
+        assert forwarding.exchange.data == WHOLE + rest
+        assert forwarding.header(1, b"event") == b"1"
+        assert forwarding.exchange.is_finished
+
+    run(scenario)
+
+
 def test_server_error_is_not_written_into_a_started_stream():
     """Guards against an error body that completes a truncated stream."""
 
@@ -410,10 +455,10 @@
                 return await super().read()
 
         forwarding = Forwarding(
-            STREAM._replace(gap_ms=0), RareScript(chunks=[b"a", b"b"])
+            STREAM._replace(gap_ms=0), RareScript(chunks=list(EVENTS))
         )
         assert await forwarding.forward() == 200
-        assert forwarding.exchange.data == b"ab"
+        assert forwarding.exchange.data == b"".join(EVENTS)
 
     run(check)
 
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -325,8 +325,11 @@
 
     async def check():
         route = STAGED._replace(is_resumable=True, max_attempts=2)
+        chunks = (b"data: a\n\n",)
         rig = Rig(
-            route, ScriptedResponse(starts_after_s=0.8), ScriptedResponse()
+            route,
+            ScriptedResponse(chunks=chunks, starts_after_s=0.8),
+            ScriptedResponse(chunks=chunks),
         )
         hedger = allow_hedging(rig, route)
         for _ in range(100):
