Decide on suspected parts in a task of its own

A decision needed a message from a peer or the store's next call: with the store silent, it could come 2 s late, and each message cost a pass over all suspected parts. Decisions are now made every 0.25 s, independent of the store. Ids of own crashes are kept with the evidence, so they are bounded too, and suspicions that ended are not adopted from peers.

--- a/packages/berylcart-daemon/src/berylcart_daemon/blocked_parts_sync.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/blocked_parts_sync.py
@@ -57,8 +57,6 @@
         """Synchronize until cancelled; a failed call is repeated."""
         while True:
             self.changed = anyio.Event()
-            self.faults.expire()
-            self.faults.decide("own")
             try:
                 await self.synchronize()
             except BerylcartError as error:
@@ -90,7 +88,8 @@
             self.read_era = era
         for part_id in self.faults.unstored():
             waited_s = clock.now_s() - self.blocked_s.get(part_id, 0.0)
-            if part_id in self.faults.own or waited_s >= DEFER_S:
+            is_own = self.faults.known[part_id].is_own
+            if is_own or waited_s >= DEFER_S:
                 await self.store.put(
                     part_id, list(self.faults.crashes(part_id))
                 )
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -569,6 +569,7 @@
         tasks.start_soon(run_with_restarts, self.sync.run)
         tasks.start_soon(run_with_restarts, self.run_housekeeping)
         tasks.start_soon(run_with_restarts, self.maintain_registration)
+        tasks.start_soon(run_with_restarts, self.part_faults.run)
         if self.ports.blocked_parts is not None:
             blocked_parts = BlockedPartsSync(
                 self.part_faults,
--- a/packages/berylcart-daemon/tests/test_blocked_parts_sync.py
+++ b/packages/berylcart-daemon/tests/test_blocked_parts_sync.py
@@ -56,6 +56,7 @@
     faults = PartFaults()
     sync = BlockedPartsSync(faults, store, era or StoreEra(), lambda: True)
     tasks.start_soon(sync.run)
+    tasks.start_soon(faults.run)
     return faults
 
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
@@ -9,6 +9,7 @@
 from math import inf
 from typing import NamedTuple
 
+import anyio
 from cachetools import LRUCache
 
 from berylcart import events
@@ -33,6 +34,7 @@
 MAX_ANSWER_SHARE = 0.5
 # A crash counts once all daemons have reported their requests in it.
 SETTLE_S = 1.0
+DECIDE_PERIOD_S = 0.25
 SUSPICION_S = 60.0
 BLOCK_S = 600.0
 # Bounds on memory and on messages.
@@ -48,7 +50,8 @@
     """Hold what is known of one part; times are in seconds.
 
     crashes maps the replicas that crashed on it, since an answer last began,
-    to the times of their crashes. depth is the part's position in prompts.
+    to the times of their crashes. depth is the part's position in prompts;
+    is_own is set if this daemon saw one of the crashes.
     """
 
     crashes: Mapping[str, float]
@@ -56,6 +59,7 @@
     blocked_s: float | None = None
     is_stored: bool = False
     depth: int = 0
+    is_own: bool = False
 
     @property
     def last_s(self) -> float:
@@ -63,6 +67,16 @@
         return max(self.crashes.values(), default=-inf)
 
 
+class Answers(NamedTuple):
+    """Count the answers that began on a part, with the time of the last."""
+
+    total: int
+    last_s: float
+
+
+NO_ANSWERS = Answers(0, -inf)
+
+
 class Finding(NamedTuple):
     """Hold a part whose crashes nothing else explains.
 
@@ -175,11 +189,7 @@
 
     def __init__(self) -> None:
         self.known: dict[str, Evidence] = {}
-        self.answers: LRUCache[str, int] = LRUCache(MAX_ANSWERED)
-        # When an answer last began on each part in answers.
-        self.answered_s: LRUCache[str, float] = LRUCache(MAX_ANSWERED)
-        # Parts that were in a crash seen by this daemon.
-        self.own: set[str] = set()
+        self.answers: LRUCache[str, Answers] = LRUCache(MAX_ANSWERED)
         # Called when peers are to be told, when a part was blocked or is not
         # blocked any more, and for each refused request.
         self.on_update: Callable[[], None] = lambda: None
@@ -187,6 +197,14 @@
         self.on_forgotten: Callable[[str], None] = lambda part_id: None
         self.on_refused: Callable[[str], None] = lambda part_id: None
 
+    async def run(self) -> None:
+        """Decide on settled crashes and forget old ones until cancelled."""
+        while True:
+            await anyio.sleep(DECIDE_PERIOD_S)
+            if self.known:
+                self.expire()
+                self.decide("own")
+
     def record_crash(
         self, replica: str, prompt: Prompt, request_id: str
     ) -> None:
@@ -210,8 +228,9 @@
         )
         now = now_s()
         for part_id in valid:
-            self.own.add(part_id)
             self.add(part_id, {replica: now}, part_ids.index(part_id))
+            if part_id in self.known:
+                self.known[part_id] = self.known[part_id]._replace(is_own=True)
         self.decide("own")
         self.on_update()
 
@@ -219,8 +238,8 @@
         """Record that an answer began, which clears the request's parts."""
         now = now_s()
         for part_id in shared_part_ids(prompt):
-            self.answers[part_id] = self.answers.get(part_id, 0) + 1
-            self.answered_s[part_id] = now
+            count = self.answers.get(part_id, NO_ANSWERS).total + 1
+            self.answers[part_id] = Answers(count, now)
             evidence = self.known.get(part_id)
             if evidence is not None:
                 self.clear(part_id, evidence._replace(begun_s=now))
@@ -239,7 +258,8 @@
         if evidence is None:
             if len(self.known) >= MAX_PARTS and not self.make_room():
                 return False
-            evidence = Evidence({}, self.answered_s.get(part_id, -inf))
+            answers = self.answers.get(part_id, NO_ANSWERS)
+            evidence = Evidence({}, answers.last_s)
         new = {
             replica: at_s
             for replica, at_s in crashes.items()
@@ -320,13 +340,14 @@
             }
             times_s = unexplained_times_s(crashes, blocked)
             if times_s:
+                answers = self.answers.get(part_id, NO_ANSWERS).total
                 has_begun = evidence.begun_s > -inf
                 findings.append(
                     Finding(
                         part_id,
                         len(times_s),
                         count_moments(times_s),
-                        max(self.answers.get(part_id, 0), int(has_begun)),
+                        max(answers, int(has_begun)),
                         evidence.depth,
                     )
                 )
@@ -364,7 +385,6 @@
         """List what peers are to know, the strongest evidence first."""
         if not self.known:
             return ()
-        self.expire()
         now = now_s()
         order = sorted(
             self.known.items(),
@@ -399,22 +419,22 @@
                 is_new |= self.merge_report(source, report, now)
             else:
                 events.warning("part.id_ignored", source=source, ignored=1)
-        self.decide(source)
         if is_new:
+            self.decide(source)
             self.on_update()
 
     def merge_report(
         self, source: str, report: PartReport, now: float
     ) -> bool:
         """Merge one report; return whether peers are to be told."""
+        is_blocked = report.blocked_age_ms is not None
+        keep_s = BLOCK_S if is_blocked else SUSPICION_S
         crashes = {
             crash.replica: now - crash.age_ms / MS_PER_S
             for crash in report.crashes[:MAX_CRASHES]
-            if crash.age_ms < BLOCK_S * MS_PER_S
+            if crash.age_ms < keep_s * MS_PER_S
         }
-        if report.part_id not in self.known and not (
-            crashes or report.blocked_age_ms is not None
-        ):
+        if report.part_id not in self.known and not (crashes or is_blocked):
             return False
         is_new = self.add(report.part_id, crashes, report.depth)
         evidence = self.known.get(report.part_id)
@@ -484,7 +504,6 @@
             if not is_old:
                 continue
             del self.known[part_id]
-            self.own.discard(part_id)
             if evidence.blocked_s is not None:
                 events.warning("part.forgotten", part=part_id)
                 self.on_forgotten(part_id)
--- a/packages/berylcart/tests/coordination/gateway/test_crash_watch.py
+++ b/packages/berylcart/tests/coordination/gateway/test_crash_watch.py
@@ -102,7 +102,7 @@
         rig = Rig(STREAM, begun)
         await rig.fail()
         assert not rig.faults.known
-        assert rig.faults.answers["common"] == 1
+        assert rig.faults.answers["common"].total == 1
 
     run_paused(scenario)
 
--- a/packages/berylcart/tests/coordination/gateway/test_part_faults.py
+++ b/packages/berylcart/tests/coordination/gateway/test_part_faults.py
@@ -59,8 +59,6 @@
         """Exchange what is known between random daemons."""
         while True:
             await anyio.sleep(GOSSIP_S)
-            for faults in self.daemons:
-                faults.decide("own")
             now_known = [faults.reports() for faults in self.daemons]
             for number, faults in enumerate(self.daemons):
                 other = self.rng.randrange(len(self.daemons))
@@ -110,6 +108,8 @@
         end_s = anyio.current_time() + for_s
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.gossip)
+            for faults in self.daemons:
+                tasks.start_soon(faults.run)
             async with anyio.create_task_group() as requests:
                 while anyio.current_time() < end_s:
                     await anyio.sleep(self.rng.expovariate(per_s))
