Bound the memory of answers and the messages after them

An id of any length was kept for each answer that began; such ids are ignored now. Answers on parts without a crash no longer cause extra messages, and a part that is forgotten while it is stored raises no error.

--- a/packages/berylcart-daemon/src/berylcart_daemon/blocked_parts_sync.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/blocked_parts_sync.py
@@ -86,13 +86,10 @@
                 ],
             )
             self.read_era = era
-        for part_id in self.faults.unstored():
+        for part_id, evidence in self.faults.unstored():
             waited_s = clock.now_s() - self.blocked_s.get(part_id, 0.0)
-            is_own = self.faults.known[part_id].is_own
-            if is_own or waited_s >= DEFER_S:
-                await self.store.put(
-                    part_id, list(self.faults.crashes(part_id))
-                )
+            if evidence.is_own or waited_s >= DEFER_S:
+                await self.store.put(part_id, list(evidence.crashes))
                 self.faults.mark_stored(part_id)
                 events.info("part.stored", part=part_id)
         for part_id in list(self.forgotten):
--- a/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
@@ -237,13 +237,14 @@
     def record_answer(self, prompt: Prompt) -> None:
         """Record that an answer began, which clears the request's parts."""
         now = now_s()
-        for part_id in shared_part_ids(prompt):
+        for part_id in filter(is_valid_id, shared_part_ids(prompt)):
             count = self.answers.get(part_id, NO_ANSWERS).total + 1
             self.answers[part_id] = Answers(count, now)
             evidence = self.known.get(part_id)
             if evidence is not None:
                 self.clear(part_id, evidence._replace(begun_s=now))
-                self.on_update()
+                if evidence.crashes:
+                    self.on_update()
 
     def crashes(self, part_id: str) -> Mapping[str, float]:
         """Return the crashes that count against a part."""
@@ -483,10 +484,10 @@
         if evidence is not None:
             self.known[part_id] = evidence._replace(is_stored=True)
 
-    def unstored(self) -> list[str]:
+    def unstored(self) -> list[tuple[str, Evidence]]:
         """List the blocked parts that the store is not known to hold."""
         return [
-            part_id
+            (part_id, evidence)
             for part_id, evidence in self.known.items()
             if evidence.blocked_s is not None and not evidence.is_stored
         ]
--- a/packages/berylcart/tests/coordination/gateway/test_part_faults.py
+++ b/packages/berylcart/tests/coordination/gateway/test_part_faults.py
@@ -250,6 +250,8 @@
         faults.record_crash("v1/1", prompt_of("x" * 10_000, "\n"), "r")
         assert len(faults.known) <= MAX_PARTS
         assert "x" * 10_000 not in faults.known
+        faults.record_answer(prompt_of("x" * 10_000))
+        assert not faults.answers
         assert len(faults.reports()) <= MAX_REPORTS
         blocks = [
             PartReport(f"q{number}", (PartCrash("v", 0),), None, 0)
