--- a/packages/berylcart/tests/protocol/test_peer_codec.py
+++ b/packages/berylcart/tests/protocol/test_peer_codec.py
@@ -10,10 +10,13 @@
 from berylcart.state.errors import BerylcartError
 from berylcart.state.member_table import Member
 from berylcart.state.peer_messages import (
+    AgeTable,
     ConfigReply,
     EvacuationReport,
     Gossip,
     LimitReport,
+    PartCrash,
+    PartReport,
 )
 from berylcart.state.records import Checkpoint, Verdict
 from berylcart.state.tail import FIRST_ERA, LogPart, TailAnswer
@@ -105,3 +108,25 @@
     assert codec.decode_evacuation(message).era == FIRST_ERA
     tail = decode_tail(pb.TailMessage(is_known=True, next_offset=7))
     assert tail.part.era == FIRST_ERA
+
+
+def test_ages_and_parts_survive_the_wire():
+    sender = Member("d1", 1, "a", "b", "p")
+    parts = (
+        PartReport("5c1e", (PartCrash("v1/7", 900),), 0, 400, True, 2),
+        PartReport("91bd", (PartCrash("v1/7", 900), PartCrash("v2/1", 0))),
+    )
+    ages = AgeTable(2**64 - 1, bytes([0, 7, 255]))
+    data = codec.encode_gossip(
+        Gossip(sender, ages=ages, parts=parts)
+    ).SerializeToString()
+    decoded = codec.decode_gossip(pb.GossipMessage.FromString(data))
+    assert (decoded.ages, decoded.parts) == (ages, parts)
+
+
+def test_message_of_an_older_daemon_has_no_ages_and_parts():
+    message = codec.encode_gossip(Gossip(Member("d1", 1, "a", "b", "p")))
+    for field in ("ages_digest", "age_steps", "parts"):
+        message.ClearField(field)
+    decoded = codec.decode_gossip(message)
+    assert (decoded.ages, decoded.parts) == (AgeTable(), ())
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -178,6 +178,15 @@
     assert raised.value.ran is Ran.NO
 
 
+async def test_only_an_address_without_a_listener_is_refusing():
+    client = RelayClient(parse_head)
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    assert not await client.is_refusing(address)
+    listener.close()
+    assert await client.is_refusing(address)
+
+
 async def test_unread_response_closes_its_connection():
     script = [response("r1", b"one"), response("r2", b"two")]
     async with run_relay(*script) as (upstream, client):
