Count only a refused connection as the sign of a crash

A replica that resets connections beyond its limit runs; a reset of the check's connection counted as a crash all the same.

--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -174,7 +174,7 @@
                 channel = await connect(address)
                 self.opened_count += 1
                 channel.close()
-        except ConnectionError:
+        except ConnectionRefusedError:
             return True
         except OSError:
             return False
