--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
 export PYTHONPATH := $(CURDIR)/packages/berylcart/src:$(CURDIR)/packages/berylcart-daemon/src:$(CURDIR)/packages/berylcart-tools/src:$(CURDIR)/platform/src
 
-.PHONY: demo test faults prove setup format check lint types layers unit proto
+.PHONY: demo test faults prove setup wheels format check lint types layers unit proto
 
 demo: setup
 	$(BIN)/berylcart demo
@@ -26,6 +26,11 @@
 	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
 	touch $@
 
+# Lists the wheels of all pins for the machines that the project runs on, after
+# a change of constraints.txt.
+wheels: setup
+	$(BIN)/python -m berylcart_tools.wheels constraints.txt > wheels.txt
+
 format: setup
 	$(BIN)/ruff format $(SOURCES) spec
 	$(BIN)/ruff check --fix $(SOURCES) spec
