Name the version, era and source that handled each request

request.done had no version and request.failed neither era nor source, so that a request that was answered by an outdated version could not be traced to where that version came from.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -448,6 +448,9 @@
             target_ms=served.timing.target_ms,
             stages_ms="+".join(map(str, served.timing.stages_ms)),
             first_event_ms=served.timing.first_event_ms,
+            config_version=served.config_version,
+            config_era=served.config_origin.era,
+            config_source=served.config_origin.source,
         )
         self.metrics.record_request(served)
 
@@ -500,6 +503,8 @@
         """Update the gauges and send all metrics."""
         self.metrics.in_flight.set(self.gateway.in_flight)
         self.metrics.config_version.set(self.route_table_holder.version)
+        age_ms = self.route_table_holder.age_ms()
+        self.metrics.config_age_seconds.set(age_ms / MS_PER_S)
         self.metrics.members.set(len(self.membership.running()))
         self.metrics.silent_members.set(self.membership.silent_count())
         self.metrics.blocked_parts.set(self.part_faults.count_blocked())
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -48,6 +48,11 @@
             "Version of the routes in force here.",
             registry=self.registry,
         )
+        self.config_age_seconds = Gauge(
+            "berylcart_gateway_config_age_seconds",
+            "Time since the store confirmed the version in force here.",
+            registry=self.registry,
+        )
         self.backlog_pieces = Gauge(
             "berylcart_gateway_backlog_pieces",
             "Pieces of stages that wait here for a call.",
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -37,7 +37,12 @@
 )
 from berylcart.state.relay_messages import RelayRequest
 from berylcart.state.request import Progress, strongest
-from berylcart.state.routes import KeyOwner, Route, RouteTable
+from berylcart.state.routes import (
+    ConfigOrigin,
+    KeyOwner,
+    Route,
+    RouteTable,
+)
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
@@ -52,6 +57,7 @@
 
     code is 0 if an upstream's response was forwarded. status is the status
     sent to the client, 0 if the connection was closed without one.
+    config_version is the version that the request was handled by, 0 if none.
     """
 
     request_id: str
@@ -62,6 +68,8 @@
     ran: Ran
     latency_ms: float
     timing: "RequestTiming"
+    config_version: int = 0
+    config_origin: ConfigOrigin = ConfigOrigin()
 
 
 class RequestTiming(NamedTuple):
@@ -147,6 +155,8 @@
                 request_id=labels.request_id,
                 route=labels.route,
                 config_version=labels.config_version,
+                config_era=labels.config_origin.era,
+                config_source=labels.config_origin.source,
                 code=int(error.code),
                 ran=error.ran,
                 detail=error.detail,
@@ -168,6 +178,8 @@
                     progress.ran,
                     elapsed_s * MS_PER_S,
                     labels.timing(exchange),
+                    labels.config_version,
+                    labels.config_origin,
                 )
             )
 
@@ -200,6 +212,7 @@
         labels.request_id = request.request_id
         table = self.tables.require()
         labels.config_version = table.version
+        labels.config_origin = table.origin
         target = resolve_target(table, request)
         labels.set_target(target)
         limit_ms = min(request.deadline_ms, target.route.timeout_ms)
@@ -370,6 +383,7 @@
         self.route = NO_ROUTE
         self.workspace = ""
         self.config_version = 0
+        self.config_origin = ConfigOrigin()
         self.run: ForwardRun | None = None
         self.plan: StagePlan | None = None
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
@@ -10,7 +10,7 @@
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.peer_messages import ConfigFreshness, ConfigReply
 from berylcart.state.records import Checkpoint
-from berylcart.state.routes import RouteTable
+from berylcart.state.routes import ConfigOrigin, RouteTable
 from berylcart.state.tail import FIRST_ERA, LogPosition
 
 MS_PER_S = 1000
@@ -78,9 +78,11 @@
             config_version=table.version,
             old_version=self.version,
             source=source,
+            era=era,
             offset=offset,
             routes=len(table.routes),
         )
+        table.origin = ConfigOrigin(era, source)
         self.table = table
         self.text = text
         self.position = max(self.position, LogPosition(era, offset))
--- a/packages/berylcart/src/berylcart/state/routes.py
+++ b/packages/berylcart/src/berylcart/state/routes.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from berylcart.state.tail import FIRST_ERA
+
 
 class RouteKind(StrEnum):
     """Kinds of routes, which differ in how a failed request is handled."""
@@ -150,6 +152,16 @@
     regions: frozenset[str] | None = None
 
 
+class ConfigOrigin(NamedTuple):
+    """Tell in which era of the store a version was read, and from whom.
+
+    source is "store" or the address of a peer.
+    """
+
+    era: int = FIRST_ERA
+    source: str = ""
+
+
 class RouteTable:
     """Hold one version of the routes, services, API keys and limits.
 
@@ -167,6 +179,7 @@
         has_workspaces: bool = False,
     ) -> None:
         self.version = version
+        self.origin = ConfigOrigin()
         self.routes = routes
         self.services = dict(services or {})
         self.owners = dict(owners or {})
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -504,3 +504,21 @@
         assert not rig.home.orders
 
     run(check)
+
+
+def test_completed_request_names_the_version_that_handled_it():
+    async def check():
+        rig = Rig(BOOKING, ScriptedResponse(), ScriptedResponse())
+        await rig.serve()
+        newer = RouteTable(rig.keeper.version + 2, rig.keeper.table.routes)
+        rig.keeper.parse = lambda text: newer
+        rig.keeper.offer("", 9, "10.0.0.9:7700", 2)
+        await rig.serve()
+        assert [each.config_version for each in rig.served] == [
+            newer.version - 2,
+            newer.version,
+        ]
+        assert rig.served[1].config_origin.era == 2
+        assert rig.served[1].config_origin.source == "10.0.0.9:7700"
+
+    run(check)
