--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -8,6 +8,7 @@
 import os
 import socket
 import struct
+from typing import NamedTuple
 
 import anyio
 import anyio.lowlevel
@@ -17,22 +18,53 @@
 READ_BYTES = 64 * 2**10
 # Well below the shortest timeout that relies on detecting a dead connection.
 USER_TIMEOUT_MS = 2000
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def configure_socket(sock: socket.socket, user_timeout_ms: int) -> None:
+class KeepAlive(NamedTuple):
+    """Configure the probes of an idle connection, in whole seconds."""
+
+    idle_s: int = 2
+    interval_s: int = 1
+    probes: int = 2
+
+    @property
+    def detection_s(self) -> int:
+        """Return the longest time until a dead connection is found."""
+        return self.idle_s + self.interval_s * self.probes
+
+
+DEFAULT_KEEP_ALIVE = KeepAlive()
+# The quickest last; a single probe may be lost on a connection that is sound.
+KEEP_ALIVES = (DEFAULT_KEEP_ALIVE, KeepAlive(1, 1, 2), KeepAlive(1, 1, 1))
+
+
+def keep_alive_within(limit_s: float) -> KeepAlive:
+    """Return probes that find a dead connection in a time, or the quickest.
+
+    >>> keep_alive_within(3.5).detection_s, keep_alive_within(0.5).detection_s
+    (3, 2)
+    """
+    for keep_alive in KEEP_ALIVES:
+        if keep_alive.detection_s <= limit_s:
+            return keep_alive
+    return KEEP_ALIVES[-1]
+
+
+def configure_socket(
+    sock: socket.socket,
+    user_timeout_ms: int,
+    keep_alive: KeepAlive = DEFAULT_KEEP_ALIVE,
+) -> None:
     """Disable Nagle's algorithm and enable detection of dead connections."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     options = {
         socket.TCP_USER_TIMEOUT: user_timeout_ms,
-        socket.TCP_KEEPIDLE: KEEPALIVE_IDLE_S,
-        socket.TCP_KEEPINTVL: KEEPALIVE_INTERVAL_S,
-        socket.TCP_KEEPCNT: KEEPALIVE_PROBES,
+        socket.TCP_KEEPIDLE: keep_alive.idle_s,
+        socket.TCP_KEEPINTVL: keep_alive.interval_s,
+        socket.TCP_KEEPCNT: keep_alive.probes,
     }
     for option, value in options.items():
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
@@ -47,9 +79,12 @@
     """
 
     def __init__(
-        self, sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+        self,
+        sock: socket.socket,
+        user_timeout_ms: int = USER_TIMEOUT_MS,
+        keep_alive: KeepAlive = DEFAULT_KEEP_ALIVE,
     ) -> None:
-        configure_socket(sock, user_timeout_ms)
+        configure_socket(sock, user_timeout_ms, keep_alive)
         self.sock = sock
         self.is_closed = False
         # Whether the last read took all input that had arrived.
@@ -146,12 +181,14 @@
         self.close()
 
 
-async def connect(address: str) -> Channel:
+async def connect(
+    address: str, keep_alive: KeepAlive = DEFAULT_KEEP_ALIVE
+) -> Channel:
     """Connect to IP:PORT; raises OSError."""
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    channel = Channel(sock)
+    channel = Channel(sock, keep_alive=keep_alive)
     try:
         try:
             code = sock.connect_ex((host, port))
--- a/packages/berylcart/src/berylcart/transport/connection_pool.py
+++ b/packages/berylcart/src/berylcart/transport/connection_pool.py
@@ -3,7 +3,11 @@
 import anyio
 
 from berylcart import clock
-from berylcart.transport.channel import connect
+from berylcart.transport.channel import (
+    DEFAULT_KEEP_ALIVE,
+    KeepAlive,
+    connect,
+)
 from berylcart.transport.upstream_connection import UpstreamConnection
 
 MAX_CONNECTIONS = 1000
@@ -17,7 +21,12 @@
 class ConnectionPool:
     """Pool connections, with a limit on those in use over all addresses."""
 
-    def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        max_connections: int = MAX_CONNECTIONS,
+        keep_alive: KeepAlive = DEFAULT_KEEP_ALIVE,
+    ) -> None:
+        self.keep_alive = keep_alive
         self.in_use_limit = anyio.Semaphore(max_connections, fast_acquire=True)
         self.idle: dict[str, list[UpstreamConnection]] = {}
         self.last_sweep_s = 0.0
@@ -37,7 +46,8 @@
             if connection is not None:
                 return connection
             with anyio.fail_after(connect_timeout_s):
-                return UpstreamConnection(address, await connect(address))
+                channel = await connect(address, self.keep_alive)
+                return UpstreamConnection(address, channel)
         except BaseException:
             self.in_use_limit.release()
             raise
@@ -69,6 +79,11 @@
         else:
             connection.channel.close()
 
+    def discard_idle(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self.idle.pop(address, []):
+            connection.channel.close()
+
     def sweep(self) -> None:
         """Close expired connections, at most once per SWEEP_INTERVAL_S."""
         now_s = clock.now_s()
@@ -87,7 +102,5 @@
 
     def close(self) -> None:
         """Close every idle connection."""
-        for idle_connections in self.idle.values():
-            for connection in idle_connections:
-                connection.channel.close()
-        self.idle.clear()
+        for address in list(self.idle):
+            self.discard_idle(address)
--- a/packages/berylcart/src/berylcart/transport/http_client.py
+++ b/packages/berylcart/src/berylcart/transport/http_client.py
@@ -16,6 +16,7 @@
 from berylcart.protocol.http_responses import AnswerError
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.relay_messages import Headers
+from berylcart.transport.channel import DEFAULT_KEEP_ALIVE, KeepAlive
 from berylcart.transport.connection_pool import MAX_CONNECTIONS, ConnectionPool
 from berylcart.transport.upstream_connection import (
     UpstreamConnection,
@@ -152,9 +153,10 @@
         try:
             yield
         except TimeoutError as error:
-            raise HttpTimeoutError(
-                "no connection in time", is_sent=self.is_sent
-            ) from error
+            detail = "the connection timed out"
+            if not self.is_sent:
+                detail = "no connection in time"
+            raise HttpTimeoutError(detail, is_sent=self.is_sent) from error
         except CONNECTION_ERRORS as error:
             raise HttpError(
                 f"{type(error).__name__}: {error}", is_sent=self.is_sent
@@ -164,8 +166,12 @@
 class HttpClient:
     """Send requests over pooled connections; close it with aclose."""
 
-    def __init__(self, max_connections: int = MAX_CONNECTIONS) -> None:
-        self.pool = ConnectionPool(max_connections)
+    def __init__(
+        self,
+        max_connections: int = MAX_CONNECTIONS,
+        keep_alive: KeepAlive = DEFAULT_KEEP_ALIVE,
+    ) -> None:
+        self.pool = ConnectionPool(max_connections, keep_alive)
 
     async def __aenter__(self) -> Self:
         """Return the client itself."""
@@ -228,6 +234,10 @@
             yield HttpStreamingResponse(
                 status, read_headers(headers), body.chunks()
             )
+        except HttpError:
+            # What ended this connection may have ended idle ones unnoticed.
+            self.pool.discard_idle(request.address)
+            raise
         finally:
             self.pool.release(connection, body.is_complete)
 
--- a/packages/berylcart/tests/transport/test_connection_pool.py
+++ b/packages/berylcart/tests/transport/test_connection_pool.py
@@ -15,10 +15,14 @@
 
 
 class Server:
-    """Respond to requests; close each connection after a number of them."""
+    """Respond to requests; close each connection after a number of them.
+
+    If is_broken is set, connections are closed without a response.
+    """
 
     def __init__(self, requests_per_connection=1000):
         self.requests_per_connection = requests_per_connection
+        self.is_broken = False
         self.opened_count = 0
         self.open_count = 0
 
@@ -30,6 +34,8 @@
             async with connection:
                 for _ in range(self.requests_per_connection):
                     await connection.receive()
+                    if self.is_broken:
+                        return
                     await connection.send(RESPONSE)
         except anyio.EndOfStream:
             pass
@@ -105,6 +111,25 @@
     run_with_server(scenario, Server())
 
 
+def test_idle_connections_are_closed_after_one_broke():
+    async def scenario(client, request):
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(client.request, request)
+        opened_count = server.opened_count
+        assert opened_count > 1
+        server.is_broken = True
+        with pytest.raises(HttpError):
+            await client.request(request)
+        await wait_until(lambda: server.open_count == 0)
+        server.is_broken = False
+        await client.request(request)
+        assert server.opened_count == opened_count + 1
+
+    server = Server()
+    run_with_server(scenario, server)
+
+
 def test_cancelled_and_failed_requests_release_their_connection():
     async def main():
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
