Ask several peers for their routes before a restored store's are used

A daemon that starts after the store came back from an older copy served by the copy's version: it waited 0.5 s for a peer's, but joins through one random seed at a time, and a seed that is off costs 3 s.

Where no daemon runs that has a newer one, the copy's is in force until the operator writes again, as before.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -78,6 +78,9 @@
 REGISTRATION_PERIOD_S = 2.0
 LEAVE_TIMEOUT_S = 0.3
 MAX_ENTRIES = 64
+# Peers that a daemon asks for their routes at its start. If half of all are
+# off, fewer than one start in 200 asks only such.
+MAX_ASKED_PEERS = 8
 MAX_PAGE_CONNECTIONS = 256
 
 
@@ -234,6 +237,7 @@
         self.gateway.on_completed = self.record_request
         self.sync.on_member_change = self.handle_member_change
         self.route_table_holder.on_change = self.handle_routes
+        self.route_table_holder.ask_peers = self.ask_peers_for_routes
 
     def make_second_attempts(self) -> HedgingPolicy | None:
         """Build the second attempt policy, None if second attempts are off."""
@@ -626,6 +630,24 @@
                 )
             await anyio.sleep(REGISTRATION_PERIOD_S)
 
+    async def ask_peers_for_routes(self) -> None:
+        """Pull the routes of some peers before those of the store are used."""
+        addresses = set(self.seeds())
+        try:
+            addresses.update(await self.ports.member_registry.addresses())
+        except BerylcartError as error:
+            events.warning("member_registry.unavailable", detail=error.detail)
+        candidates = sorted(addresses - {self.settings.peer_address})
+        count = min(MAX_ASKED_PEERS, len(candidates))
+        asked = self.rng.sample(candidates, count)
+        await self.sync.pull_from_all(asked)
+        events.info(
+            "routes.peers_asked",
+            asked=len(asked),
+            known=len(candidates),
+            config_version=self.route_table_holder.version,
+        )
+
     async def drain(self) -> None:
         """Leave entry lists, refuse new requests, finish those in flight."""
         started_s = now_s()
--- a/packages/berylcart-daemon/src/berylcart_daemon/route_sync.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/route_sync.py
@@ -99,6 +99,12 @@
             for address in self.pull_addresses:
                 await self.pull(address)
 
+    async def pull_from_all(self, addresses: Sequence[str]) -> None:
+        """Pull newer routes from several peers at once."""
+        async with anyio.create_task_group() as tasks:
+            for address in addresses:
+                tasks.start_soon(self.pull, address)
+
     async def pull(self, address: str) -> None:
         """Pull newer routes from one peer and adopt them."""
         query = ConfigQuery(
--- a/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/route_table_holder.py
@@ -1,6 +1,6 @@
 """Hold the newest route table; versions never decrease."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -16,11 +16,15 @@
 MS_PER_S = 1000
 RETRY_AFTER_MS = 500
 MAX_AGE_MS = 3_600_000
-# Joining the peers and pulling their version takes a few round trips. Daemons
-# that all start together have no version to give and wait in vain.
+# A daemon that no known address leads to its peers may hear of them later.
+# Daemons that all start together have no version to give and wait in vain.
 PEER_WAIT_S = 0.5
 
 
+async def ask_nobody() -> None:
+    """Ask no peer for its version; the default of ask_peers."""
+
+
 class RouteTableHolder:
     """Hold the current route table and the text it was parsed from.
 
@@ -36,6 +40,8 @@
         self.last_confirmed_s = 0.0
         self.adopted: anyio.Event | None = None
         self.on_change: Callable[[RouteTable], None] = lambda table: None
+        # Asks the known peers for their version, in a bounded time.
+        self.ask_peers: Callable[[], Awaitable[None]] = ask_nobody
 
     def require(self) -> RouteTable:
         """Return the current route table; raises NOT_READY if none."""
@@ -91,15 +97,18 @@
             self.adopted.set()
 
     async def wait_for_peer(self) -> None:
-        """Wait a bounded time for a first version from a peer.
+        """Ask and wait a bounded time for a first version from a peer.
 
         The versions in force never decrease, but a restored store may show an
         older one to a daemon that has none yet.
         """
-        if self.table is None:
-            self.adopted = anyio.Event()
-            with anyio.move_on_after(PEER_WAIT_S):
-                await self.adopted.wait()
+        if self.table is not None:
+            return
+        wait_until_s = now_s() + PEER_WAIT_S
+        self.adopted = anyio.Event()
+        await self.ask_peers()
+        with anyio.move_on_after(wait_until_s - now_s()):
+            await self.adopted.wait()
 
     def confirm(self, offset: int, era: int = FIRST_ERA) -> None:
         """Record that the store has no newer version up to an offset."""
--- a/packages/berylcart/tests/coordination/gateway/test_route_table_holder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_route_table_holder.py
@@ -58,3 +58,22 @@
         assert keeper.freshness().as_of_offset == 4
 
     run(check)
+
+
+def test_peers_are_asked_before_the_first_version_only():
+    async def check():
+        asked = []
+        keeper = RouteTableHolder(parse)
+
+        async def ask_peers():
+            asked.append(keeper.version)
+            keeper.offer("5", 1, "10.0.0.9:7700")
+
+        keeper.ask_peers = ask_peers
+        await keeper.wait_for_peer()
+        keeper.offer("3", 0, "store", 1)
+        await keeper.wait_for_peer()
+        assert asked == [0]
+        assert keeper.version == 5
+
+    run(check)
