Trust no answer without an id on a connection that served others

From a report of other operators: a faulty replica writes an earlier refusal once more on a kept connection, and the next request there is told that it did not run. Refusals with the id of the earlier request are discarded, late or at once (two new tests pass on the code before). One without an id was taken for the next request's: 503 "not run" for a request that the replica was running, or a second run elsewhere.

On a connection that answered an earlier request, an answer without an id now breaks the connection, and the request's outcome is unknown.

test_refusal_without_an_id_promises_nothing_to_the_next_request failed before.

--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -61,12 +61,17 @@
     ) -> ResponseHead:
         """Read the head of the response to a request.
 
-        Stale responses, to other requests, are read and discarded.
+        Stale responses, to other requests, are read and discarded. A response
+        without an id may be one of these, once the connection served others.
         """
         for _ in range(MAX_STALE_RESPONSES + 1):
             status, headers = await self.read_head()
             head = parse_head(status, headers)
-            if head.request_id in (None, request_id):
+            if head.request_id == request_id:
+                return head
+            if head.request_id is None:
+                if self.is_reused:
+                    raise ConnectionResetError("an answer without an id")
                 return head
             events.warning(
                 "upstream.stale_response_discarded",
--- a/packages/berylcart/src/berylcart/transport/upstream_connection.py
+++ b/packages/berylcart/src/berylcart/transport/upstream_connection.py
@@ -50,6 +50,8 @@
         self.expires_s = 0.0
         self.is_sent = False
         self.is_broken = False
+        # Whether an earlier request was answered on this connection.
+        self.is_reused = False
 
     async def send(self, method: str, head: bytes, body: bytes) -> None:
         """Send a complete request."""
@@ -99,6 +101,7 @@
         if not is_done or idle_timeout_s <= 0:
             return False
         self.is_sent = False
+        self.is_reused = True
         self.expires_s = now_s() + idle_timeout_s
         return self.channel.is_idle()
 
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -34,9 +34,20 @@
     return head.encode() + body + extra
 
 
+def refusal(request_id):
+    """Serialize the refusal of a request; without an id if it is None."""
+    lines = ["HTTP/1.1 503 Service Unavailable", "Content-Length: 0"]
+    if request_id is not None:
+        lines.append(f"Id: {request_id}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 def parse_head(status, headers):
     request_id = dict(headers).get(b"id", b"").decode() or None
-    return ResponseHead(status, headers, request_id, True, False, False)
+    did_not_run = status == 503
+    return ResponseHead(
+        status, headers, request_id, not did_not_run, did_not_run, False
+    )
 
 
 class Upstream:
@@ -137,6 +148,32 @@
         assert raised.value.ran is Ran.UNKNOWN
 
 
+@pytest.mark.parametrize("first", [refusal("r1"), response("r1", b"one")])
+async def test_refusal_written_again_is_not_the_next_requests(first):
+    script = [first, refusal("r1") + response("r2", b"two")]
+    async with run_relay(*script) as (upstream, client):
+        await fetch(client, upstream.address, "r1")
+        assert await fetch(client, upstream.address, "r2") == b"two"
+        assert upstream.connections == 1
+
+
+async def test_refusal_written_again_at_once_closes_the_connection():
+    script = [refusal("r1") + refusal("r1"), response("r2", b"two")]
+    async with run_relay(*script) as (upstream, client):
+        await fetch(client, upstream.address, "r1")
+        assert await fetch(client, upstream.address, "r2") == b"two"
+        assert upstream.connections == 2
+
+
+async def test_refusal_without_an_id_promises_nothing_to_the_next_request():
+    script = [response("r1", b"one"), refusal(None) + response("r2", b"two")]
+    async with run_relay(*script) as (upstream, client):
+        await fetch(client, upstream.address, "r1")
+        with pytest.raises(UpstreamError) as raised:
+            await fetch(client, upstream.address, "r2")
+        assert raised.value.ran is Ran.UNKNOWN
+
+
 @pytest.mark.parametrize(
     "item",
     [
