Resume a stream only with content of the same type

From a report of other operators: an error of the replica that was to go on with a stream stood in the middle of it, or ended it as if it were complete. A resumption with status 200 and another type of content, such as an error page, was: its text came to the caller and its end completed the stream.

Such an answer is now a failed attempt of unknown outcome.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
@@ -127,6 +127,8 @@
         self.sends = 0
         self.runs = 0
         self.splitter = EventSplitter()
+        # The content type of the stream that was begun.
+        self.content_type: bytes | None = None
         self.failure: UpstreamError | None = None
         self.kept: FallbackResponse | None = None
         self.placed: PlacedRequest | None = None
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -35,6 +35,8 @@
     HTTP_OK,
     HTTP_SERVER_ERRORS,
     check_response,
+    check_resumed,
+    content_type,
     response_error,
 )
 from berylcart.coordination.gateway.second_attempts import (
@@ -54,7 +56,6 @@
     UpstreamError,
 )
 from berylcart.state.relay_messages import (
-    Headers,
     ResponseHead,
     UpstreamRequest,
 )
@@ -506,6 +507,8 @@
         if answer.head.is_sealed and not is_ok:
             self.record_survival(run)
         if run.work.route.kind is RouteKind.STREAM and is_ok:
+            if run.exchange.is_started:
+                check_resumed(answer.head, run.content_type)
             await self.forward_stream(
                 run, answer, timing, progress_timeout, entrant
             )
@@ -620,7 +623,7 @@
             if data:
                 await claim_stream(run, splitter, entrant)
                 with progress_timeout.suspended():
-                    await self.start_stream(run, answer.head.headers, timing)
+                    await self.start_stream(run, answer.head, timing)
                     await run.exchange.send(data)
         if scanner.has_field:
             raise UpstreamError(
@@ -630,13 +633,13 @@
             )
         await claim_stream(run, splitter, entrant)
         progress_timeout.restart(None)
-        await self.start_stream(run, answer.head.headers, timing)
+        await self.start_stream(run, answer.head, timing)
         if splitter.buffered:
             await run.exchange.send(splitter.buffered)
         await run.exchange.finish()
 
     async def start_stream(
-        self, run: ForwardRun, headers: Headers, timing: AttemptTiming
+        self, run: ForwardRun, head: ResponseHead, timing: AttemptTiming
     ) -> None:
         """Write the response head of a stream, unless already written."""
         if not run.exchange.is_started:
@@ -654,7 +657,8 @@
                 attempt_ms=int(timing.latency_ms),
                 target_ms=run.work.route.target_ms,
             )
-            await run.exchange.start(HTTP_OK[0], headers)
+            run.content_type = content_type(head.headers)
+            await run.exchange.start(HTTP_OK[0], head.headers)
 
 
 async def start_response(
--- a/packages/berylcart/src/berylcart/coordination/gateway/response_checks.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/response_checks.py
@@ -6,9 +6,7 @@
     Ran,
     UpstreamError,
 )
-from berylcart.state.relay_messages import (
-    ResponseHead,
-)
+from berylcart.state.relay_messages import Headers, ResponseHead
 from berylcart.state.routes import Route
 
 HTTP_OK = range(200, 300)
@@ -29,6 +27,18 @@
     )
 
 
+def content_type(headers: Headers) -> bytes | None:
+    """Return the media type of a response, None if it names none.
+
+    >>> content_type(((b"content-type", b"Text/A; q=1"),))
+    b'text/a'
+    """
+    for name, value in headers:
+        if name == b"content-type":
+            return value.partition(b";")[0].strip().lower()
+    return None
+
+
 def check_response(head: ResponseHead, route: Route) -> None:
     """Raise UpstreamError for a response that must not be forwarded."""
     if head.did_not_run:
@@ -53,3 +63,13 @@
             "an answer without the replica's proof",
             ran=Ran.UNKNOWN,
         )
+
+
+def check_resumed(head: ResponseHead, begun_type: bytes | None) -> None:
+    """Raise UpstreamError for a response that does not go on with a stream."""
+    if content_type(head.headers) != begun_type:
+        raise UpstreamError(
+            Code.UPSTREAM_FAILED,
+            "another type of content than the stream that was begun",
+            ran=Ran.UNKNOWN,
+        )
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -296,6 +296,44 @@
     run(check)
 
 
+EVENT_STREAM = ((b"content-type", b"text/event-stream"),)
+PLAIN_TEXT = ((b"content-type", b"text/plain"),)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        FAILED,
+        FAILED._replace(status=404),
+        FAILED._replace(status=503, did_not_run=True, is_sealed=False),
+        FAILED._replace(status=503, is_sealed=False),
+        OK._replace(headers=EVENT_STREAM, is_sealed=False),
+        OK._replace(headers=PLAIN_TEXT),
+        OK,
+    ],
+)
+def test_error_of_a_resumption_is_not_written_into_the_stream(head):
+    """Guards against an error's text or end in a stream that had begun."""
+
+    async def check():
+        forwarding = Forwarding(
+            RESUMABLE,
+            ScriptedResponse(
+                OK._replace(headers=EVENT_STREAM),
+                chunks=[EVENTS[0]],
+                ends=False,
+            ),
+            ScriptedResponse(head, chunks=[b"HTTP/1.1 500 oops\r\n\r\n"]),
+            ScriptedResponse(head, chunks=[b"oops"]),
+        )
+        with pytest.raises(UpstreamError):
+            await forwarding.forward()
+        assert forwarding.exchange.data == EVENTS[0]
+        assert not forwarding.exchange.is_finished
+
+    run(check)
+
+
 class TrickleScript(ScriptedResponse):
     """Send a byte every 0.5 s after the chunks."""
 
