Bound what the search for crashing requests costs

A crash leaves up to a full batch of requests, and each daemon merged those of all others and compared all of them on every report: with 512 parts and 512 requests known, a decision took up to 262,144 set operations.

Traits with fewer than three crashes are not compared, as they can't be blocked; requests with a single crash are kept only by the daemons that saw it; decisions run in their own task only; reports select the strongest instead of sorting all.

--- a/packages/berylcart/src/berylcart/coordination/gateway/crash_evidence.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/crash_evidence.py
@@ -14,9 +14,10 @@
 MIN_MOMENTS_SOUND = 5
 # So many crashes need one moment less where no answer is known.
 MANY_CRASHES = 5
-# Crashes and moments needed against a whole request without a known answer. At
-# one moment, a lost rack may have ended several replicas that had it.
-MIN_REQUEST_CRASHES = 3
+# Crashes without which no trait is blocked.
+MIN_CRASHES = 3
+# Moments needed against a whole request without a known answer. At one moment,
+# a lost rack may have ended several replicas that had it.
 MIN_REQUEST_MOMENTS = 2
 # Moments without a blocked trait that show another one to be the cause.
 MIN_FURTHER_MOMENTS = 2
@@ -157,7 +158,7 @@
     if finding.answers:
         return Needed(MIN_MOMENTS_SOUND, MIN_MOMENTS_SOUND)
     if is_request_trait(finding.trait):
-        return Needed(MIN_REQUEST_CRASHES, MIN_REQUEST_MOMENTS)
+        return Needed(MIN_CRASHES, MIN_REQUEST_MOMENTS)
     moments = MIN_MOMENTS - (finding.crashes >= MANY_CRASHES)
     return Needed(moments, moments)
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
@@ -11,6 +11,7 @@
     Iterator,
     Sequence,
 )
+from heapq import nlargest
 from math import inf
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.crash_evidence import (
+    MIN_CRASHES,
     MIN_MOMENTS,
     Crash,
     Crashes,
@@ -122,7 +124,6 @@
             self.add(trait, {replica: crash}, traits.index(trait))
             if trait in self.known:
                 self.known[trait] = self.known[trait]._replace(is_own=True)
-        self.decide("own")
         self.on_update()
         if any(len(self.crashes(each)) >= MIN_KEPT_CRASHES for each in valid):
             self.on_suspected()
@@ -244,7 +245,8 @@
         ]
         findings = []
         for trait, evidence in self.known.items():
-            if evidence.blocked_s is not None:
+            is_blocked = evidence.blocked_s is not None
+            if is_blocked or len(evidence.crashes) < MIN_CRASHES:
                 continue
             settled = {
                 replica: crash
@@ -347,7 +349,8 @@
         if not self.known:
             return ()
         now = now_s()
-        order = sorted(
+        strongest = nlargest(
+            limit,
             self.known.items(),
             key=lambda item: (
                 item[1].blocked_s is not None,
@@ -355,11 +358,9 @@
                 item[1].is_own,
                 item[1].last_s,
             ),
-            reverse=True,
         )
         return tuple(
-            make_report(trait, evidence, now)
-            for trait, evidence in order[:limit]
+            make_report(trait, evidence, now) for trait, evidence in strongest
         )
 
     def suspects(self) -> list[PartReport]:
@@ -425,8 +426,12 @@
             for crash in report.crashes[:MAX_CRASHES]
             if crash.age_ms < keep_s * MS_PER_S
         }
-        if report.part_id not in self.known and not (crashes or is_blocked):
-            return False
+        if report.part_id not in self.known:
+            # A daemon that saw another crash on the request will tell of both.
+            is_request = is_request_trait(report.part_id)
+            needed = MIN_KEPT_CRASHES if is_request else 1
+            if len(crashes) < needed and not is_blocked:
+                return False
         is_new = self.add(report.part_id, crashes, report.depth)
         evidence = self.known.get(report.part_id)
         if evidence is None:
