--- a/packages/berylcart/tests/coordination/gateway/test_crash_traits.py
+++ b/packages/berylcart/tests/coordination/gateway/test_crash_traits.py
@@ -16,7 +16,7 @@
     method="POST",
     target="/slot/1?page=2",
     host="slot.example",
-    headers=((b"attempt-id", b"9c41"),),
+    headers=((b"id", b"9c41"),),
     body=b"hello",
     deadline_ms=1500,
     api_key="k1",
@@ -27,7 +27,7 @@
 def test_identity_outlasts_a_new_attempt():
     again = REQUEST._replace(
         request_id="77aa",
-        headers=((b"attempt-id", b"77aa"), (b"last-event-id", b"3")),
+        headers=((b"id", b"77aa"), (b"resume-after", b"3")),
         deadline_ms=900,
         api_key="k2",
         piece_key="new",
