Remove stored evidence also where the first daemon did not store it

Found by reading the change: evidence against a request that an answer cleared was removed from the store only if the daemon that had stored it was the first one. Otherwise its record stayed, and daemons that started later would count the old crashes as recent ones for a minute.

The daemon that stored evidence removes it, and so does the first daemon, which knows of all traits with two crashes, in case the other one is gone. Two new tests failed before.

--- a/packages/berylcart-daemon/src/berylcart_daemon/blocked_parts_sync.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/blocked_parts_sync.py
@@ -37,8 +37,10 @@
         self.read_era: int | None = None
         self.blocked_s: dict[str, float] = {}
         self.forgotten: set[str] = set()
-        # The number of crashes that the store is known to hold of a suspect.
+        # The number of crashes that the store is known to hold of a suspect,
+        # and those that this daemon stored.
         self.stored_crashes: dict[str, int] = {}
+        self.own_suspects: set[str] = set()
         self.changed = anyio.Event()
         faults.on_blocked = self.handle_blocked
         faults.on_suspected = lambda: self.changed.set()
@@ -108,21 +110,21 @@
     async def synchronize_suspects(self) -> None:
         """Store evidence that has grown, remove what was cleared or blocked.
 
-        What other daemons stored is removed by the first one.
+        Daemons that saw a crash store it. The first daemon removes it too, as
+        the one that stored it may be gone.
         """
-        suspects = {each.part_id: each for each in self.faults.suspects()}
-        for part_id, report in suspects.items():
-            if len(report.crashes) > self.stored_crashes.get(part_id, 0):
+        for report in self.faults.suspects():
+            part_id, count = report.part_id, len(report.crashes)
+            stored = self.stored_crashes.setdefault(part_id, 0)
+            if count > stored and self.faults.is_own(part_id):
+                self.own_suspects.add(part_id)
                 await self.store.put_suspect(report)
-                self.stored_crashes[part_id] = len(report.crashes)
-                events.info(
-                    "part.suspect_stored",
-                    part=part_id,
-                    crashes=len(report.crashes),
-                )
+                self.stored_crashes[part_id] = count
+                events.info("part.suspect_stored", part=part_id, crashes=count)
         for part_id in list(self.stored_crashes):
             if self.faults.is_suspected(part_id):
                 continue
-            if self.is_first():
+            if self.is_first() or part_id in self.own_suspects:
                 await self.store.remove_suspect(part_id)
+            self.own_suspects.discard(part_id)
             del self.stored_crashes[part_id]
--- a/packages/berylcart-daemon/tests/test_blocked_parts_sync.py
+++ b/packages/berylcart-daemon/tests/test_blocked_parts_sync.py
@@ -66,10 +66,10 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
-def start(tasks, store, era=None):
+def start(tasks, store, era=None, *, is_first=True):
     """Start the synchronization of a new daemon and return its faults."""
     faults = PartFaults()
-    sync = BlockedPartsSync(faults, store, era or StoreEra(), lambda: True)
+    sync = BlockedPartsSync(faults, store, era or StoreEra(), lambda: is_first)
     tasks.start_soon(sync.run)
     tasks.start_soon(faults.run)
     return faults
@@ -196,3 +196,34 @@
         assert not store.suspected
 
     run_paused(scenario)
+
+
+def test_daemon_that_stored_evidence_removes_it_although_not_the_first():
+    async def scenario(tasks):
+        store = FakeStore()
+        faults = start(tasks, store, is_first=False)
+        await crash_twice(faults)
+        assert list(store.suspected) == list(REQUEST)
+        faults.record_answer(REQUEST)
+        await anyio.sleep(2)
+        assert not store.suspected
+
+    run_paused(scenario)
+
+
+def test_first_daemon_removes_the_evidence_of_one_that_is_gone():
+    async def scenario(tasks):
+        store = FakeStore()
+        first = start(tasks, store)
+        async with anyio.create_task_group() as others:
+            gone = start(others, store, is_first=False)
+            await crash_twice(gone)
+            first.merge("d2", gone.reports())
+            await anyio.sleep(2)
+            assert list(store.suspected) == list(REQUEST)
+            others.cancel_scope.cancel()
+        first.record_answer(REQUEST)
+        await anyio.sleep(2)
+        assert not store.suspected
+
+    run_paused(scenario)
--- a/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/part_faults.py
@@ -364,19 +364,20 @@
         )
 
     def suspects(self) -> list[PartReport]:
-        """List the traits whose crashes restarts must not erase.
-
-        They are not blocked, and this daemon saw one of the crashes.
-        """
+        """List the traits whose crashes restarts must not erase."""
         now = now_s()
         return [
             make_report(trait, evidence, now)
             for trait, evidence in self.known.items()
-            if evidence.is_own
-            and evidence.blocked_s is None
+            if evidence.blocked_s is None
             and len(evidence.crashes) >= MIN_KEPT_CRASHES
         ]
 
+    def is_own(self, trait: str) -> bool:
+        """Return whether this daemon saw one of the crashes of a trait."""
+        evidence = self.known.get(trait)
+        return evidence is not None and evidence.is_own
+
     def is_suspected(self, trait: str) -> bool:
         """Return whether crashes count against a trait that isn't blocked."""
         evidence = self.known.get(trait)
