--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,151 +1,140 @@
-"""Change the manifest after a part of the store was down for 1.5 s.
-
-With VARIANT=lost the manifest is written in these 1.5 s, and the store loses
-the answers to the reads that wait for it.
-"""
+"""Stop one daemon while requests of its clients wait at full replicas."""
 
 import asyncio
-import os
+import json
+import signal
 import sys
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
-from deployment import BOUNDS, BROKEN, HELD, LIMITS, run_case  # noqa: E402
-from replicas import Replica  # noqa: E402
-from store import OPERATOR_TOPIC  # noqa: E402
+from deployment import BOUNDS, BROKEN, HELD, NOT_RUN, run_case  # noqa: E402
+from models import (  # noqa: E402
+    StreamReplica,
+    stream_headers,
+    stream_manifest,
+)
 from web import Client  # noqa: E402
 
-HOST = "slot.example"
-DOWN_S = 1.5
-CONTACT_S = BOUNDS["contact_ms"] / 1000
-CONFIG_S = BOUNDS["config_ms"] / 1000
-WATCH_S = 14.0
-PERIOD_S = 0.3
+HOST = "care.example"
+SLOTS = 8
+GRACE_S = BOUNDS["grace_s"]
+# Long enough to end 7.9 s after the stop.
+LONG_TOKENS = 94
+SHORT_TOKENS = 10
+SPACING_S = 0.2
+QUEUED = 4
+# How long clients wait for a first event: four times the objective.
+PATIENCE_S = 4 * 1.7
+
 
+async def resolve(deployment, asked):
+    """Ask a daemon where to connect."""
+    client = Client(deployment.address(asked, "directory"))
+    answer = await client.call(
+        "GET",
+        f"/resolve?name={HOST}&region=lahore&zone=hall-gulberg",
+        [("Host", "x")],
+    )
+    client.close()
+    page = json.loads(answer.body)
+    deployment.note(f"client: {asked} names {page}")
+    return page
 
-def manifest(version, service, keys, routes=()):
-    """Return a manifest in which /slot/ goes to a service."""
-    route = {
-        "route_type": "idempotent",
-        "host": HOST,
-        "timeout_ms": 800,
-        "target_latency_ms": 100,
-        "priority": 2,
-        "max_attempts": 2,
-        "stages": [],
-        "public": False,
-    }
-    paths = [("r-slot", "/slot/", service)]
-    paths += [(f"r-{name}", f"/{name}/", service) for name in routes]
-    return {
-        "version": version,
-        "routes": [
-            {**route, "name": name, "path_prefix": path, "service": target}
-            for name, path, target in paths
-        ],
-        "services": [
-            {"name": name, "health_path": "/healthz", "max_connections": 100}
-            for name in ("booking-old", "booking-new")
-        ],
-        "limits": LIMITS,
-        "tenants": [{"name": "counter", "api_keys": keys, "priority": 1}],
-    }
+
+async def send(deployment, name, attempt, tokens):
+    """Send one request on a new channel."""
+    client = Client(deployment.address(name))
+    answer = await client.call(
+        "POST",
+        "/care/reply",
+        stream_headers(HOST, attempt, tokens),
+        b"p" * 400,
+    )
+    client.close()
+    deployment.note(f"client: {attempt} at {name}: {answer.describe()}")
+    return attempt, answer
 
 
 async def case(deployment, has_trouble):
     """Play the case; return whether the rule was broken."""
     loop = asyncio.get_running_loop()
-    store = deployment.store
     replicas = [
-        Replica(
+        StreamReplica(
             deployment,
-            f"i-{service}-{number}",
-            service,
-            zone,
+            "i-pool-0",
+            "pool",
+            "hall-gulberg",
             deployment.replica_ip,
-            slots=6,
-            queue=24,
+            slots=SLOTS,
+            queue=16,
         )
-        for service in ("booking-old", "booking-new")
-        for number, zone in enumerate(("hall-gulberg", "hall-johar"))
     ]
-    await deployment.start(
-        manifest(7, "booking-old", ["key-stays", "key-goes"]), replicas
-    )
-    await deployment.put_manifest(
-        manifest(9, "booking-old", ["key-stays", "key-goes"], ["added"])
-    )
+    await deployment.start(stream_manifest(7, HOST, slots=SLOTS), replicas)
+    stopped, *others = deployment.settings
+    long_ones = []
+    for number in range(SLOTS):
+        tokens = LONG_TOKENS - int(SPACING_S * number * 10)
+        name = others[number % len(others)]
+        task = send(deployment, name, f"{number:016x}", tokens)
+        long_ones.append(asyncio.ensure_future(task))
+        await asyncio.sleep(SPACING_S)
     await asyncio.sleep(0.4)
+    running = sum(len(each.at_work) for each in replicas)
+    if running < SLOTS:
+        deployment.note(f"only {running} requests run")
+        return NOT_RUN
+    # The list's ttl_s is 1; some clients keep a list three times as long.
+    page = await resolve(deployment, others[0])
+    if deployment.address(stopped) not in page["addresses"]:
+        return NOT_RUN
+    listed_s = loop.time()
+    await asyncio.sleep(0.3)
+    stop_s = loop.time()
     if has_trouble:
-        deployment.note("store: the partition of op/ falls silent")
-        store.fall_silent(OPERATOR_TOPIC)
-    newer = manifest(12, "booking-new", ["key-stays"], ["added"])
-    if os.environ.get("VARIANT") == "lost":
-        await asyncio.sleep(DOWN_S / 3)
-        ack_s = await deployment.put_manifest(newer)
-        await asyncio.sleep(DOWN_S * 2 / 3)
-    else:
-        await asyncio.sleep(DOWN_S)
-        ack_s = None
-    if has_trouble:
-        store.answer_again(OPERATOR_TOPIC)
-        deployment.note("store: the partition of op/ answers again")
-    stable_s = loop.time() + CONTACT_S
-    if ack_s is None:
-        await asyncio.sleep(0.2)
-        ack_s = await deployment.put_manifest(newer)
-    bound_s = max(ack_s + CONFIG_S, stable_s)
-    broken = []
-    counted = 0
-    number = 0
-    while loop.time() < ack_s + WATCH_S:
-        for name in deployment.settings:
-            for key in ("key-stays", "key-goes"):
-                number += 1
-                attempt = f"{number:016x}"
-                client = Client(deployment.address(name))
-                began_s = loop.time()
-                answer = await client.call(
-                    "GET",
-                    "/slot/check",
-                    [
-                        ("Host", HOST),
-                        ("Attempt-Id", attempt),
-                        ("Deadline-Ms", "1500"),
-                        ("Authorization", f"Bearer {key}"),
-                    ],
-                    limit_s=1.5,
-                )
-                client.close()
-                ran_at = [
-                    each.service
-                    for each in replicas
-                    for _, request in each.runs
-                    if request.header("attempt-id") == attempt
-                ]
-                is_old = "booking-old" in ran_at or (
-                    key == "key-goes" and bool(ran_at)
-                )
-                is_counted = began_s > bound_s
-                counted += is_counted
-                deployment.note(
-                    f"client: {attempt} at {name} with {key}, "
-                    f"{began_s - ack_s:.2f} s after the ack"
-                    f"{'' if is_counted else ' (not counted)'}: "
-                    f"{answer.describe()}, ran at {ran_at}"
-                )
-                if is_counted and is_old:
-                    broken.append(began_s - ack_s)
-        await asyncio.sleep(PERIOD_S)
-    deployment.note(f"store: {store.lost_calls} calls got no answer")
+        deployment.signal(stopped, signal.SIGTERM)
+    await asyncio.sleep(2.0)
     deployment.note(
-        f"{len(broken)} of {counted} requests sent over "
-        f"{bound_s - ack_s:.1f} s after the ack were handled as only the "
-        f"older version allows"
-        + (f", the last one {max(broken):.1f} s after it" if broken else "")
+        f"client: its list is {loop.time() - listed_s:.1f} s old, "
+        f"ttl_s {page['ttl_s']}"
     )
+    queued = [
+        asyncio.ensure_future(
+            send(deployment, stopped, f"{100 + number:016x}", SHORT_TOKENS)
+        )
+        for number in range(QUEUED)
+    ]
+    answers = await asyncio.gather(*queued)
+    await asyncio.gather(*long_ones)
+    broken = 0
+    for attempt, answer in answers:
+        arrived = any(
+            request.header("attempt-id") == attempt
+            for each in replicas
+            for request in each.arrivals
+        )
+        began = any(
+            request.header("attempt-id") == attempt and at_s < answer.ended_s
+            for each in replicas
+            for at_s, request in each.runs
+        )
+        waited_s = answer.ended_s - answer.sent_s
+        is_lost = (
+            arrived
+            and not began
+            and not answer.is_complete
+            and not answer.is_timed_out
+            and waited_s < PATIENCE_S
+        )
+        broken += is_lost
+        deployment.note(
+            f"{attempt}: sent {answer.sent_s - stop_s:.1f} s after the stop, "
+            f"reached a replica: {arrived}, begun there: {began}, ended "
+            f"{answer.ended_s - stop_s:.1f} s after the stop: "
+            f"{answer.describe()}" + (" LOST" if is_lost else "")
+        )
+    deployment.note(f"{broken} of {QUEUED} requests lost")
     return BROKEN if broken else HELD
 
 
