--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 from pathlib import Path
@@ -43,16 +44,18 @@
     return page
 
 
-async def send(deployment, name, attempt, tokens):
-    """Send one request on a new channel."""
-    client = Client(deployment.address(name))
+async def send(deployment, name, attempt, tokens, client=None):
+    """Send one request, on a new channel if none is given."""
+    is_kept = client is not None
+    client = client or Client(deployment.address(name))
     answer = await client.call(
         "POST",
         "/care/reply",
         stream_headers(HOST, attempt, tokens),
         b"p" * 400,
     )
-    client.close()
+    if not is_kept:
+        client.close()
     deployment.note(f"client: {attempt} at {name}: {answer.describe()}")
     return attempt, answer
 
@@ -73,6 +76,12 @@
     ]
     await deployment.start(stream_manifest(7, HOST, slots=SLOTS), replicas)
     stopped, *others = deployment.settings
+    # Four clients keep their channels to the daemon that will be stopped.
+    kept = [Client(deployment.address(stopped)) for _ in range(QUEUED)]
+    for number, client in enumerate(kept):
+        await send(deployment, stopped, f"{200 + number:016x}", 1, client)
+    if any(client.writer is None for client in kept):
+        return NOT_RUN
     long_ones = []
     for number in range(SLOTS):
         tokens = LONG_TOKENS - int(SPACING_S * number * 10)
@@ -101,9 +110,15 @@
     )
     queued = [
         asyncio.ensure_future(
-            send(deployment, stopped, f"{100 + number:016x}", SHORT_TOKENS)
+            send(
+                deployment,
+                stopped,
+                f"{100 + number:016x}",
+                SHORT_TOKENS,
+                client,
+            )
         )
-        for number in range(QUEUED)
+        for number, client in enumerate(kept)
     ]
     answers = await asyncio.gather(*queued)
     await asyncio.gather(*long_ones)
@@ -126,6 +141,8 @@
             and not answer.is_complete
             and not answer.is_timed_out
             and waited_s < PATIENCE_S
+            and answer.sent_s < stop_s + 3.0
+            and answer.ended_s < stop_s + GRACE_S + 1.0
         )
         broken += is_lost
         deployment.note(
@@ -139,4 +156,4 @@
 
 
 if __name__ == "__main__":
-    run_case(HERE, case)
+    run_case(HERE, case, os.environ.get("TROUBLE") != "0")
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -258,7 +258,7 @@
         self.scratch.cleanup()
 
 
-def run_case(folder, case):
+def run_case(folder, case, has_trouble):
     """Run case(deployment, has_trouble) and exit with what it returns."""
 
     async def play():
@@ -266,7 +266,6 @@
         task = asyncio.current_task()
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
         deployment = Deployment(folder)
-        has_trouble = os.environ.get("TROUBLE", "1") != "0"
         try:
             async with asyncio.timeout(115):
                 return await case(deployment, has_trouble)
