Serve late and incomplete requests of a stopping daemon's connections

Callers with entry lists of a moment ago opened a connection to a stopping daemon and found it closed, as one that had no request yet was closed like an idle one. A request that had not arrived whole at the exit was closed without an answer.

A connection serves its first request also during a stop, and a request that is being read can be refused with 503.

--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -9,6 +9,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.buffer_budget import BufferBudget
+from berylcart.coordination.gateway.drain import draining_error
 from berylcart.protocol.http_requests import (
     CONNECTION,
     CONTENT_LENGTH,
@@ -145,6 +146,9 @@
         self.options = options
         self.parser = RequestParser(options.limits().head_bytes)
         self.idle_scope: anyio.CancelScope | None = None
+        # Cancelled to refuse a request that has not arrived completely.
+        self.reading_scope: anyio.CancelScope | None = None
+        self.has_served = False
         self.keep_alive = True
         # Cancelled to disconnect this caller when memory is full.
         self.scope = anyio.CancelScope()
@@ -182,6 +186,7 @@
             return False
         if exchange is None:
             return False
+        self.has_served = True
         await self.handle(exchange)
         if not exchange.is_finished:
             self.channel.reset()
@@ -222,10 +227,30 @@
     async def read_request(self) -> Exchange | None:
         """Read the next complete request, None when the connection ends.
 
-        Raises BerylcartError on a request that exceeds a limit.
+        Raises BerylcartError on a request that exceeds a limit, or DRAINING
+        if refuse_incomplete() is called meanwhile.
         """
         if not await self.wait_for_bytes():
             return None
+        with anyio.CancelScope() as scope:
+            self.reading_scope = scope
+            try:
+                return await self.read_message()
+            finally:
+                self.reading_scope = None
+        raise draining_error("this entry stopped before the request arrived")
+
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that is being read."""
+        if self.reading_scope is not None:
+            self.reading_scope.cancel()
+
+    async def read_message(self) -> Exchange | None:
+        """Read a request whose first bytes have arrived.
+
+        Returns None when the connection ends. Raises BerylcartError on a
+        request that exceeds a limit.
+        """
         limits = self.options.limits()
         head: RequestHead | None = None
         with anyio.move_on_after(limits.head_timeout_ms / MS_PER_S) as scope:
@@ -250,7 +275,7 @@
         idle_timeout_s = self.options.limits().idle_timeout_ms / MS_PER_S
         with anyio.move_on_after(idle_timeout_s) as scope:
             self.idle_scope = scope
-            if self.closes_after():
+            if self.has_served and self.closes_after():
                 # A request that has already arrived is still served.
                 self.channel.read_before_waiting()
                 scope.cancel()
--- a/packages/berylcart/src/berylcart/transport/caller_server.py
+++ b/packages/berylcart/src/berylcart/transport/caller_server.py
@@ -34,6 +34,7 @@
         self.sock.setblocking(False)
         self.sock.listen(BACKLOG)
         self.connections: set[CallerConnection] = set()
+        self.ended = anyio.Event()
 
     @property
     def address(self) -> str:
@@ -89,9 +90,24 @@
             )
         finally:
             self.connections.discard(connection)
+            self.ended.set()
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in self.connections:
             if connection.idle_scope is not None:
                 connection.idle_scope.cancel()
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+        for connection in self.connections:
+            connection.refuse_incomplete()
+
+    async def wait_quiet(self) -> None:
+        """Wait until no request or refusal is in progress.
+
+        Connections must be closing, so that each ends with its response.
+        """
+        while any(each.idle_scope is None for each in self.connections):
+            self.ended = anyio.Event()
+            await self.ended.wait()
--- a/packages/berylcart/tests/transport/test_caller_connection.py
+++ b/packages/berylcart/tests/transport/test_caller_connection.py
@@ -254,6 +254,36 @@
     assert response.endswith(b"hi")
 
 
+async def test_connection_opened_while_closing_serves_its_first_request():
+    """A request that came after its connection was turned away unread."""
+    async with run_server() as (server, handler):
+        handler.is_closing = True
+        channel = await connect(server.address)
+        await wait_until(lambda: server.connections)
+        await anyio.sleep(0.05)
+        await channel.send(PLAIN)
+        response = await read_all(channel)
+        channel.close()
+    assert b"connection: close" in response.lower()
+    assert response.endswith(b"hi")
+
+
+async def test_incomplete_requests_are_refused_at_a_stop():
+    """A connection was closed without a word to a caller still sending."""
+    async with run_server() as (server, handler):
+        channel = await connect(server.address)
+        await channel.send(PLAIN[:-1])
+        await wait_until(
+            lambda: any(each.reading_scope for each in server.connections)
+        )
+        server.refuse_incomplete()
+        response = await read_all(channel)
+        channel.close()
+        await server.wait_quiet()
+    assert response.startswith(b"HTTP/1.1 503")
+    assert not handler.handled
+
+
 async def test_connections_beyond_the_limit_are_closed():
     async with run_server() as (server, _):
         held = [await connect(server.address) for _ in range(8)]
