Answer every request that is left at a planned stop

Cause: requests were taken for a fixed time whatever they would take, and what was left when the grace period ended was dropped by cancellation.

From the SIGTERM on a request is taken, and sent on, only if it is expected to end in time by its route's recent responses, its tokens and its deadline. Before the exit each request whose response has not begun gets one: 503 if it was never sent, else it is withdrawn from its replica and answered 502. The schedule fits any grace period; orders of other daemons are finished first.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -17,6 +17,7 @@
 )
 from berylcart.coordination.gateway.cold_sender_shares import ColdBounds
 from berylcart.coordination.gateway.crash_watch import CrashWatch
+from berylcart.coordination.gateway.drain import drain_schedule
 from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.forwarder import (
     Forwarder,
@@ -41,7 +42,7 @@
 from berylcart.coordination.membership.membership import Membership
 from berylcart.coordination.membership.settings import MembershipSettings
 from berylcart.coordination.policy.vm_directory import VmDirectory
-from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.errors import BerylcartError
 from berylcart.state.member_table import Member
 from berylcart.state.relay_messages import BufferedResponse, ReplicaNotice
 from berylcart.state.routes import (
@@ -67,17 +68,12 @@
 from berylcart_daemon.gateway_peer_handlers import GatewayPeerHandlers
 from berylcart_daemon.gateway_ports import GatewayPorts, PageState
 from berylcart_daemon.gateway_settings import GatewaySettings
+from berylcart_daemon.gateway_stop import GatewayStop
 from berylcart_daemon.loop_lag import LoopLagMonitor
 from berylcart_daemon.route_sync import RouteSync
 from berylcart_daemon.supervision import run_and_log_errors, run_with_restarts
 
 MS_PER_S = 1000
-# Some callers keep an entry list for this many times its stated lifetime.
-MAX_ENTRY_LIST_LIFETIMES = 3
-DRAIN_MARGIN_S = 0.3
-# Part of the grace period that is reserved for shutdown after draining.
-EXIT_MARGIN_S = 0.6
-DRAIN_RETRY_AFTER_MS = 100
 HOUSEKEEPING_PERIOD_S = 1.0
 REGISTRATION_PERIOD_S = 2.0
 LEAVE_TIMEOUT_S = 0.3
@@ -97,7 +93,6 @@
         self.rng = random.Random()
         self.is_draining = False
         self.announced_ready = False
-        self.is_refusing = False
         self.discovered_seeds: tuple[str, ...] = ()
         self.background_tasks: TaskGroup | None = None
         self.metrics = GatewayMetrics()
@@ -259,7 +254,7 @@
     def build_servers(self) -> None:
         """Build the servers for callers, pages, metrics and peers."""
         caller_rules = ConnectionOptions(
-            self.handle,
+            self.gateway.handle,
             self.limits,
             self.ports.wire.refuse,
             lambda: self.is_draining,
@@ -462,19 +457,6 @@
         )
         self.metrics.record_request(served)
 
-    async def handle(self, exchange: CallerExchange) -> None:
-        """Serve a caller's request, or refuse it during shutdown."""
-        if not self.is_refusing:
-            await self.gateway.handle(exchange)
-            return
-        error = BerylcartError(
-            Code.DRAINING,
-            "this entry is stopping",
-            retry_after_ms=DRAIN_RETRY_AFTER_MS,
-        )
-        events.info("request.refused", code=int(error.code))
-        await exchange.answer(self.ports.wire.refuse(error))
-
     def is_ready(self) -> bool:
         """Tell whether entry lists should name this daemon."""
         is_known = (
@@ -657,22 +639,23 @@
         )
 
     async def drain(self) -> None:
-        """Leave entry lists, refuse new requests, finish those in flight."""
-        started_s = now_s()
-        events.info("daemon.draining", in_flight=self.gateway.in_flight)
+        """Leave the entry lists, then end the requests of callers."""
+        schedule = drain_schedule(
+            now_s(),
+            self.settings.grace_s,
+            self.settings.entries_keep_ms / MS_PER_S,
+        )
+        events.info(
+            "daemon.draining",
+            in_flight=self.gateway.in_flight,
+            refuse_in_s=round(schedule.refuse_s - now_s(), 3),
+            answer_in_s=round(schedule.answer_s - now_s(), 3),
+            end_in_s=round(schedule.end_s - now_s(), 3),
+        )
         self.is_draining = True
         self.update_readiness()
-        lifetime_s = self.settings.entries_keep_ms / MS_PER_S
-        # Callers use this entry until they refresh their entry lists.
-        await anyio.sleep(
-            MAX_ENTRY_LIST_LIFETIMES * lifetime_s + DRAIN_MARGIN_S
-        )
-        self.is_refusing = True
-        self.caller_server.close_idle()
-        end_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
-        with anyio.move_on_after(end_s - now_s()):
-            await self.gateway.wait_idle()
-        events.info("daemon.drained", in_flight=self.gateway.in_flight)
+        stop = GatewayStop(self.gateway, self.caller_server, self.order_router)
+        await stop.run(schedule)
 
     async def leave_membership(self) -> None:
         """Leave the membership and close peer connections, with timeouts."""
--- a/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
@@ -133,6 +133,8 @@
         self.kept: FallbackResponse | None = None
         self.placed: PlacedRequest | None = None
         self.first_event_at_s: float | None = None
+        # Start of the attempt whose response was forwarded first.
+        self.attempt_at_s: float | None = None
 
     @property
     def may_execute_again(self) -> bool:
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -9,6 +9,7 @@
     BrokenRequest,
     CrashWatch,
 )
+from berylcart.coordination.gateway.drain import Drain
 from berylcart.coordination.gateway.event_splitter import EventSplitter
 from berylcart.coordination.gateway.first_event_times import FirstEventTimes
 from berylcart.coordination.gateway.forward_run import (
@@ -39,6 +40,7 @@
     content_type,
     response_error,
 )
+from berylcart.coordination.gateway.response_times import ResponseTimes
 from berylcart.coordination.gateway.second_attempts import (
     HedgeOutcome,
     HedgeSkipReason,
@@ -89,7 +91,9 @@
         self.engines = engines
         self.hedger = hedger
         self.crash_watch = crash_watch
+        self.drain = Drain()
         self.first_event_times = FirstEventTimes()
+        self.response_times = ResponseTimes()
 
     async def forward(self, run: ForwardRun) -> int:
         """Forward a request and return the status of the response.
@@ -100,6 +104,7 @@
             self.check_traits(run)
             vm = await self.place(run) or self.choose(run)
             self.check_traits(run)
+            self.check_drain(run, vm)
             try:
                 if self.hedger is not None and run.may_hedge:
                     return await self.send_hedged(run, vm, self.hedger)
@@ -109,6 +114,33 @@
                 if not self.may_send_again(run, error):
                     return await self.send_fallback(run, error)
 
+    def check_drain(self, run: ForwardRun, vm: Vm) -> None:
+        """Raise DRAINING if the response may not end before the stop."""
+        if run.exchange.is_started:
+            return
+        try:
+            self.drain.check_end(
+                run.work.deadline_s, self.expected_time_s(run)
+            )
+        except BerylcartError:
+            self.report_placement(run, vm, is_begun=False)
+            raise
+
+    def expected_time_s(self, run: ForwardRun) -> float | None:
+        """Predict an attempt's longest time, None if it is unknown.
+
+        The home daemon of a service knows how long a placed request waits in
+        its replica's queue.
+        """
+        slowest = self.response_times.slowest(
+            run.work.route.name, run.work.request.prompt.output_tokens
+        )
+        if slowest is None:
+            return None
+        placed = run.placed
+        queue_s = placed.placement.expected_ms / MS_PER_S if placed else 0.0
+        return max(slowest.first_s, queue_s) + slowest.rest_s
+
     def check_traits(self, run: ForwardRun) -> None:
         """Raise PART_BLOCKED or REQUEST_BLOCKED if replicas crash on it."""
         if self.crash_watch is not None:
@@ -250,7 +282,7 @@
             return False
         if run.exchange.is_started and not work.route.is_resumable:
             return False
-        if run.sends >= MAX_SENDS or work.remaining_s < MIN_REMAINING_S:
+        if not self.has_time_for_attempt(run):
             return False
         if error.ran is not Ran.NO:
             if not work.route.is_repeatable:
@@ -261,6 +293,15 @@
             return True
         return self.policy.budget.try_take(work.service)
 
+    def has_time_for_attempt(self, run: ForwardRun) -> bool:
+        """Return whether another attempt is allowed and may end in time."""
+        work = run.work
+        if run.sends >= MAX_SENDS or work.remaining_s < MIN_REMAINING_S:
+            return False
+        return run.exchange.is_started or self.drain.may_end_in_time(
+            work.deadline_s, self.expected_time_s(run)
+        )
+
     async def send_fallback(
         self, run: ForwardRun, error: UpstreamError
     ) -> int:
@@ -570,6 +611,7 @@
             run.store_fallback(FallbackResponse(head, bytes(body)))
             raise response_error(head)
         progress_timeout.restart(None)
+        run.attempt_at_s = timing.started_s
         await start_response(run, head, entrant)
         await self.flush_buffer(run, body)
         await run.exchange.finish()
@@ -658,6 +700,7 @@
                 target_ms=run.work.route.target_ms,
             )
             run.content_type = content_type(head.headers)
+            run.attempt_at_s = timing.started_s
             await run.exchange.start(HTTP_OK[0], head.headers)
 
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -8,6 +8,7 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batch_selection import MAX_PIECES
+from berylcart.coordination.gateway.drain import draining_error
 from berylcart.coordination.gateway.first_event_timeout import (
     first_event_timeout_s,
 )
@@ -24,6 +25,8 @@
 )
 from berylcart.coordination.gateway.ports import CallerExchange, MessageCodec
 from berylcart.coordination.gateway.request_ages import RequestAgeEstimator
+from berylcart.coordination.gateway.response_checks import HTTP_OK
+from berylcart.coordination.gateway.response_times import ResponseTime
 from berylcart.coordination.gateway.stage_executor import (
     StageExecutor,
     StagePlan,
@@ -115,6 +118,22 @@
     return RequestTarget(table, route, owner)
 
 
+class OpenRequest:
+    """A request in progress, which can be withdrawn until it is answered."""
+
+    def __init__(self, exchange: CallerExchange, deadline_s: float) -> None:
+        self.exchange = exchange
+        self.scope = anyio.CancelScope(deadline=deadline_s)
+        self.is_withdrawn = False
+
+    def withdraw(self) -> bool:
+        """Cancel the request unless its response has begun; tell if so."""
+        if not self.exchange.is_started:
+            self.is_withdrawn = True
+            self.scope.cancel()
+        return self.is_withdrawn
+
+
 class Gateway:
     """Serve the requests of one entry point."""
 
@@ -131,7 +150,9 @@
         self.policy = policy
         self.forwarder = forwarder
         self.stages = stages
+        self.drain = forwarder.drain
         self.age_estimator = RequestAgeEstimator()
+        self.open_requests: set[OpenRequest] = set()
         self.in_flight = 0
         self.ended = anyio.Event()
         self.on_completed: Callable[[CompletedRequest], None] = lambda _: None
@@ -146,6 +167,8 @@
         try:
             status = await self.serve(exchange, progress, labels)
             code = None
+            if status in HTTP_OK:
+                self.record_response_time(exchange, labels.run)
         except BerylcartError as error:
             error.ran = strongest(error.ran, progress.ran)
             code = error.code
@@ -189,6 +212,31 @@
             self.ended = anyio.Event()
             await self.ended.wait()
 
+    def withdraw_unanswered(self) -> int:
+        """Withdraw the requests whose response has not begun; count them.
+
+        Each gets an error that tells whether it may have run.
+        """
+        return sum(each.withdraw() for each in list(self.open_requests))
+
+    def record_response_time(
+        self, exchange: CallerExchange, run: ForwardRun | None
+    ) -> None:
+        """Record the time of a complete response."""
+        if run is None or run.attempt_at_s is None:
+            return
+        end_s = now_s()
+        first_s = run.first_event_at_s or end_s
+        self.forwarder.response_times.record(
+            run.work.route.name,
+            run.work.request.prompt.output_tokens,
+            ResponseTime(
+                run.attempt_at_s - exchange.received_at_s,
+                first_s - run.attempt_at_s,
+                end_s - first_s,
+            ),
+        )
+
     async def refuse(
         self, exchange: CallerExchange, error: BerylcartError
     ) -> int:
@@ -217,17 +265,37 @@
         labels.set_target(target)
         limit_ms = min(request.deadline_ms, target.route.timeout_ms)
         deadline_s = exchange.received_at_s + limit_ms / MS_PER_S
-        with anyio.CancelScope(deadline=deadline_s) as scope:
-            return await self.run(
-                exchange, request, target, deadline_s, progress, labels
+        self.drain.check_arrival(
+            deadline_s, self.expected_time_s(request, target.route)
+        )
+        opened = OpenRequest(exchange, deadline_s)
+        self.open_requests.add(opened)
+        try:
+            with opened.scope:
+                return await self.run(
+                    exchange, request, target, deadline_s, progress, labels
+                )
+        finally:
+            self.open_requests.discard(opened)
+        if opened.is_withdrawn:
+            raise draining_error(
+                "this entry stopped before the response began", progress.ran
             )
-        assert scope.cancelled_caught
         raise BerylcartError(
             Code.DEADLINE_EXCEEDED,
             f"no whole answer within {limit_ms} ms",
             ran=progress.ran,
         )
 
+    def expected_time_s(
+        self, request: RelayRequest, route: Route
+    ) -> float | None:
+        """Predict a new request's longest time, None if it is unknown."""
+        slowest = self.forwarder.response_times.slowest(
+            route.name, request.prompt.output_tokens
+        )
+        return None if slowest is None else sum(slowest)
+
     async def run(
         self,
         exchange: CallerExchange,
--- a/packages/berylcart/src/berylcart/coordination/gateway/order_router.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/order_router.py
@@ -132,6 +132,9 @@
         self.backlogs = BacklogTable()
         self.avoided_until_s: dict[str, float] = {}
         self.calls: set[HomeCall] = set()
+        # Orders of other daemons in progress here.
+        self.foreign_orders = 0
+        self.foreign_ended = anyio.Event()
 
     def update_members(self) -> None:
         """Cancel the calls to homes that are no longer alive."""
@@ -218,7 +221,18 @@
 
     async def on_make_pieces(self, order: PieceOrder) -> OrderResult:
         """Process the pieces of another daemon's order."""
-        return await self.make_pieces_locally(order)
+        self.foreign_orders += 1
+        try:
+            return await self.make_pieces_locally(order)
+        finally:
+            self.foreign_orders -= 1
+            self.foreign_ended.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until no order of another daemon is in progress."""
+        while self.foreign_orders:
+            self.foreign_ended = anyio.Event()
+            await self.foreign_ended.wait()
 
     async def make_pieces_locally(self, order: PieceOrder) -> OrderResult:
         """Process the pieces of an order with this daemon's batcher."""
