Limit what a daemon's own calls hold of answers

Other operators' machines ran out of memory when replicas sent bytes without end.

Cause: HttpClient limited single bodies to a round number and counted nothing.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -105,7 +105,7 @@
             self.directory.count_by_place, self.store_era
         )
         self.evacuations.on_change = self.directory.exclude
-        self.buffer_budget = BufferBudget(
+        self.buffer_budget = ports.buffer_budget or BufferBudget(
             buffer_limit_bytes(settings.memory_mb)
         )
         self.peers = RpcPeers(buffer_budget=self.buffer_budget)
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
+from berylcart.coordination.gateway.buffer_budget import BufferBudget
 from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.ports import MessageCodec, PieceClient
 from berylcart.coordination.gateway.route_table_holder import RouteTableHolder
@@ -124,7 +125,11 @@
 
 
 class GatewayPorts(NamedTuple):
-    """Hold the platform's implementations of the interfaces."""
+    """Hold the platform's implementations of the interfaces.
+
+    buffer_budget counts what their clients hold of responses, and the daemon's
+    own buffers too; None if the clients count nothing.
+    """
 
     wire: MessageCodec
     pages: PageResponder
@@ -134,3 +139,4 @@
     member_registry: MemberRegistry
     store_era: StoreEra
     blocked_parts: BlockedPartStore | None = None
+    buffer_budget: BufferBudget | None = None
--- a/packages/berylcart/src/berylcart/transport/http_client.py
+++ b/packages/berylcart/src/berylcart/transport/http_client.py
@@ -13,6 +13,11 @@
 
 import anyio
 
+from berylcart.clock import now_s
+from berylcart.coordination.gateway.buffer_budget import (
+    BufferAccount,
+    BufferBudget,
+)
 from berylcart.protocol.http_responses import AnswerError
 from berylcart.state.errors import BerylcartError, Code, Ran
 from berylcart.state.relay_messages import Headers
@@ -26,6 +31,10 @@
 MS_PER_S = 1000
 CONNECT_TIMEOUT_MS = 1000
 MAX_BODY_BYTES = 16 << 20
+# A limit below this holds for successful responses only: an error page may be
+# longer than the response that was asked for.
+MAX_ERROR_BODY_BYTES = 64 << 10
+HTTP_ERRORS = range(400, 600)
 
 CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
 
@@ -49,11 +58,14 @@
 
 
 class HttpTooLargeError(HttpError):
-    """Report a response whose body exceeds the size limit."""
+    """Report a response that exceeds its size limit or the memory limit."""
 
 
 class HttpRequest(NamedTuple):
-    """Describe one request; address is IP:PORT, body is JSON."""
+    """Describe one request; address is IP:PORT, body is JSON.
+
+    max_body_bytes limits the body of a successful response.
+    """
 
     method: str
     address: str
@@ -61,6 +73,7 @@
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
     timeout_ms: int = 5000
+    max_body_bytes: int = MAX_BODY_BYTES
 
 
 class HttpResponse(NamedTuple):
@@ -72,17 +85,25 @@
 
 
 class HttpStreamingResponse(NamedTuple):
-    """Hold a response whose body is still arriving."""
+    """Hold a response whose body is still arriving.
+
+    What read_body() holds counts in the account, if there is one.
+    """
 
     status: int
     headers: Mapping[str, str]
     chunks: AsyncIterator[bytes]
+    account: BufferAccount | None = None
 
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Read the rest of the body; raises HttpTooLargeError."""
+        if self.status in HTTP_ERRORS:
+            max_bytes = max(max_bytes, MAX_ERROR_BODY_BYTES)
         body = bytearray()
         async for chunk in self.chunks:
             body += chunk
+            if self.account is not None:
+                self.account.add(len(chunk))
             if len(body) > max_bytes:
                 detail = "the answer is too large"
                 raise HttpTooLargeError(detail, is_sent=True)
@@ -170,8 +191,10 @@
         self,
         max_connections: int = MAX_CONNECTIONS,
         keep_alive: KeepAlive = DEFAULT_KEEP_ALIVE,
+        buffer_budget: BufferBudget | None = None,
     ) -> None:
         self.pool = ConnectionPool(max_connections, keep_alive)
+        self.buffer_budget = buffer_budget or BufferBudget()
 
     async def __aenter__(self) -> Self:
         """Return the client itself."""
@@ -193,7 +216,7 @@
     async def request(self, request: HttpRequest) -> HttpResponse:
         """Send a request and read the complete response; raises HttpError."""
         async with self.stream(request) as stream:
-            body = await stream.read_body()
+            body = await stream.read_body(request.max_body_bytes)
             return HttpResponse(stream.status, stream.headers, body)
 
     @asynccontextmanager
@@ -206,8 +229,17 @@
         """
         send_state = SendState()
         with anyio.move_on_after(request.timeout_ms / MS_PER_S) as scope:
-            async with self.open_stream(request, send_state) as stream:
-                yield stream
+            account = self.buffer_budget.open_account(scope.cancel)
+            account.waiting_since_s = now_s()
+            try:
+                async with self.open_stream(request, send_state) as stream:
+                    yield stream._replace(account=account)
+            finally:
+                account.release()
+        if account.is_evicted:
+            raise HttpTooLargeError(
+                "no memory for the answer", is_sent=send_state.is_sent
+            )
         if scope.cancelled_caught:
             raise HttpTimeoutError(
                 f"no whole answer within {request.timeout_ms} ms",
--- a/packages/berylcart/src/berylcart/transport/peer_connection.py
+++ b/packages/berylcart/src/berylcart/transport/peer_connection.py
@@ -62,9 +62,10 @@
         self.write_queue: list[bytes] = []
         self.frame_timer: asyncio.TimerHandle | None = None
         # Unsent bytes count as buffered while writing is paused.
-        self.buffer_account = (buffer_budget or BufferBudget()).open_account(
-            self.abort
-        )
+        budget = buffer_budget or BufferBudget()
+        self.buffer_account = budget.open_account(self.abort)
+        # Counts the received bytes of an incomplete frame.
+        self.read_account = budget.open_account(self.abort)
         self.is_write_paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -76,6 +77,7 @@
         """Fail the outgoing calls and cancel the incoming requests."""
         self.transport = None
         self.buffer_account.release()
+        self.read_account.release()
         self.stop_frame_timer()
         for call in self.pending_calls.values():
             if not call.done():
@@ -101,6 +103,7 @@
             # msgpack raises several unrelated types on malformed input.
             self.close_malformed(f"{type(error).__name__}: {error}")
             return
+        self.count_received_bytes()
         if self.reader.has_partial_frame and self.frame_timer is None:
             self.frame_timer = asyncio.get_running_loop().call_later(
                 FRAME_TIMEOUT_S,
@@ -108,6 +111,18 @@
                 f"frame incomplete after {FRAME_TIMEOUT_S} s",
             )
 
+    def count_received_bytes(self) -> None:
+        """Count the incomplete frame as buffered."""
+        account = self.read_account
+        change_bytes = self.reader.pending_bytes - account.count_bytes
+        if not change_bytes:
+            return
+        if account.waiting_since_s is None:
+            account.waiting_since_s = now_s()
+        account.add(change_bytes)
+        if not account.count_bytes:
+            account.waiting_since_s = None
+
     def stop_frame_timer(self) -> None:
         """Cancel the timer of the incomplete frame, if any."""
         if self.frame_timer is not None:
--- a/packages/berylcart/tests/transport/test_http_client.py
+++ b/packages/berylcart/tests/transport/test_http_client.py
@@ -1,7 +1,10 @@
 """Test that calls to a faulty server stay within time and size limits."""
 
+from contextlib import asynccontextmanager
+
 import anyio
 import pytest
+from berylcart.coordination.gateway.buffer_budget import BufferBudget
 from berylcart.transport.http_client import (
     MAX_BODY_BYTES,
     HttpClient,
@@ -61,3 +64,106 @@
     async with serve_bytes(data) as address:
         with pytest.raises(HttpError):
             await call(address)
+
+
+MIB = 2**20
+ENDLESS = [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"HTTP/1.1 503 Busy\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nx: ",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 9,
+]
+
+
+class EndlessServer:
+    """Send bytes without end until the client closes the connection."""
+
+    def __init__(self, start, block=b"x" * 2**16):
+        self.start = start
+        self.block = block
+        self.closed = anyio.Event()
+        self.address = ""
+
+    async def handle(self, connection):
+        """Send to one client."""
+        try:
+            await connection.send(self.start)
+            while True:
+                await connection.send(self.block)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.closed.set()
+
+    @asynccontextmanager
+    async def running(self):
+        """Serve on a loopback port."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, self.handle)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            self.address = f"127.0.0.1:{port}"
+            yield self
+            tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("start", ENDLESS)
+async def test_endless_response_is_not_kept(start):
+    """Stage replicas filled the memory of the daemon that called them."""
+    budget = BufferBudget(MIB)
+    held = []
+    async with (
+        EndlessServer(start).running() as server,
+        HttpClient(buffer_budget=budget) as client,
+    ):
+        budget.apply_change = lambda account, count: held.append(count)
+        request = HttpRequest("GET", server.address, "/", max_body_bytes=1000)
+        with anyio.fail_after(5), pytest.raises(HttpError):
+            await client.request(request)
+        with anyio.fail_after(5):
+            await server.closed.wait()
+    assert sum(count for count in held if count > 0) <= 3 * 2**16
+
+
+async def test_endless_chunks_are_not_kept():
+    block = b"1000\r\n" + b"x" * 0x1000 + b"\r\n"
+    async with (
+        EndlessServer(CHUNKED, block).running() as server,
+        HttpClient() as client,
+    ):
+        request = HttpRequest("GET", server.address, "/", max_body_bytes=1000)
+        with anyio.fail_after(5), pytest.raises(HttpTooLargeError):
+            await client.request(request)
+
+
+async def test_responses_together_stay_within_the_buffer_budget():
+    """Each call was limited, but not the calls of a daemon together."""
+    budget = BufferBudget(4 * MIB)
+    errors = []
+
+    async def request(client, address):
+        try:
+            await client.request(HttpRequest("GET", address, "/"))
+        except HttpError as error:
+            errors.append(error)
+            assert budget.total_bytes <= budget.limit_bytes
+
+    async with (
+        EndlessServer(ENDLESS[1]).running() as server,
+        HttpClient(buffer_budget=budget) as client,
+    ):
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(8):
+                    tasks.start_soon(request, client, server.address)
+    assert len(errors) == 8
+    assert any("memory" in error.detail for error in errors)
+    assert budget.total_bytes == 0
+    assert not budget.accounts
+
+
+async def test_error_page_longer_than_the_result_is_read(serve_bytes):
+    body = b"x" * 5000
+    data = b"HTTP/1.1 503 Busy\r\nContent-Length: 5000\r\n\r\n" + body
+    async with serve_bytes(data) as address, HttpClient() as client:
+        request = HttpRequest("GET", address, "/", max_body_bytes=1000)
+        assert (await client.request(request)).body == body
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -552,3 +552,36 @@
         listener.close()
 
     run_with_server(scenario)
+
+
+def test_incomplete_frames_count_as_held():
+    """Frames of several peers together were not limited."""
+
+    async def scenario(peers, server, handlers):
+        buffer_budget = BufferBudget(2**20)
+        loop = asyncio.get_running_loop()
+        frame = write_notification("Other", b"x" * (6 * 2**20))
+        writers = []
+
+        async def accept(reader, writer):
+            writers.append(writer)
+            writer.write(frame[: 2**19])
+
+        listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+        connections = []
+        for _ in range(2):
+            _, connection = await loop.create_connection(
+                lambda: PeerConnection(buffer_budget=buffer_budget),
+                *listener.sockets[0].getsockname(),
+            )
+            connections.append(connection)
+        await wait_until(lambda: buffer_budget.total_bytes == 2**20)
+        writers[0].write(frame[2**19 : 2**19 + 100])
+        await wait_until(lambda: not all(each.is_open for each in connections))
+        await wait_until(lambda: buffer_budget.total_bytes <= 2**19 + 100)
+        for connection in connections:
+            connection.abort()
+        await wait_until(lambda: not buffer_budget.total_bytes)
+        listener.close()
+
+    run_with_server(scenario)
