Test answers that stop in their head on every path

Nothing of the kind was found here: parser, requests, calls to stages, streams that go on at a second replica, second attempts and the client of the own interface all fail such an answer.

--- a/packages/berylcart/tests/protocol/test_http_responses.py
+++ b/packages/berylcart/tests/protocol/test_http_responses.py
@@ -164,3 +164,34 @@
     head = b"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n"
     with pytest.raises(AnswerError):
         parse(ResponseParser(), head + b"\r\nbytes", 1000)
+
+
+HEAD_END = b"\r\n\r\n"
+CUT_RESPONSES = [
+    WITH_LENGTH,
+    CHUNKED,
+    b"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nSeal: s\r\n\r\n0123456789",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + WITH_LENGTH,
+    b"HTTP/1.1 204 No Content\r\nSeal: s\r\n\r\n",
+    CLOSE_DELIMITED.partition(HEAD_END)[0] + HEAD_END,
+]
+
+
+@pytest.mark.parametrize("step", [1, 1000])
+@pytest.mark.parametrize("data", CUT_RESPONSES)
+def test_no_part_of_a_response_is_complete(data, step):
+    """A head that was cut off became an empty successful response."""
+    for size in range(len(data)):
+        parser = ResponseParser()
+        parts = parse(parser, data[:size], step)
+        assert ResponseEnd() not in parts
+        with pytest.raises(ConnectionResetError):
+            parser.feed_eof()
+        assert ResponseEnd() not in parse(parser)
+
+
+def test_bare_line_feeds_are_no_response():
+    parser = ResponseParser()
+    with pytest.raises(AnswerError):
+        parse(parser, b"HTTP/1.1 200 OK\nContent-Length: 0\n\n")
--- a/packages/berylcart/tests/transport/test_http_client.py
+++ b/packages/berylcart/tests/transport/test_http_client.py
@@ -167,3 +167,20 @@
     async with serve_bytes(data) as address, HttpClient() as client:
         request = HttpRequest("GET", address, "/", max_body_bytes=1000)
         assert (await client.request(request)).body == body
+
+
+CUT_RESPONSES = [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+    CHUNKED + b"2\r\n{}\r\n0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("data", CUT_RESPONSES)
+async def test_response_that_stops_in_its_head_fails(data, serve_bytes):
+    """A head that was cut off became an empty successful response."""
+    for size in range(1, len(data)):
+        async with serve_bytes(data[:size]) as address:
+            with pytest.raises(HttpError) as raised:
+                await call(address)
+            assert raised.value.is_sent
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -372,3 +372,25 @@
         with pytest.raises(BerylcartError) as raised:
             await fetch(RelayClient(parse_head), address, "r1")
         assert raised.value.ran is Ran.NO
+
+
+CUT_FRAMINGS = [
+    b"Content-Length: 0\r\n\r\n",
+    b"Content-Length: 10\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n",
+    b"\r\n",
+]
+
+
+@pytest.mark.parametrize("ending", ["close", "reset"])
+@pytest.mark.parametrize("framing", CUT_FRAMINGS)
+async def test_response_that_stops_in_its_head_fails(framing, ending):
+    """Callers got an empty success where a head had been cut off."""
+    head = b"HTTP/1.1 200 OK\r\nId: r1\r\n" + framing
+    script = [(head[:size], ending) for size in range(1, len(head))]
+    count = len(script)
+    async with run_relay(*script) as (upstream, client):
+        for _ in range(count):
+            with pytest.raises(UpstreamError) as raised:
+                await fetch(client, upstream.address, "r1")
+            assert raised.value.ran is Ran.UNKNOWN
--- a/packages/berylcart/tests/transport/test_upstream_client.py
+++ b/packages/berylcart/tests/transport/test_upstream_client.py
@@ -320,3 +320,13 @@
     except BerylcartError as error:
         pytest.fail(f"not an UpstreamError: {error}")
     assert (attempt.reply is None) != (attempt.error is None)
+
+
+def test_response_that_stops_in_its_head_fails(run_attempt):
+    """A head that was cut off became an empty successful response."""
+    for data in (response(200, REPLY), stream(token(0, "x"), done())):
+        end = data.index(b"\r\n\r\n") + 4
+        for size in (1, 9, 13, 16, 17, 20, end // 2, end - 2, end - 1, end):
+            attempt = run_attempt(data[:size])
+            assert attempt.reply is None
+            assert attempt.error.ran is Ran.UNKNOWN
