Tell repeated answers of stage replicas from a call's own

An answer with one that was seen on its connection is discarded; after an answer without a new handle, or with another number of results, the connection is closed. Ruled out: an id in the call, which the protocol has not, and a connection for each call, as new ones are dear.

--- a/packages/berylcart/src/berylcart/transport/http_client.py
+++ b/packages/berylcart/src/berylcart/transport/http_client.py
@@ -4,15 +4,18 @@
 from collections.abc import (
     AsyncGenerator,
     AsyncIterator,
+    Callable,
     Iterator,
     Mapping,
 )
 from contextlib import asynccontextmanager, contextmanager
+from enum import Enum, auto
 from types import TracebackType
 from typing import NamedTuple, Self
 
 import anyio
 
+from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.buffer_budget import (
     BufferAccount,
@@ -30,6 +33,8 @@
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_MS = 1000
+# Limit on stale responses that may precede the one to a request.
+MAX_STALE_RESPONSES = 2
 MAX_BODY_BYTES = 16 << 20
 # A limit below this holds for successful responses only: an error page may be
 # longer than the response that was asked for.
@@ -84,6 +89,28 @@
     body: bytes
 
 
+class ResponseMatch(Enum):
+    """List to which request a response belongs.
+
+    After a response that is OWN_OR_STALE the connection is closed, since the
+    one to this request may follow on it.
+    """
+
+    OWN = auto()
+    STALE = auto()
+    OWN_OR_STALE = auto()
+
+
+# Classifies a response. The set holds marks of the earlier responses of the
+# connection and gets those of this one.
+ResponseMatcher = Callable[[HttpResponse, set[str]], ResponseMatch]
+
+
+def match_any(response: HttpResponse, seen_marks: set[str]) -> ResponseMatch:
+    """Take every response for the request's own."""
+    return ResponseMatch.OWN
+
+
 class HttpStreamingResponse(NamedTuple):
     """Hold a response whose body is still arriving.
 
@@ -93,6 +120,7 @@
     status: int
     headers: Mapping[str, str]
     chunks: AsyncIterator[bytes]
+    body: "ResponseBody"
     account: BufferAccount | None = None
 
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
@@ -213,11 +241,32 @@
         """Close every connection."""
         self.pool.close()
 
-    async def request(self, request: HttpRequest) -> HttpResponse:
-        """Send a request and read the complete response; raises HttpError."""
+    async def request(
+        self, request: HttpRequest, match: ResponseMatcher = match_any
+    ) -> HttpResponse:
+        """Send a request and read the complete response; raises HttpError.
+
+        Responses that match finds stale are discarded.
+        """
         async with self.stream(request) as stream:
-            body = await stream.read_body(request.max_body_bytes)
-            return HttpResponse(stream.status, stream.headers, body)
+            connection = stream.body.connection
+            for _ in range(MAX_STALE_RESPONSES + 1):
+                body = await stream.read_body(request.max_body_bytes)
+                response = HttpResponse(stream.status, stream.headers, body)
+                found = match(response, connection.seen_marks)
+                if found is not ResponseMatch.STALE:
+                    if found is ResponseMatch.OWN_OR_STALE:
+                        connection.is_broken = True
+                    return response
+                events.warning(
+                    "upstream.stale_response_discarded",
+                    address=request.address,
+                    path=request.path,
+                )
+                if stream.account is not None:
+                    stream.account.release()
+                stream = await stream.body.next_response(stream.account)
+            raise HttpError("no answer to this request", is_sent=True)
 
     @asynccontextmanager
     async def stream(
@@ -262,13 +311,11 @@
         try:
             with send_state.convert_failures():
                 await connection.send(request.method, head, request.body)
-                status, headers = await connection.read_head()
-            yield HttpStreamingResponse(
-                status, read_headers(headers), body.chunks()
-            )
+            yield await body.next_response()
         except HttpError:
             # What ended this connection may have ended idle ones unnoticed.
             self.pool.discard_idle(request.address)
+            connection.is_broken = True
             raise
         finally:
             self.pool.release(connection, body.is_complete)
@@ -284,6 +331,17 @@
         self.send_state = send_state
         self.is_complete = False
 
+    async def next_response(
+        self, account: BufferAccount | None = None
+    ) -> HttpStreamingResponse:
+        """Read the head of the next response; raises HttpError."""
+        self.is_complete = False
+        with self.send_state.convert_failures():
+            status, headers = await self.connection.read_head()
+        return HttpStreamingResponse(
+            status, read_headers(headers), self.chunks(), self, account
+        )
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive."""
         while (data := await self.read()) is not None:
--- a/packages/berylcart/src/berylcart/transport/upstream_connection.py
+++ b/packages/berylcart/src/berylcart/transport/upstream_connection.py
@@ -52,6 +52,8 @@
         self.is_broken = False
         # Whether an earlier request was answered on this connection.
         self.is_reused = False
+        # Marks of earlier responses, by which a repeated one is recognized.
+        self.seen_marks: set[str] = set()
 
     async def send(self, method: str, head: bytes, body: bytes) -> None:
         """Send a complete request."""
