Keep the body of requests that offer another protocol

Cause: httptools skips the body of a request with an offer and ends its parsing there; RequestParser took that for the end of the request. The offer is now declined: the head is parsed once more without it, and what follows is parsed as of any request.

--- a/packages/berylcart/src/berylcart/protocol/http_requests.py
+++ b/packages/berylcart/src/berylcart/protocol/http_requests.py
@@ -13,8 +13,10 @@
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 CONNECTION = b"connection"
+UPGRADE = b"upgrade"
 EXPECT = b"expect"
 CONTINUE = b"100-continue"
+CONNECT = b"CONNECT"
 HTTP_1_1 = "1.1"
 VISIBLE_ASCII = re.compile(rb"[\x21-\x7e]+")
 FORBIDDEN_HEADER_BYTES = re.compile(rb"[\r\n\0]")
@@ -77,6 +79,8 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.is_in_head = False
         self.is_in_body = False
+        # Whether the parser is given a head whose parts are known.
+        self.is_repeated_head = False
         # Bytes fed since the last part was completed.
         self.framing_bytes = 0
         self.error: RequestError | None = None
@@ -87,11 +91,7 @@
             return
         previous_parts = len(self.parts)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Upgrades are not supported: the request is answered as usual,
-            # and no other request may follow on the connection.
-            self.error = RequestError("bytes after an upgrade")
+            self.feed_parser(data)
         except httptools.HttpParserError as error:
             if self.error is None:
                 self.error = RequestError(str(error))
@@ -106,6 +106,37 @@
                 is_head_too_large=not self.is_in_body,
             )
 
+    def feed_parser(self, data: bytes) -> None:
+        """Parse bytes; raises HttpParserError."""
+        while True:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                if self.parser.get_method() == CONNECT:
+                    self.error = RequestError("bytes after an upgrade")
+                    return
+                (position,) = upgrade.args
+                data = data[position:]
+                self.decline_upgrade()
+            else:
+                return
+
+    def decline_upgrade(self) -> None:
+        """Parse what follows a request that offers another protocol as HTTP.
+
+        httptools leaves the body of such a request to the other protocol, so
+        the head is parsed once more without the offer.
+        """
+        head = CallerHead(
+            self.parser.get_method().decode(),
+            self.target.decode(),
+            tuple(self.headers),
+        )
+        version = self.parser.get_http_version()
+        self.parser = httptools.HttpRequestParser(self)
+        self.is_repeated_head = True
+        self.parser.feed_data(write_head_without_upgrade(head, version))
+
     def next_part(self) -> RequestPart | None:
         """Return the next parsed part, if any; raises RequestError."""
         if self.parts:
@@ -121,13 +152,16 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self.is_repeated_head:
+            return
         self.is_in_head = True
         self.target = b""
         self.headers = []
 
     def on_url(self, data: bytes) -> None:
         """Append a part of the target."""
-        self.target += data
+        if not self.is_repeated_head:
+            self.target += data
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are discarded."""
@@ -136,6 +170,9 @@
 
     def on_headers_complete(self) -> None:
         """Validate and finish the head of a request."""
+        if self.is_repeated_head:
+            self.is_repeated_head = False
+            return
         self.is_in_head = False
         self.is_in_body = True
         version = self.parser.get_http_version()
@@ -167,7 +204,10 @@
         self.parts.append(data)
 
     def on_message_complete(self) -> None:
-        """Finish a request."""
+        """Finish a request, unless its body is yet to be parsed."""
+        is_offer = self.parser.should_upgrade()
+        if is_offer and self.parser.get_method() != CONNECT:
+            return
         self.is_in_body = False
         self.parts.append(RequestEnd(self.parser.should_keep_alive()))
 
@@ -238,6 +278,25 @@
         return b"0\r\n\r\n" if self.is_chunked else b""
 
 
+def write_head_without_upgrade(head: CallerHead, version: str) -> bytes:
+    r"""Serialize a request's head without its offer of another protocol.
+
+    >>> headers = ((b"connection", b"close, Upgrade"), (b"upgrade", b"h2c"))
+    >>> write_head_without_upgrade(CallerHead("GET", "/", headers), "1.1")
+    b'GET / HTTP/1.1\r\nconnection: close\r\n\r\n'
+    """
+    lines = [f"{head.method} {head.target} HTTP/{version}".encode()]
+    for name, value in head.headers:
+        if name == UPGRADE:
+            continue
+        kept = value
+        if name == CONNECTION:
+            options = [option.strip() for option in value.split(b",")]
+            kept = b", ".join(o for o in options if o.lower() != UPGRADE)
+        lines.append(b"%s: %s" % (name, kept))
+    return b"\r\n".join([*lines, b"", b""])
+
+
 def header_sizes(headers: Headers) -> Iterable[int]:
     """Yield the serialized size of each header."""
     return (len(name) + len(value) + len(": \r\n") for name, value in headers)
