Notice lost answers to polls of the manifest within contact_ms

Eight daemons at the most, chosen by a hash, now poll for no longer than two thirds of contact_ms and pass on by gossip what they read; a poll that timed out is repeated at once.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -39,6 +39,7 @@
 from berylcart.coordination.gateway.second_attempts import HedgingPolicy
 from berylcart.coordination.gateway.shared_tail import SharedTail
 from berylcart.coordination.gateway.stage_executor import StageExecutor
+from berylcart.coordination.gateway.store_watchers import is_watcher
 from berylcart.coordination.membership.membership import Membership
 from berylcart.coordination.membership.settings import MembershipSettings
 from berylcart.coordination.policy.vm_directory import VmDirectory
@@ -237,6 +238,9 @@
         self.sync.on_member_change = self.handle_member_change
         self.route_table_holder.on_change = self.handle_routes
         self.route_table_holder.ask_peers = self.ask_peers_for_routes
+        self.ports.route_feed.is_watching = lambda: is_watcher(
+            self.settings.daemon_id, self.member_ids()
+        )
 
     def make_second_attempts(self) -> HedgingPolicy | None:
         """Build the second attempt policy, None if second attempts are off."""
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -42,7 +42,13 @@
 
 
 class RouteFeed(Protocol):
-    """Follow the operator's routes and place evacuations."""
+    """Follow the operator's routes and place evacuations.
+
+    While is_watching() is true, a change is found although a response about it
+    was lost, within the time after which the daemon counts as in contact.
+    """
+
+    is_watching: Callable[[], bool]
 
     async def run(
         self, keeper: RouteTableHolder, evacuations: Evacuations
