Keep a stalled stream's replica until another one takes the stream

Another replica is now asked first. If it refuses, the stalled one is read on; if it has not refused after 0.2 s, the stalled connection is closed, so that two replicas never work on one request for longer. Ruled out: asking the first one again, as its slot is taken by then.

The tests of a pause with full replicas and of the moment of the move failed before.

--- a/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
@@ -188,16 +188,22 @@
     def event_timeout_s(self) -> float | None:
         """Return the timeout for a stream's next event, None for no timeout.
 
-        If no other replica may resume the stream, the timeout is the time
-        after which callers disconnect by themselves. For a route without an
-        event gap only the deadline applies.
+        It is the time after which callers disconnect by themselves. For a
+        route without an event gap only the deadline applies.
         """
         route = self.work.route
-        if self.may_execute_again:
-            gap_s = GAP_TIMEOUT_FACTOR * route.gap_ms / MS_PER_S
-            return max(MIN_GAP_TIMEOUT_S, gap_s)
         return first_event_timeout_s(route) if route.gap_ms else None
 
+    def stall_timeout_s(self) -> float | None:
+        """Return the time without an event after which a stream stalls.
+
+        None if no other replica may resume it.
+        """
+        if not self.may_execute_again:
+            return None
+        gap_s = GAP_TIMEOUT_FACTOR * self.work.route.gap_ms / MS_PER_S
+        return max(MIN_GAP_TIMEOUT_S, gap_s)
+
     def add_buffered(self, count_bytes: int) -> None:
         """Account for buffered bytes; a negative count releases them."""
         if count_bytes:
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -1,5 +1,7 @@
 """Forward a request to a replica and its response to the client."""
 
+from functools import partial
+
 import anyio
 
 from berylcart import events
@@ -47,6 +49,11 @@
     HedgingPolicy,
     merge_failures,
 )
+from berylcart.coordination.gateway.stalled_stream import (
+    StallTimer,
+    StreamMovedError,
+    try_elsewhere,
+)
 from berylcart.coordination.serving.hedging import RaceParticipant, first_reply
 from berylcart.state.errors import (
     BerylcartError,
@@ -109,6 +116,8 @@
                 if self.hedger is not None and run.may_hedge:
                     return await self.send_hedged(run, vm, self.hedger)
                 return await self.attempt(run, vm)
+            except StreamMovedError as moved:
+                return moved.status
             except UpstreamError as error:
                 run.failure = error
                 if not self.may_send_again(run, error):
@@ -650,9 +659,11 @@
     ) -> None:
         """Forward complete events and account for incomplete ones."""
         scanner = splitter.scanner
+        stall = StallTimer()
         if progress_timeout.limit_s is None:
             progress_timeout.restart(run.event_timeout_s())
-        while (data := await answer.read()) is not None:
+        read = partial(self.read_stream, run, answer, progress_timeout, stall)
+        while (data := await read()) is not None:
             self.record_first_byte(run, answer.head, timing)
             self.report_placement(run, timing.vm, is_begun=True)
             if entrant is None or entrant.has_won:
@@ -661,10 +672,11 @@
             data = run.split_stream(splitter, data)
             if scanner.count > known_events:
                 progress_timeout.restart(run.event_timeout_s())
+                stall.restart(run.stall_timeout_s())
                 self.record_event(run, timing)
             if data:
                 await claim_stream(run, splitter, entrant)
-                with progress_timeout.suspended():
+                with progress_timeout.suspended(), stall.suspended():
                     await self.start_stream(run, answer.head, timing)
                     await run.exchange.send(data)
         if scanner.has_field:
@@ -680,6 +692,48 @@
             await run.exchange.send(splitter.buffered)
         await run.exchange.finish()
 
+    async def read_stream(
+        self,
+        run: ForwardRun,
+        answer: UpstreamResponse,
+        progress_timeout: ProgressTimeout,
+        stall: StallTimer,
+    ) -> bytes | None:
+        """Read a stream; have other replicas try to go on if it stalls.
+
+        Raises StreamMovedError if one did. The stalled replica is read on if
+        all others refuse, as it may only be reading a long prompt.
+        """
+        while True:
+            with anyio.CancelScope(deadline=stall.deadline_s):
+                return await answer.read()
+            stall.restart(None)
+            with progress_timeout.suspended():
+                await self.move_stream(run, answer)
+
+    async def move_stream(
+        self, run: ForwardRun, answer: UpstreamResponse
+    ) -> None:
+        """Try the other replicas; return if none of them takes the stream."""
+        stalled = UpstreamError(
+            Code.UPSTREAM_FAILED, "the stream stalled", ran=Ran.UNKNOWN
+        )
+        while True:
+            try:
+                vm = self.choose(run)
+            except BerylcartError:
+                return
+            if not self.may_send_again(run, stalled):
+                return
+            events.info(
+                "stream.stalled",
+                request_id=run.work.request.request_id,
+                service=vm.service,
+                next_vm_id=vm.vm_id,
+                last_event_id=run.splitter.last_id,
+            )
+            await try_elsewhere(answer, partial(self.attempt, run, vm))
+
     async def start_stream(
         self, run: ForwardRun, head: ResponseHead, timing: AttemptTiming
     ) -> None:
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -61,11 +61,16 @@
     """A response that is read while it arrives; raises UpstreamError."""
 
     head: ResponseHead
+    is_abandoned: bool
 
     async def read(self) -> bytes | None:
         """Read the next bytes of the body; None at its end."""
         ...
 
+    def abandon(self) -> None:
+        """Close the connection, so that the upstream drops the request."""
+        ...
+
 
 class Relay(Protocol):
     """Send requests to upstreams."""
--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -109,6 +109,12 @@
         self.connection = connection
         self.head = head
         self.is_complete = False
+        self.is_abandoned = False
+
+    def abandon(self) -> None:
+        """Close the connection, so that the upstream drops the request."""
+        self.is_abandoned = True
+        self.connection.channel.close()
 
     async def read(self) -> bytes | None:
         """Return the next bytes, None at the end."""
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -363,6 +363,71 @@
     run(check)
 
 
+def test_stalled_stream_goes_on_if_all_other_replicas_are_full():
+    """A stream was cut in a pause of its sound replica."""
+
+    async def check():
+        paused = ScriptedResponse(
+            OK, (EVENTS[0], EVENTS[1][:4], 1.6, EVENTS[1][4:])
+        )
+        forwarding = Forwarding(
+            RESUMABLE._replace(max_attempts=3),
+            paused,
+            ScriptedResponse(REFUSED),
+            ScriptedResponse(REFUSED),
+        )
+        assert await forwarding.forward() == 200
+        assert forwarding.exchange.data == EVENTS[0] + EVENTS[1]
+        assert forwarding.exchange.is_finished
+        assert len(forwarding.relay.sent) == 3
+        assert not paused.is_abandoned
+
+    run(check)
+
+
+def test_stalled_replica_is_left_before_two_can_work_on_a_stream():
+    async def check():
+        stalled = ScriptedResponse(OK, EVENTS[:1], hangs=True)
+        slow = ScriptedResponse(OK, EVENTS[1:], starts_after_s=0.5)
+        forwarding = Forwarding(RESUMABLE, stalled, slow)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(forwarding.forward)
+            await anyio.sleep(1.2 + 0.19)
+            assert len(forwarding.relay.sent) == 2
+            assert not stalled.is_abandoned
+            await anyio.sleep(0.02)
+            assert stalled.is_abandoned
+        assert forwarding.exchange.data == b"".join(EVENTS)
+        assert forwarding.exchange.is_finished
+
+    run(check)
+
+
+def test_late_refusal_does_not_return_to_a_replica_that_was_left():
+    async def check():
+        stalled = ScriptedResponse(OK, EVENTS[:1], hangs=True)
+        refused = ScriptedResponse(REFUSED, starts_after_s=0.3)
+        forwarding = Forwarding(RESUMABLE, stalled, refused, vms=("v1", "v2"))
+        error = await forwarding.fail()
+        assert stalled.is_abandoned
+        assert error.ran is Ran.NO
+        assert not forwarding.exchange.is_finished
+
+    run(check)
+
+
+def test_stream_does_not_return_to_its_stalled_replica_after_a_break():
+    async def check():
+        stalled = ScriptedResponse(OK, EVENTS[:1], hangs=True)
+        broken = ScriptedResponse(OK, (EVENTS[1][:4],), ends=False)
+        forwarding = Forwarding(RESUMABLE, stalled, broken, vms=("v1", "v2"))
+        await forwarding.fail()
+        assert forwarding.exchange.data == EVENTS[0]
+        assert not forwarding.exchange.is_finished
+
+    run(check)
+
+
 def test_slow_stream_of_complete_events_is_not_aborted():
     async def check():
         class SlowScript(ScriptedResponse):
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -97,7 +97,10 @@
 
 
 class ScriptedResponse:
-    """A scripted response: its head, its chunks and how it ends."""
+    """A scripted response: its head, its chunks and how it ends.
+
+    A number among the chunks is a pause in seconds.
+    """
 
     def __init__(
         self,
@@ -113,9 +116,19 @@
         self.chunks = list(chunks)
         self.ends = ends
         self.hangs = hangs
+        self.is_abandoned = False
+        self.resumes_at_s = 0.0
+
+    def abandon(self):
+        """Record that the connection was closed."""
+        self.is_abandoned = True
 
     async def read(self):
         """Return the next chunk; then end, hang or reset the connection."""
+        assert not self.is_abandoned
+        if self.chunks and isinstance(self.chunks[0], float):
+            self.resumes_at_s = anyio.current_time() + self.chunks.pop(0)
+        await anyio.sleep_until(self.resumes_at_s)
         if self.chunks:
             return self.chunks.pop(0)
         if self.hangs:
