Apply a changed head limit to open connections

It now gets the limit in force before each read. The test with a raised limit failed before, the one with a lowered limit held.

--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -156,6 +156,11 @@
             lambda: self.scope.cancel()
         )
 
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes within the limits in force."""
+        self.parser.max_head_bytes = self.options.limits().head_bytes
+        self.parser.feed(data)
+
     def closes_after(self) -> bool:
         """Return whether to close the connection after this response."""
         return not self.keep_alive or self.options.is_closing()
@@ -222,7 +227,7 @@
                 scope.cancel()
                 return
             read_ahead_bytes += len(data)
-            self.parser.feed(data)
+            self.feed(data)
 
     async def read_request(self) -> Exchange | None:
         """Read the next complete request, None when the connection ends.
@@ -285,7 +290,7 @@
                 self.idle_scope = None
         if scope.cancelled_caught or not data:
             return False
-        self.parser.feed(data)
+        self.feed(data)
         return True
 
     async def next_part(self) -> RequestPart | None:
@@ -300,7 +305,7 @@
             data = await self.channel.receive()
             if not data:
                 return None
-            self.parser.feed(data)
+            self.feed(data)
 
     async def read_head(self, limits: CallerLimits) -> RequestHead | None:
         """Read the head of a request; raises BerylcartError."""
--- a/packages/berylcart/tests/transport/test_caller_connection.py
+++ b/packages/berylcart/tests/transport/test_caller_connection.py
@@ -49,6 +49,7 @@
         self.handled = []
         self.cancelled = anyio.Event()
         self.is_closing = False
+        self.limits = LIMITS
 
     async def handle(self, exchange):
         """Handle one request."""
@@ -84,7 +85,7 @@
     handler = Handler()
     options = ConnectionOptions(
         handler.handle,
-        lambda: LIMITS,
+        lambda: handler.limits,
         to_refusal,
         lambda: handler.is_closing,
         BufferBudget(limit_bytes),
@@ -254,6 +255,27 @@
     assert response.endswith(b"hi")
 
 
+@pytest.mark.parametrize("is_raised", [True, False])
+async def test_changed_head_limit_holds_on_open_connections(is_raised):
+    """A longer head got a 431 on connections from before a change."""
+    padding = b"X: " + b"x" * 3000 + b"\r\n"
+    long_head = PLAIN.replace(b"Host: h\r\n", b"Host: h\r\n" + padding)
+    async with run_server() as (server, handler):
+        raised = LIMITS._replace(head_bytes=8000)
+        handler.limits = LIMITS if is_raised else raised
+        channel = await connect(server.address)
+        await channel.send(PLAIN)
+        await read_until(channel, b"hi")
+        handler.limits = raised if is_raised else LIMITS
+        await channel.send(long_head[:2500])
+        await anyio.sleep(0.05)
+        await channel.send(long_head[2500:])
+        response = await channel.receive()
+        channel.close()
+    expected = b"200" if is_raised else b"431"
+    assert response.startswith(b"HTTP/1.1 " + expected)
+
+
 async def test_connection_opened_while_closing_serves_its_first_request():
     """A request that came after its connection was turned away unread."""
     async with run_server() as (server, handler):
