--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -704,12 +704,13 @@
         Raises StreamMovedError if one did. The stalled replica is read on if
         all others refuse, as it may only be reading a long prompt.
         """
-        while True:
+        if stall.is_running:
             with anyio.CancelScope(deadline=stall.deadline_s):
                 return await answer.read()
             stall.restart(None)
             with progress_timeout.suspended():
                 await self.move_stream(run, answer)
+        return await answer.read()
 
     async def move_stream(
         self, run: ForwardRun, answer: UpstreamResponse
--- a/packages/berylcart/src/berylcart/coordination/gateway/stalled_stream.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/stalled_stream.py
@@ -38,6 +38,11 @@
     def __init__(self) -> None:
         self.deadline_s = inf
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the stream can stall."""
+        return self.deadline_s < inf
+
     def restart(self, limit_s: float | None) -> None:
         """Restart the timer from now; None stops it."""
         self.deadline_s = inf if limit_s is None else now_s() + limit_s
