Close the peers' server also where its calls outlast the stop

In the soak, beside load, a daemon that was started again in the same process found its peers' address in use, and a call of a peer met a task group that had ended: leaving the membership is given 0.3 s, and when calls in progress took that time, the server was not closed.

close() now stops the server also when it is cancelled, and the daemon stops it in any case. test_cancelled_close_frees_the_address failed before.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -666,6 +666,7 @@
         with anyio.move_on_after(LEAVE_TIMEOUT_S):
             await self.membership.leave()
             await self.peer_server.close(LEAVE_TIMEOUT_S)
+        self.peer_server.stop()
         self.peers.close()
 
 
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -279,10 +279,16 @@
 
     async def close(self, grace_s: float = CLOSE_GRACE_S) -> None:
         """Reject new calls, finish those in progress and close the server."""
-        await self._service.drain(grace_s)
+        try:
+            await self._service.drain(grace_s)
+        finally:
+            self.stop()
+        if self._server is not None:
+            await self._server.wait_closed()
+
+    def stop(self) -> None:
+        """Close the server and its connections, with calls in progress."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
             connection.close()
-        if self._server is not None:
-            await self._server.wait_closed()
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import anyio
 import pytest
 from berylcart.coordination.gateway.buffer_budget import BufferBudget
 from berylcart.protocol import peer_pb2 as pb
@@ -36,6 +37,7 @@
     PeerConnection,
 )
 from berylcart.transport.peer_server import PeerServer, peer_methods
+from berylcart.transport.socket_addresses import bind
 
 TIMEOUT_MS = 10_000
 SENDER = Member("d1", 3, "127.0.0.1:1", "127.0.0.1:2", "lahore-1", beat=4)
@@ -220,6 +222,25 @@
     run_with_server(scenario)
 
 
+def test_cancelled_close_frees_the_address():
+    """A daemon that was started again at once found its address in use."""
+
+    async def scenario(peers, server, handlers):
+        handlers.unblocked = asyncio.Event()
+        in_progress = asyncio.create_task(
+            peers.ping(server.address, Ping("d", GOSSIP), timeout_ms=500)
+        )
+        await handlers.called.wait()
+        address = server.address
+        with anyio.move_on_after(0.01):
+            await server.close(grace_s=5)
+        with pytest.raises(BerylcartError):
+            await in_progress
+        bind(address).close()
+
+    run_with_server(scenario)
+
+
 def test_closed_port_is_unavailable():
     async def scenario(peers, server, handlers):
         address = server.address
