Close the connections of two tests of the peers' server

A writer that was collected after its event loop had closed let pytest end with a SystemError where the file was run alone, on the code before as well.

--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -559,8 +559,9 @@
     async def scenario(peers, server, handlers):
         buffer_budget = BufferBudget(2**20)
         loop = asyncio.get_running_loop()
+        writers = []
         listener = await asyncio.start_server(
-            lambda reader, writer: asyncio.Event().wait(), "127.0.0.1", 0
+            lambda reader, writer: writers.append(writer), "127.0.0.1", 0
         )
         _, connection = await loop.create_connection(
             lambda: PeerConnection(buffer_budget=buffer_budget),
@@ -570,6 +571,9 @@
             connection.notify("Other", b"x" * (6 * 2**20))
         await wait_until(lambda: not connection.is_open)
         assert buffer_budget.total_bytes == 0
+        for writer in writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
         listener.close()
 
     run_with_server(scenario)
@@ -603,6 +607,9 @@
         for connection in connections:
             connection.abort()
         await wait_until(lambda: not buffer_budget.total_bytes)
+        for writer in writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
         listener.close()
 
     run_with_server(scenario)
