Split the forwarder and the gateway by what they do

No behaviour changes: the tests of the gateway hold, of which two import a constant and one a function from the new modules.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -16,13 +16,14 @@
     buffer_limit_bytes,
 )
 from berylcart.coordination.gateway.cold_sender_shares import ColdBounds
+from berylcart.coordination.gateway.completed_request import CompletedRequest
 from berylcart.coordination.gateway.crash_watch import CrashWatch
 from berylcart.coordination.gateway.drain import drain_schedule
 from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.forwarder import (
     Forwarder,
 )
-from berylcart.coordination.gateway.gateway import CompletedRequest, Gateway
+from berylcart.coordination.gateway.gateway import Gateway
 from berylcart.coordination.gateway.gateway_policy import GatewayPolicy
 from berylcart.coordination.gateway.home_capacity import capacity_permille
 from berylcart.coordination.gateway.joint_placement import JointPlacement
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_metrics.py
@@ -1,7 +1,7 @@
 """Define the Prometheus metrics of a gateway daemon."""
 
 from berylcart.coordination.gateway.batch_shortfall import Shortfall
-from berylcart.coordination.gateway.gateway import CompletedRequest
+from berylcart.coordination.gateway.completed_request import CompletedRequest
 from berylcart.coordination.gateway.second_attempts import (
     HedgeOutcome,
     HedgeSkipReason,
--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -1,4 +1,4 @@
-"""Forward a request to a replica and its response to the client."""
+"""Send requests to replicas: which replica, how often, how it went."""
 
 from functools import partial
 
@@ -12,12 +12,10 @@
     CrashWatch,
 )
 from berylcart.coordination.gateway.drain import Drain
-from berylcart.coordination.gateway.event_splitter import EventSplitter
 from berylcart.coordination.gateway.first_event_times import FirstEventTimes
 from berylcart.coordination.gateway.forward_run import (
     MAX_SENDS,
     MIN_REMAINING_S,
-    FallbackResponse,
     ForwardRun,
     ProgressTimeout,
     placement_query,
@@ -34,14 +32,9 @@
     UpstreamResponse,
 )
 from berylcart.coordination.gateway.response_checks import (
-    HTTP_NOT_EXECUTED,
-    HTTP_OK,
     HTTP_SERVER_ERRORS,
-    check_response,
-    check_resumed,
-    content_type,
-    response_error,
 )
+from berylcart.coordination.gateway.response_forwarder import ResponseForwarder
 from berylcart.coordination.gateway.response_times import ResponseTimes
 from berylcart.coordination.gateway.second_attempts import (
     HedgeOutcome,
@@ -50,7 +43,6 @@
     merge_failures,
 )
 from berylcart.coordination.gateway.stalled_stream import (
-    StallTimer,
     StreamMovedError,
     try_elsewhere,
 )
@@ -72,8 +64,6 @@
 from berylcart.state.vm import Vm
 
 MS_PER_S = 1000
-# Larger responses are forwarded while they arrive.
-BUFFERED_BYTES = 2**20
 
 
 class Forwarder:
@@ -101,6 +91,7 @@
         self.drain = Drain()
         self.first_event_times = FirstEventTimes()
         self.response_times = ResponseTimes()
+        self.responses = ResponseForwarder(self)
 
     async def forward(self, run: ForwardRun) -> int:
         """Forward a request and return the status of the response.
@@ -250,6 +241,25 @@
                 run.failure.retry_after_ms = error.retry_after_ms
             raise run.failure from None
 
+    def record_stream_begun(
+        self, run: ForwardRun, timing: AttemptTiming
+    ) -> None:
+        """Record the first event of a stream."""
+        started_s = run.exchange.received_at_s
+        run.first_event_at_s = now_s()
+        self.first_event_times.record(
+            run.work.route.name, timing.latency_ms / MS_PER_S
+        )
+        events.info(
+            "stream.begun",
+            request_id=run.work.request.request_id,
+            service=run.work.service,
+            vm_id=timing.vm.vm_id,
+            latency_ms=int((now_s() - started_s) * MS_PER_S),
+            attempt_ms=int(timing.latency_ms),
+            target_ms=run.work.route.target_ms,
+        )
+
     def record_event(self, run: ForwardRun, timing: AttemptTiming) -> None:
         """Record that an answer has begun; partial events do not count."""
         if not timing.has_event:
@@ -492,7 +502,7 @@
                 async with self.relay.exchange(request, record_sent) as answer:
                     head = answer.head
                     self.policy.apply_notice(vm, head.notice)
-                    return await self.forward_response(
+                    return await self.responses.forward(
                         run, answer, timing, progress_timeout, entrant
                     )
         finally:
@@ -543,175 +553,6 @@
                 run.time_key, timing.vm, timing.latency_ms
             )
 
-    async def forward_response(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-    ) -> int:
-        """Forward one response."""
-        check_response(answer.head, run.work.route)
-        is_ok = answer.head.status in HTTP_OK
-        if answer.head.is_sealed and not is_ok:
-            self.record_survival(run)
-        if run.work.route.kind is RouteKind.STREAM and is_ok:
-            if run.exchange.is_started:
-                check_resumed(answer.head, run.content_type)
-            await self.forward_stream(
-                run, answer, timing, progress_timeout, entrant
-            )
-        elif run.exchange.is_started:
-            # Its body would terminate the started stream as if it were
-            # complete.
-            raise response_error(answer.head)
-        else:
-            await self.forward_buffered(
-                run, answer, timing, progress_timeout, entrant
-            )
-        return answer.head.status
-
-    async def forward_buffered(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-    ) -> None:
-        """Buffer a response before any of it is sent to the client."""
-        with run.buffering() as body:
-            await self.forward_body(
-                run, answer, timing, progress_timeout, entrant, body
-            )
-
-    async def forward_body(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-        body: bytearray,
-    ) -> None:
-        """Read a body into a buffer and account for the buffered bytes."""
-        head = answer.head
-        has_begun = False
-        while True:
-            data = await answer.read()
-            self.record_first_byte(run, head, timing)
-            if data is None:
-                break
-            body += data
-            if head.status in HTTP_OK:
-                self.record_event(run, timing)
-            run.add_buffered(len(data))
-            if len(body) > BUFFERED_BYTES:
-                has_begun = True
-                # Once the response has started, no other replica can replace
-                # it.
-                progress_timeout.restart(None)
-                with progress_timeout.suspended():
-                    await start_response(run, head, entrant)
-                    await self.flush_buffer(run, body)
-        may_retry = head.status in HTTP_SERVER_ERRORS and run.may_execute_again
-        if not has_begun and (yields_to_rival(entrant, head) or may_retry):
-            run.store_fallback(FallbackResponse(head, bytes(body)))
-            raise response_error(head)
-        progress_timeout.restart(None)
-        run.attempt_at_s = timing.started_s
-        await start_response(run, head, entrant)
-        await self.flush_buffer(run, body)
-        await run.exchange.finish()
-
-    async def flush_buffer(self, run: ForwardRun, body: bytearray) -> None:
-        """Send the buffered bytes and release them."""
-        data = bytes(body)
-        body.clear()
-        try:
-            await run.exchange.send(data)
-        finally:
-            run.add_buffered(-len(data))
-
-    async def forward_stream(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-    ) -> None:
-        """Forward a stream while it arrives."""
-        with run.splitting(entrant) as splitter:
-            await self.forward_events(
-                run, answer, timing, progress_timeout, entrant, splitter
-            )
-
-    async def forward_events(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-        splitter: EventSplitter,
-    ) -> None:
-        """Forward complete events and account for incomplete ones."""
-        scanner = splitter.scanner
-        stall = StallTimer()
-        if progress_timeout.limit_s is None:
-            progress_timeout.restart(run.event_timeout_s())
-        read = partial(self.read_stream, run, answer, progress_timeout, stall)
-        while (data := await read()) is not None:
-            self.record_first_byte(run, answer.head, timing)
-            self.report_placement(run, timing.vm, is_begun=True)
-            if entrant is None or entrant.has_won:
-                run.on_response_started()
-            known_events = scanner.count
-            data = run.split_stream(splitter, data)
-            if scanner.count > known_events:
-                progress_timeout.restart(run.event_timeout_s())
-                stall.restart(run.stall_timeout_s())
-                self.record_event(run, timing)
-            if data:
-                await claim_stream(run, splitter, entrant)
-                with progress_timeout.suspended(), stall.suspended():
-                    await self.start_stream(run, answer.head, timing)
-                    await run.exchange.send(data)
-        if scanner.has_field:
-            raise UpstreamError(
-                Code.UPSTREAM_FAILED,
-                "the stream ended inside an event",
-                ran=Ran.UNKNOWN,
-            )
-        await claim_stream(run, splitter, entrant)
-        progress_timeout.restart(None)
-        await self.start_stream(run, answer.head, timing)
-        if splitter.buffered:
-            await run.exchange.send(splitter.buffered)
-        await run.exchange.finish()
-
-    async def read_stream(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        progress_timeout: ProgressTimeout,
-        stall: StallTimer,
-    ) -> bytes | None:
-        """Read a stream; have other replicas try to go on if it stalls.
-
-        Raises StreamMovedError if one did. The stalled replica is read on if
-        all others refuse, as it may only be reading a long prompt.
-        """
-        if stall.is_running:
-            with anyio.CancelScope(deadline=stall.deadline_s):
-                return await answer.read()
-            stall.restart(None)
-            with progress_timeout.suspended():
-                await self.move_stream(run, answer)
-        return await answer.read()
-
     async def move_stream(
         self, run: ForwardRun, answer: UpstreamResponse
     ) -> None:
@@ -734,63 +575,3 @@
                 last_event_id=run.splitter.last_id,
             )
             await try_elsewhere(answer, partial(self.attempt, run, vm))
-
-    async def start_stream(
-        self, run: ForwardRun, head: ResponseHead, timing: AttemptTiming
-    ) -> None:
-        """Write the response head of a stream, unless already written."""
-        if not run.exchange.is_started:
-            started_s = run.exchange.received_at_s
-            run.first_event_at_s = now_s()
-            self.first_event_times.record(
-                run.work.route.name, timing.latency_ms / MS_PER_S
-            )
-            events.info(
-                "stream.begun",
-                request_id=run.work.request.request_id,
-                service=run.work.service,
-                vm_id=timing.vm.vm_id,
-                latency_ms=int((now_s() - started_s) * MS_PER_S),
-                attempt_ms=int(timing.latency_ms),
-                target_ms=run.work.route.target_ms,
-            )
-            run.content_type = content_type(head.headers)
-            run.attempt_at_s = timing.started_s
-            await run.exchange.start(HTTP_OK[0], head.headers)
-
-
-async def start_response(
-    run: ForwardRun, head: ResponseHead, entrant: RaceParticipant | None
-) -> None:
-    """Claim the client for a response and write its head once.
-
-    An attempt that lost is cancelled here. Raises UpstreamError for a failed
-    response that the other attempt may replace.
-    """
-    if entrant is not None:
-        if yields_to_rival(entrant, head):
-            raise response_error(head)
-        await entrant.claim()
-    if not run.exchange.is_started:
-        await run.exchange.start(head.status, head.headers)
-
-
-async def claim_stream(
-    run: ForwardRun, splitter: EventSplitter, entrant: RaceParticipant | None
-) -> None:
-    """Claim the client for a stream; a losing attempt is cancelled here."""
-    if entrant is not None and not entrant.has_won:
-        await entrant.claim()
-        run.adopt_splitter(splitter)
-        run.on_response_started()
-
-
-def yields_to_rival(
-    entrant: RaceParticipant | None, head: ResponseHead
-) -> bool:
-    """Return whether a failed response yields to the other attempt."""
-    if entrant is None or not entrant.has_competitor:
-        return False
-    return (
-        head.status in HTTP_SERVER_ERRORS or head.status in HTTP_NOT_EXECUTED
-    )
--- a/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/gateway.py
@@ -1,13 +1,16 @@
 """Serve gateway requests: resolve the route, run the stages, forward."""
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 import anyio
 
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.batch_selection import MAX_PIECES
+from berylcart.coordination.gateway.completed_request import (
+    CompletedRequest,
+    RequestLabels,
+)
 from berylcart.coordination.gateway.drain import draining_error
 from berylcart.coordination.gateway.first_event_timeout import (
     first_event_timeout_s,
@@ -25,6 +28,10 @@
 )
 from berylcart.coordination.gateway.ports import CallerExchange, MessageCodec
 from berylcart.coordination.gateway.request_ages import RequestAgeEstimator
+from berylcart.coordination.gateway.request_target import (
+    RequestTarget,
+    resolve_target,
+)
 from berylcart.coordination.gateway.response_checks import HTTP_OK
 from berylcart.coordination.gateway.response_times import ResponseTime
 from berylcart.coordination.gateway.stage_executor import (
@@ -41,10 +48,7 @@
 from berylcart.state.relay_messages import RelayRequest
 from berylcart.state.request import Progress, strongest
 from berylcart.state.routes import (
-    ConfigOrigin,
-    KeyOwner,
     Route,
-    RouteTable,
 )
 from berylcart.state.vm import Vm
 
@@ -52,70 +56,6 @@
 # How often the stages of a request run if their results are lost.
 MAX_STAGE_RUNS = 2
 RETRY_AFTER_MS = 500
-NO_ROUTE = "none"
-
-
-class CompletedRequest(NamedTuple):
-    """A completed request, for the log and the metrics.
-
-    code is 0 if an upstream's response was forwarded. status is the status
-    sent to the client, 0 if the connection was closed without one.
-    config_version is the version that the request was handled by, 0 if none.
-    """
-
-    request_id: str
-    route: str
-    workspace: str
-    status: int
-    code: int
-    ran: Ran
-    latency_ms: float
-    timing: "RequestTiming"
-    config_version: int = 0
-    config_origin: ConfigOrigin = ConfigOrigin()
-
-
-class RequestTiming(NamedTuple):
-    """Tell where the time of a request went, in ms.
-
-    stages_ms are the completed stages' times, first_event_ms is the time from
-    the request's arrival to its first event, None if there was none.
-    """
-
-    target_ms: int = 0
-    stages_ms: tuple[int, ...] = ()
-    first_event_ms: int | None = None
-
-
-class RequestTarget(NamedTuple):
-    """The route and the workspace of a request, looked up once."""
-
-    table: RouteTable
-    route: Route
-    owner: KeyOwner | None
-
-    @property
-    def rank(self) -> int:
-        """Return the priority of the workspace, or else of the route."""
-        if self.owner is not None and self.owner.priority is not None:
-            return self.owner.priority
-        return self.route.priority
-
-
-def resolve_target(table: RouteTable, request: RelayRequest) -> RequestTarget:
-    """Look up a request's route and workspace; raises BerylcartError."""
-    route = table.find(request.host, request.path)
-    if route is None:
-        raise BerylcartError(
-            Code.UNKNOWN_ROUTE,
-            f"no route takes {request.host}{request.path}",
-        )
-    if not table.has_workspaces or route.is_public:
-        return RequestTarget(table, route, None)
-    owner = table.owners.get(request.api_key or "")
-    if owner is None:
-        raise BerylcartError(Code.KEY_UNKNOWN, "no workspace holds the key")
-    return RequestTarget(table, route, owner)
 
 
 class OpenRequest:
@@ -253,7 +193,7 @@
         self,
         exchange: CallerExchange,
         progress: Progress,
-        labels: "RequestLabels",
+        labels: RequestLabels,
     ) -> int:
         """Serve a request within its deadline; raises BerylcartError."""
         request = self.wire.parse_request(exchange.head, exchange.body)
@@ -303,7 +243,7 @@
         target: RequestTarget,
         deadline_s: float,
         progress: Progress,
-        labels: "RequestLabels",
+        labels: RequestLabels,
     ) -> int:
         """Run a request's stages and forward it."""
         route = target.route
@@ -342,7 +282,7 @@
         return not run.sends or self.policy.budget.try_take(run.work.service)
 
     async def run_staged(
-        self, run: ForwardRun, rank: int, labels: "RequestLabels"
+        self, run: ForwardRun, rank: int, labels: RequestLabels
     ) -> int:
         """Run the stages of a request, then forward it."""
         work = run.work
@@ -441,36 +381,3 @@
         ]
         limits = [info.batches for info in infos if info is not None]
         return min((each.link_mbps for each in limits if each), default=0.0)
-
-
-class RequestLabels:
-    """Labels of a request for logs and metrics, set as they become known."""
-
-    def __init__(self) -> None:
-        self.request_id = ""
-        self.route = NO_ROUTE
-        self.workspace = ""
-        self.config_version = 0
-        self.config_origin = ConfigOrigin()
-        self.run: ForwardRun | None = None
-        self.plan: StagePlan | None = None
-
-    def timing(self, exchange: CallerExchange) -> RequestTiming:
-        """Return where the request's time went."""
-        if self.run is None:
-            return RequestTiming()
-        first_s = self.run.first_event_at_s
-        stages = self.plan.latencies_ms if self.plan is not None else {}
-        return RequestTiming(
-            self.run.work.route.target_ms,
-            tuple(latency_ms for _, latency_ms in sorted(stages.items())),
-            None
-            if first_s is None
-            else int((first_s - exchange.received_at_s) * MS_PER_S),
-        )
-
-    def set_target(self, target: RequestTarget) -> None:
-        """Set the route and the workspace."""
-        self.route = target.route.name
-        if target.owner is not None:
-            self.workspace = target.owner.workspace
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -9,9 +9,7 @@
     GAP_TIMEOUT_FACTOR,
     MIN_GAP_TIMEOUT_S,
 )
-from berylcart.coordination.gateway.forwarder import (
-    BUFFERED_BYTES,
-)
+from berylcart.coordination.gateway.response_forwarder import BUFFERED_BYTES
 from berylcart.state.errors import (
     Code,
     InputsGoneError,
--- a/packages/berylcart/tests/coordination/gateway/test_gateway.py
+++ b/packages/berylcart/tests/coordination/gateway/test_gateway.py
@@ -7,7 +7,8 @@
 from berylcart.coordination.gateway.forwarder import (
     Forwarder,
 )
-from berylcart.coordination.gateway.gateway import Gateway, resolve_target
+from berylcart.coordination.gateway.gateway import Gateway
+from berylcart.coordination.gateway.request_target import resolve_target
 from berylcart.coordination.gateway.retry_window import RetryWindow
 from berylcart.coordination.gateway.route_table_holder import RouteTableHolder
 from berylcart.coordination.gateway.second_attempts import (
--- a/packages/berylcart/tests/coordination/gateway/test_second_attempts.py
+++ b/packages/berylcart/tests/coordination/gateway/test_second_attempts.py
@@ -14,10 +14,8 @@
     ForwardRun,
     RoutedRequest,
 )
-from berylcart.coordination.gateway.forwarder import (
-    BUFFERED_BYTES,
-    Forwarder,
-)
+from berylcart.coordination.gateway.forwarder import Forwarder
+from berylcart.coordination.gateway.response_forwarder import BUFFERED_BYTES
 from berylcart.coordination.gateway.second_attempts import (
     MAX_SAMPLES,
     MIN_SAMPLES,
