End a fault run's history when its logs are read

test_fault_plans[daemon-killed] failed once beside load: "entry-2 did not apply version 1 in time". Cause, in the harness: the logs were read, then the fleet was stopped for 5 s, and only then the end was recorded. A daemon that starts as its log is read, as one does that load delays by 4 s, has no version there and counted as late.

The end is the moment before the logs are read. The new test failed before for a daemon that was not watched; one that was watched for the bound still counts.

--- a/packages/berylcart-tools/src/berylcart_tools/faults/run.py
+++ b/packages/berylcart-tools/src/berylcart_tools/faults/run.py
@@ -53,8 +53,10 @@
     async with running_fleet(AUTHORITY, POLICY, seed) as fleet:
         await run_under_faults(plan, seed, fleet, recorder)
         await anyio.sleep(SETTLE_S)
+        # What processes log after their logs were read is unknown.
+        ended_ms = monotonic_ms()
         await collect_events(fleet, recorder, clock_offset_ms)
-    recorder.add(HistoryEndEvent(kind="end", at_ms=monotonic_ms()))
+    recorder.add(HistoryEndEvent(kind="end", at_ms=ended_ms))
     recorder.write(path)
     return evaluate_history(plan, seed, path)
 
--- a/packages/berylcart-tools/tests/faults/test_fault_components.py
+++ b/packages/berylcart-tools/tests/faults/test_fault_components.py
@@ -1,11 +1,14 @@
 """Test plans, log parsing and recording without starting processes."""
 
 import random
+from contextlib import asynccontextmanager
 
+import anyio
 import pytest
 from berylcart.state.config_text import parse
 from berylcart_tools.experiments.deployments import AUTHORITY, config_text
 from berylcart_tools.experiments.layout import Upstream
+from berylcart_tools.faults import run as fault_run
 from berylcart_tools.faults.collect import record_runs, to_monotonic_ms
 from berylcart_tools.faults.injection import (
     CONTENDED_WORKSPACE,
@@ -17,6 +20,7 @@
     parse_log_fields,
     read_log_events,
 )
+from berylcart_tools.faults.run import IN_FORCE_BOUND_MS, run_plan
 
 RAN_LOG_LINE = (
     "time=2026-01-01T00:00:00.000Z level=info event=standin.ran "
@@ -93,3 +97,36 @@
     assert [event["at_ms"] for event in recorder.sorted_events()] == sorted(
         times
     )
+
+
+@pytest.mark.parametrize("watched_ms", [0, IN_FORCE_BOUND_MS])
+def test_daemon_is_judged_only_while_it_is_watched(
+    watched_ms, tmp_path, monkeypatch
+):
+    """A daemon that started as its log was read counted as late."""
+    clock = {"now_ms": 1000}
+
+    @asynccontextmanager
+    async def running_fleet(*args):
+        yield None
+        clock["now_ms"] += 5 * IN_FORCE_BOUND_MS
+
+    async def run_under_faults(plan, seed, fleet, recorder):
+        at_ms = clock["now_ms"]
+        recorder.add(
+            {"kind": "accepted", "at_ms": 1, "version": 1, "places": {}}
+        )
+        recorder.add({"kind": "joined", "at_ms": at_ms, "daemon": "entry-2"})
+        clock["now_ms"] += watched_ms
+
+    async def collect_events(*args):
+        clock["now_ms"] += 1
+
+    monkeypatch.setattr(fault_run, "monotonic_ms", lambda: clock["now_ms"])
+    monkeypatch.setattr(fault_run, "running_fleet", running_fleet)
+    monkeypatch.setattr(fault_run, "run_under_faults", run_under_faults)
+    monkeypatch.setattr(fault_run, "collect_events", collect_events)
+    monkeypatch.setattr(fault_run, "SETTLE_S", 0.0)
+    path = tmp_path / "history.jsonl"
+    outcome = anyio.run(run_plan, PLANS[0], 1, path)
+    assert bool(outcome.violations) is (watched_ms >= IN_FORCE_BOUND_MS)
