--- a/packages/berylcart/tests/protocol/test_http_requests.py
+++ b/packages/berylcart/tests/protocol/test_http_requests.py
@@ -13,9 +13,9 @@
 POST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
 
 
-def parse(data, step=1):
+def parse(data, step=1, parser=None):
     """Feed bytes in chunks of step bytes and return the parsed parts."""
-    parser = RequestParser(MAX_HEAD)
+    parser = parser or RequestParser(MAX_HEAD)
     parts = []
     for start in range(0, len(data), step):
         parser.feed(data[start : start + step])
@@ -106,11 +106,7 @@
     """Such requests ran with an empty body, and a 400 followed."""
     data = (head + OFFER + b"\r\n" + body) * 3
     parser = RequestParser(MAX_HEAD)
-    parts = []
-    for start in range(0, len(data), step):
-        parser.feed(data[start : start + step])
-        while (part := parser.next_part()) is not None:
-            parts.append(part)
+    parts = parse(data, step, parser)
     heads = [part for part in parts if isinstance(part, RequestHead)]
     assert [each.head.target for each in heads] == ["/a"] * 3
     assert parts.count(RequestEnd(keep_alive=True)) == 3
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -526,10 +526,26 @@
     run_with_server(scenario)
 
 
+async def open_connection(listener, buffer_budget):
+    """Open a connection that counts its bytes in a budget."""
+    _, connection = await asyncio.get_running_loop().create_connection(
+        lambda: PeerConnection(buffer_budget=buffer_budget),
+        *listener.sockets[0].getsockname(),
+    )
+    return connection
+
+
+async def close_all(listener, writers):
+    """Close a listener and the connections that it accepted."""
+    for writer in writers:
+        writer.transport.abort()
+    await asyncio.sleep(0)
+    listener.close()
+
+
 def test_unsent_bytes_count_as_held_until_sent():
     async def scenario(peers, server, handlers):
         buffer_budget = BufferBudget()
-        loop = asyncio.get_running_loop()
         may_read = asyncio.Event()
 
         async def accept(reader, writer):
@@ -539,17 +555,14 @@
             writer.close()
 
         listener = await asyncio.start_server(accept, "127.0.0.1", 0)
-        transport, connection = await loop.create_connection(
-            lambda: PeerConnection(buffer_budget=buffer_budget),
-            *listener.sockets[0].getsockname(),
-        )
+        connection = await open_connection(listener, buffer_budget)
         for _ in range(2):
             connection.notify("Other", b"x" * (6 * 2**20))
         await asyncio.sleep(0)
         assert buffer_budget.total_bytes > 2**20
         may_read.set()
         await wait_until(lambda: not buffer_budget.total_bytes)
-        transport.close()
+        connection.close()
         listener.close()
 
     run_with_server(scenario)
@@ -558,23 +571,16 @@
 def test_peer_that_does_not_read_is_disconnected_over_the_limit():
     async def scenario(peers, server, handlers):
         buffer_budget = BufferBudget(2**20)
-        loop = asyncio.get_running_loop()
         writers = []
         listener = await asyncio.start_server(
             lambda reader, writer: writers.append(writer), "127.0.0.1", 0
         )
-        _, connection = await loop.create_connection(
-            lambda: PeerConnection(buffer_budget=buffer_budget),
-            *listener.sockets[0].getsockname(),
-        )
+        connection = await open_connection(listener, buffer_budget)
         for _ in range(2):
             connection.notify("Other", b"x" * (6 * 2**20))
         await wait_until(lambda: not connection.is_open)
         assert buffer_budget.total_bytes == 0
-        for writer in writers:
-            writer.transport.abort()
-        await asyncio.sleep(0)
-        listener.close()
+        await close_all(listener, writers)
 
     run_with_server(scenario)
 
@@ -584,7 +590,6 @@
 
     async def scenario(peers, server, handlers):
         buffer_budget = BufferBudget(2**20)
-        loop = asyncio.get_running_loop()
         frame = write_notification("Other", b"x" * (6 * 2**20))
         writers = []
 
@@ -593,13 +598,9 @@
             writer.write(frame[: 2**19])
 
         listener = await asyncio.start_server(accept, "127.0.0.1", 0)
-        connections = []
-        for _ in range(2):
-            _, connection = await loop.create_connection(
-                lambda: PeerConnection(buffer_budget=buffer_budget),
-                *listener.sockets[0].getsockname(),
-            )
-            connections.append(connection)
+        connections = [
+            await open_connection(listener, buffer_budget) for _ in range(2)
+        ]
         await wait_until(lambda: buffer_budget.total_bytes == 2**20)
         writers[0].write(frame[2**19 : 2**19 + 100])
         await wait_until(lambda: not all(each.is_open for each in connections))
@@ -607,9 +608,6 @@
         for connection in connections:
             connection.abort()
         await wait_until(lambda: not buffer_budget.total_bytes)
-        for writer in writers:
-            writer.transport.abort()
-        await asyncio.sleep(0)
-        listener.close()
+        await close_all(listener, writers)
 
     run_with_server(scenario)
