--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -34,7 +34,10 @@
 from berylcart.coordination.gateway.response_checks import (
     HTTP_SERVER_ERRORS,
 )
-from berylcart.coordination.gateway.response_forwarder import ResponseForwarder
+from berylcart.coordination.gateway.response_forwarder import (
+    Reply,
+    ResponseForwarder,
+)
 from berylcart.coordination.gateway.response_times import ResponseTimes
 from berylcart.coordination.gateway.second_attempts import (
     HedgeOutcome,
@@ -502,9 +505,10 @@
                 async with self.relay.exchange(request, record_sent) as answer:
                     head = answer.head
                     self.policy.apply_notice(vm, head.notice)
-                    return await self.responses.forward(
+                    reply = Reply(
                         run, answer, timing, progress_timeout, entrant
                     )
+                    return await self.responses.forward(reply)
         finally:
             attempt.cancel()
             self.record_lost_attempt(run, timing, entrant)
--- a/packages/berylcart/src/berylcart/coordination/gateway/response_forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/response_forwarder.py
@@ -1,7 +1,6 @@
 """Forward the response of one attempt to the client."""
 
-from functools import partial
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 
@@ -33,6 +32,19 @@
 BUFFERED_BYTES = 2**20
 
 
+class Reply(NamedTuple):
+    """One attempt's response and what bounds and follows its forwarding.
+
+    entrant is None if no other attempt may run at the same time.
+    """
+
+    run: ForwardRun
+    answer: UpstreamResponse
+    timing: AttemptTiming
+    progress_timeout: ProgressTimeout
+    entrant: RaceParticipant | None
+
+
 class Attempts(Protocol):
     """Follow the progress of attempts, and move a stalled stream."""
 
@@ -80,85 +92,56 @@
     def __init__(self, attempts: Attempts) -> None:
         self.attempts = attempts
 
-    async def forward(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-    ) -> int:
+    async def forward(self, reply: Reply) -> int:
         """Forward one response and return its status; raises UpstreamError."""
-        check_response(answer.head, run.work.route)
-        is_ok = answer.head.status in HTTP_OK
-        if answer.head.is_sealed and not is_ok:
+        run, head = reply.run, reply.answer.head
+        check_response(head, run.work.route)
+        is_ok = head.status in HTTP_OK
+        if head.is_sealed and not is_ok:
             self.attempts.record_survival(run)
         if run.work.route.kind is RouteKind.STREAM and is_ok:
             if run.exchange.is_started:
-                check_resumed(answer.head, run.content_type)
-            await self.forward_stream(
-                run, answer, timing, progress_timeout, entrant
-            )
+                check_resumed(head, run.content_type)
+            with run.splitting(reply.entrant) as splitter:
+                await self.forward_events(reply, splitter)
         elif run.exchange.is_started:
             # Its body would terminate the started stream as if it were
             # complete.
-            raise response_error(answer.head)
+            raise response_error(head)
         else:
-            await self.forward_buffered(
-                run, answer, timing, progress_timeout, entrant
-            )
-        return answer.head.status
-
-    async def forward_buffered(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-    ) -> None:
-        """Buffer a response before any of it is sent to the client."""
-        with run.buffering() as body:
-            await self.forward_body(
-                run, answer, timing, progress_timeout, entrant, body
-            )
+            with run.buffering() as body:
+                await self.forward_body(reply, body)
+        return head.status
 
-    async def forward_body(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-        body: bytearray,
-    ) -> None:
-        """Read a body into a buffer and account for the buffered bytes."""
-        head = answer.head
+    async def forward_body(self, reply: Reply, body: bytearray) -> None:
+        """Buffer a body before any of it is sent; count what is held."""
+        run, head = reply.run, reply.answer.head
         has_begun = False
         while True:
-            data = await answer.read()
-            self.attempts.record_first_byte(run, head, timing)
+            data = await reply.answer.read()
+            self.attempts.record_first_byte(run, head, reply.timing)
             if data is None:
                 break
             body += data
             if head.status in HTTP_OK:
-                self.attempts.record_event(run, timing)
+                self.attempts.record_event(run, reply.timing)
             run.add_buffered(len(data))
             if len(body) > BUFFERED_BYTES:
                 has_begun = True
                 # Once the response has started, no other replica can replace
                 # it.
-                progress_timeout.restart(None)
-                with progress_timeout.suspended():
-                    await start_response(run, head, entrant)
+                reply.progress_timeout.restart(None)
+                with reply.progress_timeout.suspended():
+                    await start_response(run, head, reply.entrant)
                     await self.flush_buffer(run, body)
         may_retry = head.status in HTTP_SERVER_ERRORS and run.may_execute_again
-        if not has_begun and (yields_to_rival(entrant, head) or may_retry):
+        is_yielding = yields_to_rival(reply.entrant, head) or may_retry
+        if not has_begun and is_yielding:
             run.store_fallback(FallbackResponse(head, bytes(body)))
             raise response_error(head)
-        progress_timeout.restart(None)
-        run.attempt_at_s = timing.started_s
-        await start_response(run, head, entrant)
+        reply.progress_timeout.restart(None)
+        run.attempt_at_s = reply.timing.started_s
+        await start_response(run, head, reply.entrant)
         await self.flush_buffer(run, body)
         await run.exchange.finish()
 
@@ -171,50 +154,30 @@
         finally:
             run.add_buffered(-len(data))
 
-    async def forward_stream(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-    ) -> None:
-        """Forward a stream while it arrives."""
-        with run.splitting(entrant) as splitter:
-            await self.forward_events(
-                run, answer, timing, progress_timeout, entrant, splitter
-            )
-
     async def forward_events(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        timing: AttemptTiming,
-        progress_timeout: ProgressTimeout,
-        entrant: RaceParticipant | None,
-        splitter: EventSplitter,
+        self, reply: Reply, splitter: EventSplitter
     ) -> None:
-        """Forward complete events and account for incomplete ones."""
+        """Forward events as they arrive and count incomplete ones as held."""
+        run, timing, timeout = reply.run, reply.timing, reply.progress_timeout
         scanner = splitter.scanner
         stall = StallTimer()
-        if progress_timeout.limit_s is None:
-            progress_timeout.restart(run.event_timeout_s())
-        read = partial(self.read_stream, run, answer, progress_timeout, stall)
-        while (data := await read()) is not None:
-            self.attempts.record_first_byte(run, answer.head, timing)
+        if timeout.limit_s is None:
+            timeout.restart(run.event_timeout_s())
+        while (data := await self.read_stream(reply, stall)) is not None:
+            self.attempts.record_first_byte(run, reply.answer.head, timing)
             self.attempts.report_placement(run, timing.vm, is_begun=True)
-            if entrant is None or entrant.has_won:
+            if reply.entrant is None or reply.entrant.has_won:
                 run.on_response_started()
             known_events = scanner.count
             data = run.split_stream(splitter, data)
             if scanner.count > known_events:
-                progress_timeout.restart(run.event_timeout_s())
+                timeout.restart(run.event_timeout_s())
                 stall.restart(run.stall_timeout_s())
                 self.attempts.record_event(run, timing)
             if data:
-                await claim_stream(run, splitter, entrant)
-                with progress_timeout.suspended(), stall.suspended():
-                    await self.start_stream(run, answer.head, timing)
+                await claim_stream(run, splitter, reply.entrant)
+                with timeout.suspended(), stall.suspended():
+                    await self.start_stream(reply)
                     await run.exchange.send(data)
         if scanner.has_field:
             raise UpstreamError(
@@ -222,19 +185,15 @@
                 "the stream ended inside an event",
                 ran=Ran.UNKNOWN,
             )
-        await claim_stream(run, splitter, entrant)
-        progress_timeout.restart(None)
-        await self.start_stream(run, answer.head, timing)
+        await claim_stream(run, splitter, reply.entrant)
+        timeout.restart(None)
+        await self.start_stream(reply)
         if splitter.buffered:
             await run.exchange.send(splitter.buffered)
         await run.exchange.finish()
 
     async def read_stream(
-        self,
-        run: ForwardRun,
-        answer: UpstreamResponse,
-        progress_timeout: ProgressTimeout,
-        stall: StallTimer,
+        self, reply: Reply, stall: StallTimer
     ) -> bytes | None:
         """Read a stream; have other replicas try to go on if it stalls.
 
@@ -243,20 +202,19 @@
         """
         if stall.is_running:
             with anyio.CancelScope(deadline=stall.deadline_s):
-                return await answer.read()
+                return await reply.answer.read()
             stall.restart(None)
-            with progress_timeout.suspended():
-                await self.attempts.move_stream(run, answer)
-        return await answer.read()
+            with reply.progress_timeout.suspended():
+                await self.attempts.move_stream(reply.run, reply.answer)
+        return await reply.answer.read()
 
-    async def start_stream(
-        self, run: ForwardRun, head: ResponseHead, timing: AttemptTiming
-    ) -> None:
+    async def start_stream(self, reply: Reply) -> None:
         """Write the response head of a stream, unless already written."""
+        run, head = reply.run, reply.answer.head
         if not run.exchange.is_started:
-            self.attempts.record_stream_begun(run, timing)
+            self.attempts.record_stream_begun(run, reply.timing)
             run.content_type = content_type(head.headers)
-            run.attempt_at_s = timing.started_s
+            run.attempt_at_s = reply.timing.started_s
             await run.exchange.start(HTTP_OK[0], head.headers)
 
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/store_watchers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/store_watchers.py
@@ -1,8 +1,8 @@
-"""Choose the daemons that wait only briefly for a change of the store.
+"""Choose the daemons that poll the store often, to notice lost responses.
 
-A wait whose response is lost ends only with its timeout. Some daemons wait for
-a time within which a change must be known and tell the others; to wait so
-briefly at each of hundreds would be a load on the store.
+The response to a long poll may be lost, which only the timeout of the poll
+shows. A few daemons poll briefly and tell the others by gossip, as the calls of
+hundreds of daemons would load the store.
 """
 
 from collections.abc import Sequence
