--- a/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forwarder.py
@@ -1,4 +1,4 @@
-"""Send requests to replicas: which replica, how often, how it went."""
+"""Choose the replicas of requests, and retry and hedge attempts."""
 
 from functools import partial
 
