--- a/packages/berylcart/src/berylcart/coordination/gateway/store_watchers.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/store_watchers.py
@@ -1,8 +1,8 @@
 """Choose the daemons that poll the store often, to notice lost responses.
 
 The response to a long poll may be lost, which only the timeout of the poll
-shows. A few daemons poll briefly and tell the others by gossip, as the calls of
-hundreds of daemons would load the store.
+shows. A few daemons poll briefly and tell the others by gossip, as the calls
+of hundreds of daemons would load the store.
 """
 
 from collections.abc import Sequence
