--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -217,7 +217,7 @@
                         self.changed.wait(), deadline - time.monotonic())
             data = struct.pack(">QQ", len(log), 0)
             for key, value in log[start:]:
-                content = bytes([len(key)]) + key.encode() + value
+                content = bytes([len(key.encode())]) + key.encode() + value
                 data += struct.pack(">I", len(content)) + content
             return http_message(200, [], data)
         return http_message(404, [], b"{}")
