Take late requests of a stopping daemon by their deadline only

Cause: requests were taken up to 3.3 s after the signal if they were expected to end in time, and the expectation, the longest of the last 32 responses for each token allowed, is far too low for a stream that uses its allowance after others that stopped early. The case's log shows responses that began 0.1 s after they were sent, which rules out a slow replica.

From 0.2 s before the last entry lists expire only a deadline that ends the request before the stop lets it in, as nothing else bounds a response for certain. Before that the expectation decides as before.

test_stop_cuts_no_late_stream_that_outlasts_the_earlier_ones failed before in all eight cases. test_short_requests_are_served_until_lists_have_expired asked that a plain request with 15 s left be served 3.2 s after the signal, which relies on the same expectation; it now asks so of one whose deadline allows it, and a refusal of the other, with one more request in each.

Tried and not kept: the time of all tokens that a request allows at the slowest pace seen, from the signal on.

--- a/packages/berylcart/src/berylcart/coordination/gateway/drain.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/drain.py
@@ -9,6 +9,9 @@
 MAX_ENTRY_LIST_LIFETIMES = 3
 # Time for the other daemons to learn that this one has left the entry lists.
 GOSSIP_MARGIN_S = 0.3
+# A busy process handles the signal this much later than the callers, whose
+# entry lists expire, count from.
+SIGNAL_MARGIN_S = 0.2
 # Part of the grace period that is reserved for leaving the membership and for
 # the exit of the process.
 EXIT_MARGIN_S = 0.6
@@ -22,10 +25,13 @@
 class DrainSchedule(NamedTuple):
     """Times of a planned stop, in seconds of the runtime's clock.
 
-    From refuse_s every new request is refused. At answer_s the requests whose
-    response has not begun get an error. At end_s all connections are closed.
+    From late_s, when the entry lists that name the daemon expire, a request is
+    taken only if its deadline ends it in time. From refuse_s every new request
+    is refused. At answer_s the requests whose response has not begun get an
+    error. At end_s all connections are closed.
     """
 
+    late_s: float
     refuse_s: float
     answer_s: float
     end_s: float
@@ -37,16 +43,19 @@
     """Return the times of a stop that must be over after grace_s.
 
     >>> [round(time_s, 1) for time_s in drain_schedule(0.0, 10.0, 1.0)]
-    [3.3, 9.1, 9.4]
+    [2.8, 3.3, 9.1, 9.4]
     >>> [round(time_s, 1) for time_s in drain_schedule(0.0, 2.0, 1.0)]
-    [1.2, 1.2, 1.5]
+    [1.2, 1.2, 1.2, 1.5]
     """
     max_margin_s = MAX_MARGIN_SHARE * grace_s
     end_s = started_s + grace_s - min(EXIT_MARGIN_S, max_margin_s)
     answer_s = end_s - min(ANSWER_MARGIN_S, max_margin_s)
-    unlisted_s = MAX_ENTRY_LIST_LIFETIMES * entry_lifetime_s + GOSSIP_MARGIN_S
+    unlisted_s = started_s + MAX_ENTRY_LIST_LIFETIMES * entry_lifetime_s
     return DrainSchedule(
-        min(started_s + unlisted_s, answer_s), answer_s, end_s
+        min(unlisted_s - SIGNAL_MARGIN_S, answer_s),
+        min(unlisted_s + GOSSIP_MARGIN_S, answer_s),
+        answer_s,
+        end_s,
     )
 
 
@@ -73,11 +82,14 @@
         """Raise DRAINING if a new request is not to be taken.
 
         expected_s is the longest time that it is expected to take, None if
-        unknown. Its deadline bounds that time.
+        unknown. Its deadline bounds that time. Expectations, which can fail,
+        do not count from late_s on.
         """
-        if self.schedule is not None and now_s() >= self.schedule.refuse_s:
+        schedule = self.schedule
+        if schedule is not None and now_s() >= schedule.refuse_s:
             raise draining_error("this entry is stopping")
-        self.check_end(deadline_s, expected_s)
+        is_late = schedule is not None and now_s() >= schedule.late_s
+        self.check_end(deadline_s, None if is_late else expected_s)
 
     def check_end(self, deadline_s: float, expected_s: float | None) -> None:
         """Raise DRAINING if a request may not end before the stop."""
--- a/packages/berylcart/tests/coordination/gateway/test_drain.py
+++ b/packages/berylcart/tests/coordination/gateway/test_drain.py
@@ -34,7 +34,7 @@
 @pytest.mark.parametrize("grace_s", [0.1, 1.0, 3.0, 8.0, 300.0])
 def test_stop_ends_within_any_grace_period(grace_s):
     schedule = drain_schedule(0.0, grace_s, 1.0)
-    assert 0 < schedule.refuse_s <= schedule.answer_s
+    assert 0 < schedule.late_s <= schedule.refuse_s <= schedule.answer_s
     assert schedule.answer_s < schedule.end_s < grace_s
 
 
@@ -227,18 +227,47 @@
     run(check)
 
 
-def test_short_requests_are_served_until_lists_have_expired():
+@pytest.mark.parametrize(
+    ("deadline_ms", "statuses"),
+    [(3_500, [200, 200, 200, 2003]), (15_000, [200, 200, 2003])],
+)
+def test_short_requests_are_served_until_lists_have_expired(
+    deadline_ms, statuses
+):
     async def check():
         slow = ScriptedResponse(starts_after_s=0.5)
-        rig = StoppingRig(BOOKING, ScriptedResponse(), slow)
+        rig = StoppingRig(BOOKING, *[ScriptedResponse()] * 2, slow)
         rig.record_time(0.0, 0.5)
-        exchanges = await rig.play(0.2, 3.3, 3.6)
-        assert [each.status for each in exchanges] == [200, 200, 2003]
+        rig.wire.request = rig.wire.request._replace(deadline_ms=deadline_ms)
+        exchanges = await rig.play(0.2, 2.8, 3.3, 3.6)
+        assert [each.status for each in exchanges] == statuses
         assert now_s() < rig.started_s + 4
 
     run(check)
 
 
+def events_every(interval_s, count):
+    """Script a stream of events at a fixed pace."""
+    return ScriptedResponse(OK, (interval_s, EVENT) * count)
+
+
+@pytest.mark.parametrize("sent_s", [2.85, 3.0, 3.1, 3.25])
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+def test_stop_cuts_no_late_stream_that_outlasts_the_earlier_ones(
+    route, sent_s
+):
+    """Long late streams were expected to end as early as short ones."""
+
+    async def check():
+        short = [events_every(0.1, 4) for _ in range(3)]
+        rig = StoppingRig(route, *short, events_every(0.1, 50))
+        exchanges = await rig.play(0.0, 0.5, 1.0, 4 + sent_s, stop_s=4.0)
+        assert [each.is_finished for each in exchanges] == [True] * 4
+        assert exchanges[-1].data == b"no"
+
+    run(check)
+
+
 class RandomStop(StoppingRig):
     """Send random requests around a stop at a random time."""
 
