Refuse heads that are none of a response

Cause: httptools checks the syntax of a head only, and each parsed head was taken for a response. Blanks and control bytes in the name of a field, the report of other systems, were refused already on every path tried, which the tests now hold.

response_heads decides which heads are responses. All readers of responses share the parser that asks it, so that routes, resumed streams, calls to stages and the store are covered; the attempt counts as may have run.

--- a/packages/berylcart/src/berylcart/protocol/http_responses.py
+++ b/packages/berylcart/src/berylcart/protocol/http_responses.py
@@ -5,19 +5,22 @@
 
 import httptools
 
+from berylcart.protocol.response_heads import (
+    CONTENT_LENGTH,
+    INFORMATIONAL_STATUSES,
+    TRANSFER_ENCODING,
+    head_fault,
+)
 from berylcart.state.relay_messages import Headers
 
 # Common servers limit heads to 8 to 64 KB; this is the largest of those
 # limits.
 MAX_HEAD_BYTES = 64 * 2**10
-INFORMATIONAL_STATUSES = range(100, 200)
 # Responses with these statuses have no body, whatever their headers say.
 BODILESS_STATUSES = (204, 304)
 # HttpParserUpgrade is not a subclass of HttpParserError. No request asks for
 # an upgrade.
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
-CONTENT_LENGTH = b"content-length"
-TRANSFER_ENCODING = b"transfer-encoding"
 
 
 class AnswerError(Exception):
@@ -68,6 +71,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.parts: deque[ResponsePart] = deque()
         self.headers: list[tuple[bytes, bytes]] = []
+        self.reason = b""
         self.is_in_message = False
         self.is_in_body = False
         self.is_close_delimited = False
@@ -84,7 +88,13 @@
         try:
             self.parser.feed_data(data)
         except PARSER_ERRORS as error:
-            self.error = AnswerError(f"{type(error).__name__}: {error}")
+            # The parser wraps an error that a callback raised.
+            cause = error.__context__
+            self.error = (
+                cause
+                if isinstance(cause, AnswerError)
+                else AnswerError(f"{type(error).__name__}: {error}")
+            )
         if len(self.parts) > previous_parts:
             self.framing_bytes = 0
             return
@@ -125,6 +135,11 @@
         """Start a response."""
         self.is_in_message = True
         self.headers = []
+        self.reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Store a part of the reason."""
+        self.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are discarded."""
@@ -132,12 +147,18 @@
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Finish the head of a response."""
+        """Finish the head of a response; raises AnswerError."""
         status = self.parser.get_status_code()
+        headers = tuple(self.headers)
+        fault = head_fault(
+            self.parser.get_http_version(), status, self.reason, headers
+        )
+        if fault is not None:
+            raise AnswerError(f"the head has {fault}")
         if status in INFORMATIONAL_STATUSES:
             return
-        self.parts.append(ResponseHead(status, tuple(self.headers)))
-        names = [name for name, _ in self.headers]
+        self.parts.append(ResponseHead(status, headers))
+        names = [name for name, _ in headers]
         self.is_close_delimited = (
             CONTENT_LENGTH not in names and TRANSFER_ENCODING not in names
         )
--- a/packages/berylcart/tests/protocol/test_http_responses.py
+++ b/packages/berylcart/tests/protocol/test_http_responses.py
@@ -9,6 +9,8 @@
     ResponseParser,
 )
 
+from ..invalid_responses import INVALID_RESPONSES
+
 WITH_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
 CHUNKED = (
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -195,3 +197,31 @@
     parser = ResponseParser()
     with pytest.raises(AnswerError):
         parse(parser, b"HTTP/1.1 200 OK\nContent-Length: 0\n\n")
+
+
+@pytest.mark.parametrize("step", [1, 1000])
+@pytest.mark.parametrize("data", INVALID_RESPONSES)
+def test_what_is_no_response_is_not_completed(data, step):
+    """Statuses such as 000 and unclear lengths came through as responses."""
+    parser = ResponseParser()
+    for start in range(0, len(data), step):
+        parser.feed(data[start : start + step])
+    assert ResponseEnd() not in parser.parts
+    with pytest.raises(AnswerError):
+        parse(parser)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 204 No Content\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+        b"HTTP/1.1 200 Tr\xe8s\tbien\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + WITH_LENGTH,
+    ],
+)
+def test_unusual_response_is_completed(data):
+    assert parse(ResponseParser(), data)[-1] == ResponseEnd()
--- a/packages/berylcart/tests/transport/test_http_client.py
+++ b/packages/berylcart/tests/transport/test_http_client.py
@@ -14,6 +14,8 @@
     HttpTooLargeError,
 )
 
+from ..invalid_responses import INVALID_RESPONSES
+
 pytestmark = pytest.mark.anyio
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -184,3 +186,12 @@
             with pytest.raises(HttpError) as raised:
                 await call(address)
             assert raised.value.is_sent
+
+
+async def test_what_is_no_response_fails_the_call(serve_bytes):
+    """Statuses such as 000 and unclear lengths came through as responses."""
+    for data in INVALID_RESPONSES:
+        async with serve_bytes(data) as address:
+            with pytest.raises(HttpError) as raised:
+                await call(address)
+            assert raised.value.is_sent
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import anyio.lowlevel
 import pytest
 from berylcart.coordination.serving.hedging import first_reply
 from berylcart.state.errors import (
@@ -16,6 +17,8 @@
 from berylcart.transport.channel import Channel
 from berylcart.transport.relay_client import MAX_STALE_BYTES, RelayClient
 
+from ..invalid_responses import INVALID_RESPONSES
+
 pytestmark = pytest.mark.anyio
 
 
@@ -394,3 +397,14 @@
             with pytest.raises(UpstreamError) as raised:
                 await fetch(client, upstream.address, "r1")
             assert raised.value.ran is Ran.UNKNOWN
+
+
+@pytest.mark.parametrize("ending", ["close", "reset"])
+async def test_what_is_no_response_fails_the_request(ending):
+    """Statuses such as 000 and unclear lengths came through as responses."""
+    script = [(data, ending) for data in INVALID_RESPONSES]
+    async with run_relay(*script) as (upstream, client):
+        for _ in INVALID_RESPONSES:
+            with pytest.raises(UpstreamError) as raised:
+                await fetch(client, upstream.address, "r1")
+            assert raised.value.ran is Ran.UNKNOWN
