Read a response while its request is sent

Cause: a failed send takes the error of the connection, so that the next read sees an orderly end, which completes such an answer. And nothing of a response was read before its request was sent: replica and daemon waited for each other until TCP_USER_TIMEOUT ended the connection of a replica that was alive.

Channel keeps the first error for both directions. The rest of a request is sent while its response is read, without a task where one call sends it all. A response without a length is complete only if its request was received whole. What is left of a request whose response is complete follows in the background, counted in the buffer budget, before its connection is used again.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -202,7 +202,9 @@
         self.ports.pieces.on_notice = self.handle_piece_notice
         self.vms_by_address: dict[str, Vm] = {}
         self.directory.on_change = self.update_replicas
-        self.relay = RelayClient(self.ports.wire.parse_response_head)
+        self.relay = RelayClient(
+            self.ports.wire.parse_response_head, self.buffer_budget
+        )
         self.batchers: dict[str, Batcher] = {}
         self.order_router = OrderRouter(
             self.settings.daemon_id,
@@ -571,6 +573,7 @@
         tasks.start_soon(run_with_restarts, self.directory.run)
         tasks.start_soon(run_with_restarts, self.membership.run)
         tasks.start_soon(run_with_restarts, self.sync.run)
+        tasks.start_soon(run_with_restarts, self.relay.run)
         tasks.start_soon(run_with_restarts, self.run_housekeeping)
         tasks.start_soon(run_with_restarts, self.maintain_registration)
         tasks.start_soon(run_with_restarts, self.part_faults.run)
--- a/packages/berylcart/src/berylcart/protocol/http_responses.py
+++ b/packages/berylcart/src/berylcart/protocol/http_responses.py
@@ -110,7 +110,7 @@
         This completes a response whose body is delimited by the end of the
         connection. Raises ConnectionResetError when a response is incomplete.
         """
-        if not (self.is_in_body and self.is_close_delimited):
+        if not self.ends_with_connection:
             raise ConnectionResetError("closed before the answer's end")
         self.keep_alive = False
         self.on_message_complete()
@@ -123,6 +123,11 @@
             raise self.error
         return None
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the end of the connection completes a response."""
+        return self.is_in_body and self.is_close_delimited
+
     @property
     def is_reusable(self) -> bool:
         """Return whether another request may use the connection."""
--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -8,16 +8,24 @@
 import os
 import socket
 import struct
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 import anyio
 import anyio.lowlevel
 
 from berylcart.transport.socket_addresses import split_address
+from berylcart.transport.tcp_info import read_tcp_info, unsent_bytes
 
 READ_BYTES = 64 * 2**10
+# How often the peer's acknowledgement of the last bytes is looked for.
+ACKNOWLEDGEMENT_POLL_S = 0.01
+NOTHING = memoryview(b"")
 # Well below the shortest timeout that relies on detecting a dead connection.
 USER_TIMEOUT_MS = 2000
+# For a peer that may be busy: longer than most requests may take.
+BUSY_USER_TIMEOUT_MS = 30_000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -73,6 +81,10 @@
 class Channel:
     """Wrap one connected socket; the methods raise OSError on failure.
 
+    The system reports an error of a connection once, to whichever call comes
+    first, and then shows an end as after an orderly close. The channel keeps
+    the first error, and raises it in place of such an end.
+
     user_timeout_ms is TCP_USER_TIMEOUT: it bounds the time without progress
     while data is unacknowledged or waits for the peer's receive window. 0
     selects the system default.
@@ -86,13 +98,25 @@
     ) -> None:
         configure_socket(sock, user_timeout_ms, keep_alive)
         self.sock = sock
+        self.user_timeout_ms = user_timeout_ms
+        self.error: OSError | None = None
+        # What start_sending() has yet to send.
+        self.output = NOTHING
+        # Whether a peer that does not read is distinguished from a dead one.
+        self.allows_busy_peer = False
         self.is_closed = False
         # Whether the last read took all input that had arrived.
         self.is_input_drained = False
         # Whether the last read filled its buffer, so that more input may wait.
         self.was_read_full = False
 
-    def try_send(self, data: bytes) -> memoryview:
+    def fail(self, error: OSError) -> OSError:
+        """Keep the first error of the connection and return it."""
+        if self.error is None:
+            self.error = error
+        return error
+
+    def try_send(self, data: bytes | memoryview) -> memoryview:
         """Send what fits without waiting; return the unsent rest."""
         view = memoryview(data)
         if view:
@@ -101,19 +125,62 @@
                 return view[self.sock.send(view, socket.MSG_NOSIGNAL) :]
             except BlockingIOError:
                 pass
+            except OSError as error:
+                raise self.fail(error) from None
         return view
 
     async def send(self, data: bytes | memoryview) -> None:
         """Send all bytes."""
-        view = memoryview(data)
+        view = self.try_send(data)
         while view:
-            self.check_open()
-            try:
-                sent = self.sock.send(view, socket.MSG_NOSIGNAL)
-            except BlockingIOError:
-                await anyio.wait_writable(self.sock)
+            await self.wait(anyio.wait_writable)
+            view = self.try_send(view)
+
+    def start_sending(self, *parts: bytes) -> None:
+        """Send what fits; the rest is sent while input is waited for.
+
+        An error does not show here, as input that arrived before it is still
+        to be read. It is raised in place of the end of the input.
+        """
+        for part in parts:
+            if self.output:
+                self.output = memoryview(b"".join([self.output, part]))
             else:
-                view = view[sent:]
+                self.output = memoryview(part)
+                self.send_output()
+
+    def send_output(self) -> None:
+        """Send what fits of the output; discard it after an error."""
+        try:
+            self.output = self.try_send(self.output)
+        except OSError:
+            self.output = NOTHING
+
+    async def send_output_until_input(self) -> None:
+        """Send the output until all of it is sent or there is input."""
+        while self.output and not await self.wait_for_input_or_space():
+            self.send_output()
+
+    async def confirm_output(self) -> None:
+        """Wait until the peer has acknowledged all output.
+
+        The peer may have closed the connection in an orderly way before it
+        received the output; it then answers the output with a reset.
+        """
+        while self.output:
+            await self.wait(anyio.wait_writable)
+            self.send_output()
+        is_pending = True
+        while is_pending:
+            self.check_open()
+            is_pending = unsent_bytes(self.sock) > 0
+            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self.fail(OSError(code, os.strerror(code)))
+            if self.error is not None:
+                raise self.error
+            if is_pending:
+                await anyio.sleep(ACKNOWLEDGEMENT_POLL_S)
 
     async def receive(self) -> bytes:
         """Receive some bytes, empty at the end of the connection.
@@ -127,18 +194,89 @@
             await anyio.lowlevel.checkpoint()
         while True:
             self.check_open()
+            if self.output:
+                self.send_output()
             if self.is_input_drained:
-                await anyio.wait_readable(self.sock)
-                self.check_open()
+                await self.wait_for_input()
             try:
                 data = self.sock.recv(READ_BYTES)
             except BlockingIOError:
                 self.is_input_drained = True
                 continue
+            except OSError as error:
+                raise self.fail(error) from None
+            if not data and self.error is not None:
+                raise self.error
             self.is_input_drained = 0 < len(data) < READ_BYTES
             self.was_read_full = len(data) == READ_BYTES
             return data
 
+    async def wait(
+        self, condition: Callable[[socket.socket], Awaitable[None]]
+    ) -> None:
+        """Wait for a condition of the socket; raises OSError if closed."""
+        self.check_open()
+        with suppress(anyio.ClosedResourceError):
+            await condition(self.sock)
+        self.check_open()
+
+    async def wait_for_input(self) -> None:
+        """Wait until the socket may be read, sending output meanwhile."""
+        while self.output:
+            if await self.wait_for_input_or_space():
+                return
+            self.send_output()
+        await self.wait(anyio.wait_readable)
+
+    async def wait_for_input_or_space(self) -> bool:
+        """Wait until the socket may be read or written; tell if read."""
+        is_readable = False
+        async with anyio.create_task_group() as tasks:
+
+            async def wait_for_space() -> None:
+                with suppress(anyio.ClosedResourceError):
+                    await anyio.wait_writable(self.sock)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(wait_for_space)
+            with suppress(anyio.ClosedResourceError):
+                await anyio.wait_readable(self.sock)
+                is_readable = True
+            tasks.cancel_scope.cancel()
+        self.check_open()
+        return is_readable
+
+    def allow_busy_peer(self) -> None:
+        """Let the peer leave output unread for as long as it is alive.
+
+        TCP_USER_TIMEOUT also ends the connection of a peer that acknowledges
+        every probe but has no room. has_dead_peer() is to be called instead.
+        """
+        if not self.allows_busy_peer:
+            self.allows_busy_peer = True
+            self.set_user_timeout(BUSY_USER_TIMEOUT_MS)
+
+    def expect_prompt_peer(self) -> None:
+        """Undo allow_busy_peer(), once the peer has read all output."""
+        if self.allows_busy_peer:
+            self.allows_busy_peer = False
+            self.set_user_timeout(self.user_timeout_ms)
+
+    def set_user_timeout(self, user_timeout_ms: int) -> None:
+        """Set TCP_USER_TIMEOUT."""
+        self.sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
+        )
+
+    def has_dead_peer(self) -> bool:
+        """Return whether the peer answers nothing that is sent to it."""
+        if self.is_closed or not self.allows_busy_peer:
+            return False
+        info = read_tcp_info(self.sock)
+        return info is not None and info.is_unanswered_for(
+            self.user_timeout_ms
+        )
+
     def shutdown_send(self) -> None:
         """Shut down the sending direction."""
         self.check_open()
@@ -160,9 +298,9 @@
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
-        except OSError:
-            return False
+            return self.error is None and not self.output
+        except OSError as error:
+            self.fail(error)
         return False
 
     def close(self) -> None:
--- a/packages/berylcart/src/berylcart/transport/relay_client.py
+++ b/packages/berylcart/src/berylcart/transport/relay_client.py
@@ -4,8 +4,11 @@
 from contextlib import asynccontextmanager, contextmanager
 
 import anyio
+from anyio.abc import TaskGroup
 
 from berylcart import events
+from berylcart.clock import now_s
+from berylcart.coordination.gateway.buffer_budget import BufferBudget
 from berylcart.protocol.http_responses import AnswerError
 from berylcart.state.errors import (
     BrokenConnectionError,
@@ -40,6 +43,13 @@
 MAX_STALE_BYTES = 64 * 2**10
 STALE_TIMEOUT_S = 0.5
 
+# Fits into the receive window of common systems, so that an upstream that is
+# alive acknowledges it at once even if it does not read.
+MAX_UNREAD_BYTES = 16 * 2**10
+# How long the rest of a request may take whose response is complete. Beyond
+# this a new connection is cheaper.
+FINISH_TIMEOUT_S = 10.0
+
 HeadParser = Callable[[int, Headers], ResponseHead]
 
 
@@ -51,9 +61,14 @@
     """Match the responses of a connection to requests by request id."""
 
     async def send_request(self, request: UpstreamRequest) -> None:
-        """Send a complete request; raises OSError or ValueError."""
+        """Send a request until its response begins.
+
+        Raises OSError or ValueError.
+        """
         lines = header_lines(request.headers)
         head = write_head(request.method, request.target, lines)
+        if len(head) + len(request.body) > MAX_UNREAD_BYTES:
+            self.channel.allow_busy_peer()
         await self.send(request.method, head, request.body)
 
     async def read_matching_head(
@@ -149,13 +164,34 @@
 
 
 class RelayClient:
-    """Pool connections to upstreams and relay requests on them."""
+    """Pool connections to upstreams and relay requests on them.
 
-    def __init__(self, parse_head: HeadParser) -> None:
+    run() and sweep(), called periodically, are needed for requests that
+    upstreams read slowly.
+    """
+
+    def __init__(
+        self,
+        parse_head: HeadParser,
+        buffer_budget: BufferBudget | None = None,
+    ) -> None:
         self.parse_head = parse_head
+        self.buffer_budget = buffer_budget or BufferBudget()
         self.idle: dict[str, list[RelayConnection]] = {}
+        self.in_use: set[RelayConnection] = set()
+        # Finishes requests whose response is complete.
+        self.tasks: TaskGroup | None = None
         self.opened_count = 0
 
+    async def run(self) -> None:
+        """Finish sending requests whose response was complete before."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                await anyio.sleep_forever()
+        finally:
+            self.tasks = None
+
     async def acquire(self, address: str) -> RelayConnection:
         """Return an idle or a new connection; raises UpstreamError."""
         idle_connections = self.idle.get(address, [])
@@ -203,10 +239,13 @@
         """
         connection = await self.acquire(request.address)
         response: RelayResponse | None = None
+        self.in_use.add(connection)
         try:
             with convert_failures(connection):
-                head = await self.send_and_read_head(
-                    connection, request, on_sent
+                await connection.send_request(request)
+                on_sent()
+                head = await connection.read_matching_head(
+                    request.request_id, self.parse_head
                 )
                 response = RelayResponse(connection, head)
             yield response
@@ -214,43 +253,74 @@
             response = None
             raise
         finally:
+            self.in_use.discard(connection)
             self.release(connection, response)
 
-    async def send_and_read_head(
-        self,
-        connection: RelayConnection,
-        request: UpstreamRequest,
-        on_sent: Callable[[], None],
-    ) -> ResponseHead:
-        """Send a request and read the head of its response."""
-        try:
-            await connection.send_request(request)
-        except OSError:
-            # An upstream may respond and close before it has read the body.
-            connection.is_broken = True
-        on_sent()
-        return await connection.read_matching_head(
-            request.request_id, self.parse_head
-        )
-
     def release(
         self, connection: RelayConnection, response: RelayResponse | None
     ) -> None:
-        """Keep a connection whose response is complete, else close it."""
+        """Keep a connection whose response is complete, else close it.
+
+        The rest of a request is sent first, as the upstream may read it after
+        its response.
+        """
+        if response is None or not response.is_complete:
+            connection.channel.close()
+        elif connection.channel.output and self.tasks is not None:
+            self.tasks.start_soon(
+                self.finish_request, connection, response.idle_timeout_s
+            )
+        else:
+            self.keep_or_close(connection, response.idle_timeout_s)
+
+    def keep_or_close(
+        self, connection: RelayConnection, idle_timeout_s: float
+    ) -> None:
+        """Keep an idle connection if it can be reused, else close it."""
         idle_connections = self.idle.setdefault(connection.address, [])
-        is_reusable = (
-            response is not None
-            and response.is_complete
-            and len(idle_connections) < MAX_IDLE_PER_ADDRESS
-            and connection.prepare_reuse(response.idle_timeout_s)
-        )
-        if is_reusable:
+        has_room = len(idle_connections) < MAX_IDLE_PER_ADDRESS
+        if has_room and connection.prepare_reuse(idle_timeout_s):
             idle_connections.append(connection)
         else:
             connection.channel.close()
 
+    async def finish_request(
+        self, connection: RelayConnection, idle_timeout_s: float
+    ) -> None:
+        """Send the rest of a request, then keep the connection if possible."""
+        channel = connection.channel
+        account = self.buffer_budget.open_account(channel.close)
+        self.in_use.add(connection)
+        try:
+            account.waiting_since_s = now_s()
+            account.add(len(channel.output))
+            with anyio.move_on_after(FINISH_TIMEOUT_S):
+                await channel.confirm_output()
+                self.keep_or_close(connection, idle_timeout_s)
+                return
+            channel.close()
+        except OSError as error:
+            events.info(
+                "upstream.request_unfinished",
+                address=connection.address,
+                detail=str(error),
+            )
+            channel.close()
+        except BaseException:
+            channel.close()
+            raise
+        finally:
+            self.in_use.discard(connection)
+            account.release()
+
     def sweep(self) -> None:
-        """Close the idle connections that cannot be reused."""
+        """Close idle connections that expired, and those with a dead peer."""
+        for connection in self.in_use:
+            if connection.channel.has_dead_peer():
+                events.warning(
+                    "upstream.peer_silent", address=connection.address
+                )
+                connection.channel.close()
         for address, idle_connections in list(self.idle.items()):
             for connection in [
                 each for each in idle_connections if not each.is_usable()
--- a/packages/berylcart/src/berylcart/transport/upstream_connection.py
+++ b/packages/berylcart/src/berylcart/transport/upstream_connection.py
@@ -56,20 +56,27 @@
         self.seen_marks: set[str] = set()
 
     async def send(self, method: str, head: bytes, body: bytes) -> None:
-        """Send a complete request."""
+        """Send a request until all of it is sent or its response begins.
+
+        The rest is sent while the response is read. An error of the
+        connection shows there, behind a response that arrived before it.
+        """
         if method == HEAD:
             self.parser = ResponseParser(is_response_to_head=True)
         self.is_sent = True
         if len(body) <= MAX_COALESCED_BYTES:
-            await self.channel.send(head + body)
-            return
-        await self.channel.send(head)
-        await self.channel.send(body)
+            self.channel.start_sending(head + body)
+        else:
+            self.channel.start_sending(head, body)
+        await self.channel.send_output_until_input()
 
     async def next_part(self) -> ResponsePart:
         """Read the next part of a response.
 
-        Raises AnswerError on bytes that are not a valid response.
+        Raises AnswerError on bytes that are not a valid response. A response
+        that ends with its connection is complete only if the peer received
+        the whole request: a process that ends while it reads leaves an
+        orderly end too.
         """
         while True:
             part = self.parser.next_part()
@@ -78,8 +85,10 @@
             data = await self.channel.receive()
             if data:
                 self.parser.feed(data)
-            else:
-                self.parser.feed_eof()
+                continue
+            if self.parser.ends_with_connection:
+                await self.channel.confirm_output()
+            self.parser.feed_eof()
 
     async def read_head(self) -> ResponseHead:
         """Read up to the next response head; skips other parts."""
@@ -102,6 +111,7 @@
         is_done = not self.is_broken and self.parser.is_reusable
         if not is_done or idle_timeout_s <= 0:
             return False
+        self.channel.expect_prompt_peer()
         self.is_sent = False
         self.is_reused = True
         self.expires_s = now_s() + idle_timeout_s
--- a/packages/berylcart/tests/transport/test_http_client.py
+++ b/packages/berylcart/tests/transport/test_http_client.py
@@ -1,10 +1,12 @@
 """Test that calls to a faulty server stay within time and size limits."""
 
+import socket
 from contextlib import asynccontextmanager
 
 import anyio
 import pytest
 from berylcart.coordination.gateway.buffer_budget import BufferBudget
+from berylcart.transport.channel import Channel
 from berylcart.transport.http_client import (
     MAX_BODY_BYTES,
     HttpClient,
@@ -195,3 +197,51 @@
             with pytest.raises(HttpError) as raised:
                 await call(address)
             assert raised.value.is_sent
+
+
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\na part"
+
+
+@asynccontextmanager
+async def reset_uploads(data):
+    """Run a server that responds to a head and resets the connection."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    listener.setblocking(False)
+
+    async def serve():
+        while True:
+            await anyio.wait_readable(listener)
+            channel = Channel(listener.accept()[0])
+            await channel.receive()
+            await channel.send(data)
+            await anyio.sleep(0.1)
+            channel.reset()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve)
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+        tasks.cancel_scope.cancel()
+    listener.close()
+
+
+async def upload(address):
+    """Send a body that does not fit into the buffers of a connection."""
+    async with HttpClient() as client:
+        request = HttpRequest("POST", address, "/", b"b" * 4_000_000)
+        with anyio.fail_after(5):
+            return await client.request(request)
+
+
+async def test_refusal_before_the_body_is_read_is_received():
+    async with reset_uploads(BUSY) as address:
+        assert (await upload(address)).body == b"busy"
+
+
+async def test_reset_during_an_upload_does_not_complete_a_response():
+    """A failed send took the reset, and the next read saw an orderly end."""
+    async with reset_uploads(UNFRAMED) as address:
+        with pytest.raises(HttpError) as raised:
+            await upload(address)
+        assert raised.value.is_sent
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -399,6 +399,196 @@
             assert raised.value.ran is Ran.UNKNOWN
 
 
+LONG_BODY = b"b" * 4_000_000
+PART = b"a part of the answer"
+
+
+class UploadUpstream(Upstream):
+    """Run a scripted function for the connection of each request.
+
+    The small receive buffer leaves most of a long body unsent.
+    """
+
+    def __init__(self, script):
+        super().__init__()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        self.answer = script
+        self.has_body = anyio.Event()
+
+    async def serve(self, channel):
+        """Read a head and the body's start, then run the function."""
+        try:
+            data = await channel.receive()
+            size = len(data) - data.index(b"\r\n\r\n") - 4
+            await self.answer(self, channel, size)
+        except OSError:
+            pass
+        finally:
+            channel.close()
+
+    async def read_body(self, channel, size):
+        """Read the rest of the body after its first bytes."""
+        while size < len(LONG_BODY):
+            data = await channel.receive()
+            if not data:
+                return
+            size += len(data)
+        self.has_body.set()
+
+
+@asynccontextmanager
+async def run_upload(script):
+    """Run an upstream for long bodies and a client for it."""
+    upstream = UploadUpstream(script)
+    client = RelayClient(parse_head)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(upstream.run)
+        tasks.start_soon(client.run)
+        await anyio.lowlevel.checkpoint()
+        try:
+            yield upstream, client
+        finally:
+            client.close()
+            tasks.cancel_scope.cancel()
+            upstream.listener.close()
+
+
+async def upload(client, address):
+    """Send a request with a long body and read the response."""
+    length = str(len(LONG_BODY)).encode()
+    headers = ((b"host", b"h"), (b"content-length", length))
+    request = UpstreamRequest(address, "POST", "/", headers, LONG_BODY, "r1")
+    body = b""
+    with anyio.fail_after(20):
+        async with client.exchange(request) as relay_response:
+            while (data := await relay_response.read()) is not None:
+                body += data
+    return body
+
+
+ENDS = {
+    "reset": lambda channel: channel.reset(),
+    # Unread bytes of the body make this a reset.
+    "close": lambda channel: channel.close(),
+}
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("ending", ENDS)
+@pytest.mark.parametrize("waits_s", [(0.0, 0.0), (0.0, 0.2), (0.3, 0.2)])
+async def test_reset_during_an_upload_does_not_complete_a_response(
+    version, ending, waits_s
+):
+    """A failed send took the reset, and the next read saw an orderly end."""
+
+    async def answer(upstream, channel, size):
+        await anyio.sleep(waits_s[0])
+        await channel.send(b"HTTP/%s 200 OK\r\nId: r1\r\n\r\n" % version)
+        await channel.send(PART)
+        await anyio.sleep(waits_s[1])
+        ENDS[ending](channel)
+
+    async with run_upload(answer) as (upstream, client):
+        with pytest.raises(UpstreamError) as raised:
+            await upload(client, upstream.address)
+        assert raised.value.ran is Ran.UNKNOWN
+
+
+async def test_orderly_end_before_the_upload_ends_completes_nothing():
+    """A process that ends while it reads leaves an orderly end."""
+
+    async def answer(upstream, channel, size):
+        await channel.send(b"HTTP/1.1 200 OK\r\nId: r1\r\n\r\n" + PART)
+        channel.shutdown_send()
+        await anyio.sleep(0.2)
+
+    async with run_upload(answer) as (upstream, client):
+        with pytest.raises(UpstreamError):
+            await upload(client, upstream.address)
+
+
+async def test_half_closed_connection_that_reads_on_completes_a_response():
+    async def answer(upstream, channel, size):
+        await channel.send(b"HTTP/1.1 200 OK\r\nId: r1\r\n\r\nwhole")
+        channel.shutdown_send()
+        await anyio.sleep(0.2)
+        await upstream.read_body(channel, size)
+
+    async with run_upload(answer) as (upstream, client):
+        assert await upload(client, upstream.address) == b"whole"
+
+
+@pytest.mark.parametrize(
+    "framing", [b"\r\n", b"Content-Length: 900000\r\n\r\n"]
+)
+async def test_upstream_may_read_a_body_after_its_response(framing):
+    """Both sides waited for the other to read, until a timeout cut them."""
+    whole = b"x" * 900_000
+
+    async def answer(upstream, channel, size):
+        head = b"HTTP/1.1 200 OK\r\nId: r1\r\n"
+        await channel.send(head + framing + whole)
+        await anyio.sleep(2.5)
+        await upstream.read_body(channel, size)
+
+    async with run_upload(answer) as (upstream, client):
+        assert await upload(client, upstream.address) == whole
+        with anyio.fail_after(5):
+            await upstream.has_body.wait()
+
+
+async def test_connection_is_kept_once_the_rest_of_a_body_is_read():
+    async def answer(upstream, channel, size):
+        await channel.send(response("r1", b"one"))
+        await anyio.sleep(0.2)
+        await upstream.read_body(channel, size)
+        await channel.receive()
+        await channel.send(response("r2", b"two"))
+
+    async with run_upload(answer) as (upstream, client):
+        assert await upload(client, upstream.address) == b"one"
+        assert not client.idle.get(upstream.address)
+        for _ in range(500):
+            if client.idle.get(upstream.address):
+                break
+            await anyio.sleep(0.01)
+        assert upstream.has_body.is_set()
+        assert not client.buffer_budget.total_bytes
+        assert await fetch(client, upstream.address, "r2") == b"two"
+        assert upstream.connections == 1
+
+
+async def test_busy_upstream_is_waited_for():
+    """An upstream that read nothing for 2 s was taken for a dead one."""
+
+    async def answer(upstream, channel, size):
+        await anyio.sleep(3.0)
+        await channel.send(response("r1", b"late"))
+        await upstream.read_body(channel, size)
+
+    async with run_upload(answer) as (upstream, client):
+        assert await upload(client, upstream.address) == b"late"
+
+
+async def test_upload_to_a_dead_upstream_fails(monkeypatch):
+    async def answer(upstream, channel, size):
+        await anyio.sleep_forever()
+
+    async with run_upload(answer) as (upstream, client):
+        async with anyio.create_task_group() as tasks:
+
+            async def sweep():
+                await anyio.sleep(0.1)
+                monkeypatch.setattr(Channel, "has_dead_peer", lambda _: True)
+                client.sweep()
+
+            tasks.start_soon(sweep)
+            with pytest.raises(UpstreamError) as raised:
+                await upload(client, upstream.address)
+        assert raised.value.ran is Ran.UNKNOWN
+        assert not client.in_use
+
+
 @pytest.mark.parametrize("ending", ["close", "reset"])
 async def test_what_is_no_response_fails_the_request(ending):
     """Statuses such as 000 and unclear lengths came through as responses."""
