Date the return of the store by the first answer of any call

Cause: a removal seen after an outage is put off by 2 s from the poll that saw the store again. The poll lost in the silence took its timeout of 2 s, the next followed after 0.6 s, and the end of the 2 s was looked at one poll later.

The next poll is made when a removal is due. A daemon that reads through another one takes that one's date.

--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_daemon.py
@@ -158,6 +158,7 @@
             self.peers,
             self.ports.replicas.read_store_changes,
             interval_s,
+            self.ports.replicas.contact,
         )
         self.ports.replicas.read_changes = self.read_changes
         self.directory.on_leaving = self.membership.mark_leaving
@@ -165,8 +166,10 @@
     async def read_changes(self, start: int, era: int) -> LogPart:
         """Read replica changes via the shared tail; raises BerylcartError."""
         part = await self.shared_tail.read(start, era)
-        self.ports.replicas.record_log_recovery(self.shared_tail.recovered_s)
+        replicas = self.ports.replicas
+        replicas.record_log_recovery(self.shared_tail.recovered_s)
         self.directory.poll_interval_s = self.shared_tail.period_s
+        self.directory.next_change_s = replicas.next_removal_s
         return part
 
     def build_gateway(self) -> None:
--- a/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/gateway_ports.py
@@ -7,6 +7,7 @@
 from berylcart.coordination.gateway.evacuations import Evacuations
 from berylcart.coordination.gateway.ports import MessageCodec, PieceClient
 from berylcart.coordination.gateway.route_table_holder import RouteTableHolder
+from berylcart.coordination.gateway.store_contact import StoreContact
 from berylcart.coordination.gateway.store_era import StoreEra
 from berylcart.coordination.ports import VmList
 from berylcart.state.peer_messages import PartReport
@@ -112,11 +113,18 @@
 
     read_changes may be replaced to read the changes through another daemon.
     on_cold_replica is called with a replica, the time in ms for which it
-    reports to stay cold, and whether the report is new.
+    reports to stay cold, and whether the report is new. next_removal_s is the
+    time at which the next delayed removal takes effect, inf if there is none.
     """
 
     read_changes: Callable[[int, int], Awaitable[LogPart]]
     on_cold_replica: Callable[[Vm, int, bool], None]
+    contact: StoreContact
+
+    @property
+    def next_removal_s(self) -> float:
+        """Return when the next delayed removal takes effect."""
+        ...
 
     async def read_store_changes(self, start: int, era: int) -> LogPart:
         """Read the changes from a log offset of an era on.
--- a/packages/berylcart/src/berylcart/coordination/gateway/shared_tail.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/shared_tail.py
@@ -12,6 +12,7 @@
 from berylcart import clock, events
 from berylcart.coordination.claims.homes import find_home
 from berylcart.coordination.gateway.home_capacity import members_with_capacity
+from berylcart.coordination.gateway.store_contact import StoreContact
 from berylcart.state.errors import BerylcartError, LogGapError
 from berylcart.state.member_table import Member, MemberState
 from berylcart.state.tail import (
@@ -74,7 +75,9 @@
         peers: TailPeers,
         source: Callable[[int, int], Awaitable[LogPart]],
         interval_s: float,
+        contact: StoreContact | None = None,
     ) -> None:
+        self.contact = contact or StoreContact()
         self.local_member = local_member
         self.members = members
         self.peers = peers
@@ -86,7 +89,7 @@
         self.end = -1
         self.era = FIRST_ERA
         self.read_at_s = -inf
-        self.is_log_unavailable = False
+        # The log's last return from an outage, as any daemon saw it.
         self.recovered_s = -inf
         self.bypassed_until_s = -inf
         self.reader_id = ""
@@ -184,11 +187,10 @@
         except LogGapError:
             raise
         except BerylcartError:
-            self.is_log_unavailable = True
+            self.contact.record_failure(started_s)
             raise
-        if self.is_log_unavailable:
-            self.is_log_unavailable = False
-            self.recovered_s = clock.now_s()
+        self.contact.record_answer()
+        self.recovered_s = max(self.recovered_s, self.contact.returned_s)
         self.cache_part(start, part, started_s)
         return part
 
--- a/packages/berylcart/src/berylcart/coordination/policy/vm_directory.py
+++ b/packages/berylcart/src/berylcart/coordination/policy/vm_directory.py
@@ -2,10 +2,12 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from math import inf
 
 import anyio
 
 from berylcart import events
+from berylcart.clock import now_s
 from berylcart.coordination.ports import VmList
 from berylcart.state.errors import BerylcartError
 from berylcart.state.leaving_marks import LeavingMark, LeavingMarks
@@ -32,6 +34,8 @@
     ) -> None:
         self.vm_list = vm_list
         self.poll_interval_s = poll_interval_s
+        # Set during a poll if the list will change by itself before the next.
+        self.next_change_s = inf
         self.page = VmListSnapshot(-1, ())
         self.pools: dict[str, tuple[Vm, ...]] = {}
         self.excluded: frozenset[str] = frozenset()
@@ -45,6 +49,8 @@
         """Poll the list until cancelled."""
         is_available = True
         while True:
+            started_s = now_s()
+            self.next_change_s = inf
             try:
                 self.apply(await self.vm_list.fetch())
                 is_available = True
@@ -52,7 +58,12 @@
                 if is_available:
                     events.warning("vm_list.unavailable", detail=error.detail)
                 is_available = False
-            await anyio.sleep(self.poll_interval_s)
+                # A call that timed out has kept the distance between two.
+                passed_s = now_s() - started_s
+                await anyio.sleep(max(0.0, self.poll_interval_s - passed_s))
+                continue
+            change_in_s = max(0.0, self.next_change_s - now_s())
+            await anyio.sleep(min(self.poll_interval_s, change_in_s))
 
     def apply(self, page: VmListSnapshot) -> None:
         """Apply a list unless it is older than the current one."""
--- a/packages/berylcart/tests/coordination/gateway/test_shared_tail.py
+++ b/packages/berylcart/tests/coordination/gateway/test_shared_tail.py
@@ -2,6 +2,7 @@
 
 import anyio
 import pytest
+from berylcart.clock import now_s
 from berylcart.coordination.gateway.shared_tail import (
     MAX_AGE_SHARE,
     MAX_RECORDS,
@@ -262,6 +263,24 @@
         place.log.first = 1
         with pytest.raises(LogGapError):
             await place.reader.read(0)
-        assert not place.reader.is_log_unavailable
+        assert not place.reader.contact.is_lost
+
+    run(check)
+
+
+def test_return_that_the_readers_contact_saw_reaches_the_others():
+    async def check():
+        place = Place()
+        reader, other = place.reader, place.others[0]
+        await reader.read(0)
+        reader.contact.record_failure(now_s())
+        await anyio.sleep(1)
+        reader.contact.record_answer()
+        returned_s = now_s()
+        await anyio.sleep(0.2)
+        await reader.read(0)
+        await other.read(0)
+        for tail in (reader, other):
+            assert tail.recovered_s == pytest.approx(returned_s, abs=0.01)
 
     run(check)
