Leave room in memory for the responses to admitted requests

Cause: bodies were taken up to the limit of buffered bytes; when responses came the largest connection was closed, a request in the hands of a replica. A body was counted as it arrived only, so that bodies that arrive together were all admitted and, with less room, none found room for its end.

Bodies may take three quarters of the limit and count from their head on, so that one that does not fit is refused before it is read. Successful responses are buffered up to seven eighths and passed on as they arrive above that.

--- a/packages/berylcart/src/berylcart/coordination/gateway/buffer_budget.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/buffer_budget.py
@@ -12,6 +12,12 @@
 # allocator does not return.
 HELD_SHARE = 0.4
 BYTES_PER_MB = 10**6
+# Bodies of requests are taken up to this share of the limit, so that there is
+# room for the responses to those that were taken.
+REQUEST_SHARE = 0.75
+# Responses are buffered up to this share, and passed on as they arrive above
+# it. The rest is for the pieces on their way to slow callers, 64 KB each.
+RESPONSE_SHARE = 0.875
 # A peer that has been waited for less than this is not slow.
 MIN_SLOW_WAIT_S = 1.0
 
@@ -117,16 +123,28 @@
             if not self.excess_bytes(0):
                 return
 
-    def excess_bytes(self, count_bytes: int) -> int:
-        """Return by how much additional bytes would exceed the limit."""
+    def excess_bytes(self, count_bytes: int, share: float = 1.0) -> int:
+        """Return by how much additional bytes would exceed a share.
+
+        >>> BufferBudget(1000).excess_bytes(900, REQUEST_SHARE)
+        150
+        """
         if self.limit_bytes is None:
             return 0
-        return max(0, self.total_bytes + count_bytes - self.limit_bytes)
+        limit_bytes = int(share * self.limit_bytes)
+        return max(0, self.total_bytes + count_bytes - limit_bytes)
+
+    def has_room(self, count_bytes: int) -> bool:
+        """Return whether more bytes of a response may be buffered."""
+        return not self.excess_bytes(count_bytes, RESPONSE_SHARE)
 
     def make_room(self, count_bytes: int, own: BufferAccount) -> bool:
-        """Return whether bytes fit, closing slow connections if that helps."""
-        excess_bytes = self.excess_bytes(count_bytes)
-        if not excess_bytes:
+        """Return whether bytes of a request fit.
+
+        Slow connections are closed if that helps.
+        """
+        excess_bytes = self.excess_bytes(count_bytes, REQUEST_SHARE)
+        if not count_bytes or not excess_bytes:
             return True
         at_s = now_s()
         slow = [
@@ -138,7 +156,7 @@
             return False
         for each in sorted_for_eviction(slow, at_s):
             self.evict(each)
-            if not self.excess_bytes(count_bytes):
+            if not self.excess_bytes(count_bytes, REQUEST_SHARE):
                 break
         return True
 
--- a/packages/berylcart/src/berylcart/coordination/gateway/ports.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/ports.py
@@ -102,6 +102,10 @@
         """End a complete response."""
         ...
 
+    def may_buffer(self, count_bytes: int) -> bool:
+        """Return whether memory has room for more bytes of a response."""
+        ...
+
     def add_buffered(self, count_bytes: int) -> None:
         """Account for buffered bytes; a negative count releases them."""
         ...
--- a/packages/berylcart/src/berylcart/coordination/gateway/response_forwarder.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/response_forwarder.py
@@ -29,7 +29,8 @@
 from berylcart.state.routes import RouteKind
 from berylcart.state.vm import Vm
 
-# Larger responses are forwarded while they arrive.
+# Larger responses are forwarded while they arrive, as are all when memory is
+# scarce.
 BUFFERED_BYTES = 2**20
 
 
@@ -123,11 +124,13 @@
             self.attempts.record_first_byte(run, head, reply.timing)
             if data is None:
                 break
+            is_ok = head.status in HTTP_OK
+            must_begin = is_ok and not run.exchange.may_buffer(len(data))
             body.add(data)
-            if head.status in HTTP_OK:
+            if is_ok:
                 self.attempts.record_event(run, reply.timing)
             run.add_buffered(len(data))
-            if len(body) > BUFFERED_BYTES:
+            if must_begin or len(body) > BUFFERED_BYTES:
                 has_begun = True
                 # Once the response has started, no other replica can replace
                 # it.
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -100,6 +100,10 @@
             with self.connection.buffer_account.waiting(len(unsent)):
                 await self.connection.channel.send(unsent)
 
+    def may_buffer(self, count_bytes: int) -> bool:
+        """Return whether memory has room for more bytes of a response."""
+        return self.connection.options.buffer_budget.has_room(count_bytes)
+
     def add_buffered(self, count_bytes: int) -> None:
         """Add to the buffered bytes of this caller; negative to subtract."""
         self.connection.buffer_account.add(count_bytes)
@@ -322,11 +326,23 @@
                 Code.BAD_REQUEST,
                 "the body's length is given twice",
             )
-        lengths = part.head.values(CONTENT_LENGTH)
-        if lengths and int(lengths[0]) <= limits.body_bytes:
-            self.check_memory(int(lengths[0]))
         return part
 
+    def reserve_memory(self, head: RequestHead, limits: CallerLimits) -> int:
+        """Count a body whose length is known as if it had arrived.
+
+        Otherwise bodies that arrive at the same time could each be admitted
+        and then find no room for their ends. Returns the reserved bytes;
+        raises BerylcartError OVERLOADED.
+        """
+        lengths = head.head.values(CONTENT_LENGTH)
+        body_bytes = int(lengths[0]) if lengths else 0
+        if not 0 < body_bytes <= limits.body_bytes:
+            return 0
+        self.check_memory(body_bytes)
+        self.buffer_account.add(body_bytes)
+        return body_bytes
+
     def check_memory(self, count_bytes: int) -> None:
         """Raise BerylcartError OVERLOADED if memory lacks room for a body."""
         if not self.options.buffer_budget.make_room(
@@ -342,6 +358,7 @@
         self, head: RequestHead, limits: CallerLimits
     ) -> bytes | None:
         """Read the body of a request; raises BerylcartError."""
+        reserved_bytes = self.reserve_memory(head, limits)
         if head.expects_continue and not self.parser.parts:
             await self.channel.send(CONTINUE_RESPONSE)
         body = bytearray()
@@ -362,8 +379,9 @@
                     return bytes(body)
                 if not isinstance(part, bytes):
                     return None
-                self.check_memory(len(part))
-                self.buffer_account.add(len(part))
+                if not reserved_bytes:
+                    self.check_memory(len(part))
+                    self.buffer_account.add(len(part))
                 body += part
                 if len(body) > limits.body_bytes:
                     raise BerylcartError(
--- a/packages/berylcart/tests/coordination/gateway/test_buffer_budget.py
+++ b/packages/berylcart/tests/coordination/gateway/test_buffer_budget.py
@@ -1,11 +1,14 @@
 """Test that only slow connections with many buffered bytes are closed."""
 
+import math
 import random
 
 import anyio
 import pytest
 from berylcart.coordination.gateway.buffer_budget import (
     MIN_SLOW_WAIT_S,
+    REQUEST_SHARE,
+    RESPONSE_SHARE,
     BufferBudget,
 )
 
@@ -76,7 +79,7 @@
 
 def test_room_is_made_only_by_slow_connections_if_sufficient():
     async def check():
-        callers = Callers(1000)
+        callers = Callers(math.ceil(1000 / REQUEST_SHARE))
         callers.add("served", 500)
         callers.add("slow", 300, waited_s=2 * MIN_SLOW_WAIT_S)
         callers.add("fast", 150, waited_s=MIN_SLOW_WAIT_S / 2)
@@ -90,6 +93,50 @@
     run(check)
 
 
+def test_requests_leave_room_for_responses():
+    async def check():
+        callers = Callers(1000)
+        new = callers.budget.open_account(lambda: None)
+        request_bytes = int(1000 * REQUEST_SHARE)
+        assert callers.budget.make_room(request_bytes, new)
+        assert not callers.budget.make_room(request_bytes + 1, new)
+        new.add(request_bytes)
+        response_bytes = int(1000 * RESPONSE_SHARE) - request_bytes
+        assert callers.budget.has_room(response_bytes)
+        assert not callers.budget.has_room(response_bytes + 1)
+        assert BufferBudget().has_room(10**12)
+
+    run(check)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_burst_of_requests_closes_none_that_is_in_progress(seed):
+    """The largest request in progress was closed for responses of others."""
+
+    async def check():
+        rng = random.Random(seed)
+        callers = Callers(10_000)
+        budget, waiting = callers.budget, []
+        for number in range(200):
+            name, body_bytes = str(number), rng.randrange(1, 900)
+            own = budget.open_account(lambda: None)
+            if budget.make_room(body_bytes, own):
+                callers.add(name, body_bytes)
+                waiting.append(name)
+            for name in rng.sample(waiting, min(5, len(waiting))):
+                piece_bytes = rng.randrange(1, 100)
+                is_held = budget.has_room(piece_bytes)
+                callers.add(name, piece_bytes)
+                if not is_held:
+                    callers.add(name, -piece_bytes)
+            if rng.random() < 0.5 and waiting:
+                done = waiting.pop(rng.randrange(len(waiting)))
+                callers.accounts[done].release()
+        assert callers.closed == []
+
+    run(check)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_sum_stays_under_the_limit(seed):
     async def check():
--- a/packages/berylcart/tests/coordination/gateway/test_forwarder.py
+++ b/packages/berylcart/tests/coordination/gateway/test_forwarder.py
@@ -688,3 +688,40 @@
         assert left == 0
 
     run(check_all)
+
+
+@pytest.mark.parametrize("limit_bytes", [0, 100, 130])
+def test_response_is_passed_on_as_it_arrives_when_memory_is_scarce(
+    limit_bytes,
+):
+    """Requests in progress were cut off to make room for their responses."""
+
+    async def check():
+        chunks = [b"x" * 60] * 5
+        forwarding = Forwarding(BOOKING, ScriptedResponse(chunks=chunks))
+        exchange = forwarding.exchange
+        exchange.max_held_bytes = limit_bytes
+        held = []
+        hold = exchange.add_buffered
+
+        def note(count_bytes):
+            hold(count_bytes)
+            held.append(exchange.held_bytes)
+
+        exchange.add_buffered = note
+        assert await forwarding.forward() == 200
+        assert exchange.data == b"".join(chunks)
+        assert max(held) <= limit_bytes + 60
+
+    run(check)
+
+
+def test_failed_response_is_kept_when_memory_is_scarce():
+    async def check():
+        failed = ScriptedResponse(FAILED, chunks=[b"x" * 60])
+        forwarding = Forwarding(IDEMPOTENT, failed, ScriptedResponse())
+        forwarding.exchange.max_held_bytes = 0
+        assert await forwarding.forward() == 200
+        assert forwarding.exchange.data == b"whole"
+
+    run(check)
--- a/packages/berylcart/tests/coordination/gateway_fakes.py
+++ b/packages/berylcart/tests/coordination/gateway_fakes.py
@@ -2,6 +2,7 @@
 
 import random
 from contextlib import asynccontextmanager
+from math import inf
 
 import anyio
 from berylcart.coordination.gateway.forward_run import (
@@ -204,6 +205,7 @@
         self.is_started = False
         self.is_finished = False
         self.held_bytes = 0
+        self.max_held_bytes = inf
         self.status = 0
         self.headers = ()
         self.data = b""
@@ -218,6 +220,10 @@
         """Record bytes of the body."""
         self.data += data
 
+    def may_buffer(self, count_bytes):
+        """Return whether the bytes fit under the limit."""
+        return self.held_bytes + count_bytes <= self.max_held_bytes
+
     def add_buffered(self, count_bytes):
         """Sum the accounted bytes."""
         self.held_bytes += count_bytes
--- a/packages/berylcart/tests/transport/test_caller_connection.py
+++ b/packages/berylcart/tests/transport/test_caller_connection.py
@@ -8,7 +8,10 @@
 import anyio
 import pytest
 from berylcart.coordination.gateway.body_buffer import BodyBuffer
-from berylcart.coordination.gateway.buffer_budget import BufferBudget
+from berylcart.coordination.gateway.buffer_budget import (
+    REQUEST_SHARE,
+    BufferBudget,
+)
 from berylcart.coordination.gateway.response_forwarder import (
     ResponseForwarder,
 )
@@ -490,6 +493,25 @@
     assert handler.handled == [("/a", b"")]
 
 
+async def test_bodies_that_arrive_together_leave_each_other_room():
+    """Each was admitted, and then none found room for its end."""
+    head = PLAIN.replace(b"Length: 2", b"Length: 600")
+    async with run_server(int(1000 / REQUEST_SHARE)) as (server, handler):
+        first = await connect(server.address)
+        await first.send(head)
+        budget = server.options.buffer_budget
+        await wait_until(lambda: budget.total_bytes == 600)
+        second = await connect(server.address)
+        await second.send(head)
+        assert (await read_all(second)).startswith(b"HTTP/1.1 503")
+        await first.send(b"x" * 598)
+        await read_until(first, b"x" * 598)
+        assert len(handler.handled) == 1
+        await wait_until(lambda: not budget.total_bytes)
+        first.close()
+        second.close()
+
+
 async def test_rejection_reaches_a_caller_that_is_still_sending():
     # Closing a socket with unread input resets the connection, and the caller
     # loses the error response.
