--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -16,12 +16,12 @@
 import anyio.lowlevel
 
 from berylcart.transport.socket_addresses import split_address
-from berylcart.transport.tcp_info import read_tcp_info, unsent_bytes
+from berylcart.transport.tcp_info import read_tcp_info, unacknowledged_bytes
 
 READ_BYTES = 64 * 2**10
 # How often the peer's acknowledgement of the last bytes is looked for.
 ACKNOWLEDGEMENT_POLL_S = 0.01
-NOTHING = memoryview(b"")
+NO_OUTPUT = memoryview(b"")
 # Well below the shortest timeout that relies on detecting a dead connection.
 USER_TIMEOUT_MS = 2000
 # For a peer that may be busy: longer than most requests may take.
@@ -101,7 +101,7 @@
         self.user_timeout_ms = user_timeout_ms
         self.error: OSError | None = None
         # What start_sending() has yet to send.
-        self.output = NOTHING
+        self.output = NO_OUTPUT
         # Whether a peer that does not read is distinguished from a dead one.
         self.allows_busy_peer = False
         self.is_closed = False
@@ -154,7 +154,7 @@
         try:
             self.output = self.try_send(self.output)
         except OSError:
-            self.output = NOTHING
+            self.output = NO_OUTPUT
 
     async def send_output_until_input(self) -> None:
         """Send the output until all of it is sent or there is input."""
@@ -173,7 +173,7 @@
         is_pending = True
         while is_pending:
             self.check_open()
-            is_pending = unsent_bytes(self.sock) > 0
+            is_pending = unacknowledged_bytes(self.sock) > 0
             code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
                 self.fail(OSError(code, os.strerror(code)))
--- a/packages/berylcart/src/berylcart/transport/peer_connection.py
+++ b/packages/berylcart/src/berylcart/transport/peer_connection.py
@@ -232,7 +232,9 @@
         if self.transport is None:
             return
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            events.warning("peer.write_stalled", unsent_bytes=len(data))
+            events.warning(
+                "peer.write_stalled", unacknowledged_bytes=len(data)
+            )
             self.transport.abort()
 
     def pause_writing(self) -> None:
--- a/packages/berylcart/src/berylcart/transport/tcp_info.py
+++ b/packages/berylcart/src/berylcart/transport/tcp_info.py
@@ -51,7 +51,7 @@
     return TcpInfo(fields[RETRANSMITS] + fields[PROBES], fields[LAST_ACK_MS])
 
 
-def unsent_bytes(sock: socket.socket) -> int:
+def unacknowledged_bytes(sock: socket.socket) -> int:
     """Return how many bytes the peer has yet to acknowledge, 0 if unknown."""
     try:
         data = fcntl.ioctl(sock, termios.TIOCOUTQ, COUNT.pack(0))
--- a/packages/berylcart/tests/transport/test_relay_client.py
+++ b/packages/berylcart/tests/transport/test_relay_client.py
@@ -94,12 +94,13 @@
 
 
 @asynccontextmanager
-async def run_relay(*script):
+async def run_upstream(upstream):
     """Run an upstream and a client for it."""
-    upstream = Upstream(*script)
     client = RelayClient(parse_head)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(upstream.run)
+        tasks.start_soon(client.run)
+        await anyio.lowlevel.checkpoint()
         try:
             yield upstream, client
         finally:
@@ -108,6 +109,11 @@
             upstream.listener.close()
 
 
+def run_relay(*script):
+    """Run an upstream with a script and a client for it."""
+    return run_upstream(Upstream(*script))
+
+
 async def fetch(client, address, request_id):
     """Send a request and read the complete response body."""
     request = UpstreamRequest(
@@ -436,21 +442,9 @@
         self.has_body.set()
 
 
-@asynccontextmanager
-async def run_upload(script):
+def run_upload(script):
     """Run an upstream for long bodies and a client for it."""
-    upstream = UploadUpstream(script)
-    client = RelayClient(parse_head)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(upstream.run)
-        tasks.start_soon(client.run)
-        await anyio.lowlevel.checkpoint()
-        try:
-            yield upstream, client
-        finally:
-            client.close()
-            tasks.cancel_scope.cancel()
-            upstream.listener.close()
+    return run_upstream(UploadUpstream(script))
 
 
 async def upload(client, address):
