--- a/packages/berylcart/src/berylcart/coordination/gateway/drain.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/drain.py
@@ -9,8 +9,8 @@
 MAX_ENTRY_LIST_LIFETIMES = 3
 # Time for the other daemons to learn that this one has left the entry lists.
 GOSSIP_MARGIN_S = 0.3
-# A busy process handles the signal this much later than the callers, whose
-# entry lists expire, count from.
+# Longest delay between the signal, when callers get the last entry lists that
+# name the daemon, and its handling by a busy process.
 SIGNAL_MARGIN_S = 0.2
 # Part of the grace period that is reserved for leaving the membership and for
 # the exit of the process.
--- a/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/forward_run.py
@@ -211,7 +211,10 @@
             self.exchange.add_buffered(count_bytes)
 
     def store_fallback(self, kept: FallbackResponse) -> None:
-        """Keep a failed response, counted already, in place of one before."""
+        """Keep a failed response, replacing an earlier one.
+
+        Its bytes already count as buffered.
+        """
         if self.kept is not None:
             self.add_buffered(-len(self.kept.body))
         self.kept = kept
