Parse one request of a caller at a time

Cause: the parser took whatever one read had brought, and up to 64 KB more while a request was served, as a close shows only behind what was sent before. A head of 40 bytes becomes 1 to 2 KB of objects, none of it in the buffer budget. Ruled out: answers that wait unread, which are counted; HEAD, whose answers have no body, took the same.

Change: a parser goes no further than the end of a request, and the rest stays bytes. While a request is served 16 KB are read ahead and counted. Beyond that the state of the socket tells whether the caller has left. A request that was sent ahead waits for a turn, one in each pass of the event loop.

--- a/packages/berylcart/src/berylcart/protocol/http_requests.py
+++ b/packages/berylcart/src/berylcart/protocol/http_requests.py
@@ -18,11 +18,22 @@
 CONTINUE = b"100-continue"
 CONNECT = b"CONNECT"
 HTTP_1_1 = "1.1"
+# Headers that decide how a request is read.
+READ_HEADERS = frozenset((HOST, CONTENT_LENGTH, TRANSFER_ENCODING, EXPECT))
 VISIBLE_ASCII = re.compile(rb"[\x21-\x7e]+")
 FORBIDDEN_HEADER_BYTES = re.compile(rb"[\r\n\0]")
 # Responses with these statuses have no body.
 BODILESS_STATUSES = (204, 304)
 CONTINUE_RESPONSE = b"HTTP/1.1 100 \r\n\r\n"
+BLANK_LINES = re.compile(rb"[\r\n]*")
+# Ends a head, and a chunked body with its trailers.
+BLANK_LINE = b"\r\n\r\n"
+LINE_END_BYTES = len(b"\r\n")
+# How much of a blank line may have been parsed without its end.
+BLANK_LINE_TAIL_BYTES = len(BLANK_LINE) - 1
+# Input of unknown structure is parsed in pieces, so that the time that one
+# piece takes is bounded.
+PIECE_BYTES = 16 * 2**10
 
 
 class RequestError(Exception):
@@ -62,8 +73,10 @@
 class RequestParser:
     r"""Parse requests incrementally, with a limit on the size of a head.
 
-    The limit also applies to bytes that belong to no part: blank lines before
-    a request, chunk sizes and extensions, and trailers.
+    Input is parsed as parts are asked for and never beyond the end of a
+    request, so that what a caller sends ahead is held as bytes. The limit
+    also applies to bytes that belong to no part: blank lines before a
+    request, chunk sizes and extensions, and trailers.
 
     >>> parser = RequestParser(max_head_bytes=100)
     >>> parser.feed(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -75,51 +88,168 @@
         self.max_head_bytes = max_head_bytes
         self.parser = httptools.HttpRequestParser(self)
         self.parts: deque[RequestPart] = deque()
+        # Received bytes, of which those before the position are parsed.
+        self.input = b""
+        self.position = 0
+        # The last parsed bytes, which may hold the start of a blank line.
+        self.tail = b""
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.is_in_head = False
         self.is_in_body = False
+        # Bytes of the body that are yet to be parsed, None if it is chunked.
+        self.remaining_bytes: int | None = 0
         # Whether the parser is given a head whose parts are known.
         self.is_repeated_head = False
-        # Bytes fed since the last part was completed.
+        # Bytes parsed since the last part was completed.
         self.framing_bytes = 0
         self.error: RequestError | None = None
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes; next_part raises an error after the parts before it."""
+        """Add received bytes."""
         if self.error is not None:
             return
-        previous_parts = len(self.parts)
-        try:
-            self.feed_parser(data)
-        except httptools.HttpParserError as error:
-            if self.error is None:
-                self.error = RequestError(str(error))
-        if len(self.parts) > previous_parts:
-            self.framing_bytes = 0
-            return
-        self.framing_bytes += len(data)
-        if self.framing_bytes > self.max_head_bytes and self.error is None:
+        if self.position < len(self.input):
+            data = self.input[self.position :] + data
+        self.input = data
+        self.position = 0
+
+    def next_part(self) -> RequestPart | None:
+        """Return the next part of the input, if any; raises RequestError.
+
+        An error is raised after the parts before it.
+        """
+        while not self.parts:
+            if self.error is not None:
+                raise self.error
+            if not self.parse_piece():
+                return None
+        return self.parts.popleft()
+
+    @property
+    def has_input(self) -> bool:
+        """Return whether bytes of another request have arrived."""
+        if self.parts or self.is_in_head or self.error:
+            return True
+        return self.find_request() < len(self.input)
+
+    @property
+    def has_rest(self) -> bool:
+        """Return whether bytes after the last returned part have arrived."""
+        return bool(self.parts or self.unparsed_bytes)
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Return the number of received bytes that are not parsed yet."""
+        return len(self.input) - self.position
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the input takes."""
+        return len(self.input)
+
+    def find_request(self) -> int:
+        """Return the position in the input after blank lines."""
+        match = BLANK_LINES.match(self.input, self.position)
+        return match.end() if match else self.position
+
+    def skip_blank_lines(self) -> None:
+        """Skip blank lines before a request."""
+        if not (self.is_in_head or self.is_in_body):
+            position = self.find_request()
+            self.count_framing(position - self.position)
+            self.advance(position)
+
+    def advance(self, position: int) -> None:
+        """Mark the input before a position as parsed."""
+        self.position = position
+        if position == len(self.input):
+            self.input = b""
+            self.position = 0
+
+    def count_framing(self, count_bytes: int) -> None:
+        """Count bytes that completed no part, up to the limit."""
+        self.framing_bytes += count_bytes
+        # The limit of a head does not include the blank line at its end.
+        blank_bytes = 0 if self.is_in_body else LINE_END_BYTES
+        limit_bytes = self.max_head_bytes + blank_bytes
+        if self.framing_bytes > limit_bytes and self.error is None:
             section = "framing of the body" if self.is_in_body else "head"
             self.error = RequestError(
                 f"the {section} exceeds {self.max_head_bytes} bytes",
                 is_head_too_large=not self.is_in_body,
             )
 
+    def find_piece_end(self) -> int:
+        """Return up to where the input may be parsed next.
+
+        This is not beyond the end of the current request, which is followed
+        by another one.
+        """
+        start, end = self.position, len(self.input)
+        if self.is_in_body and self.remaining_bytes is not None:
+            # A length that differs from the library's must not stop parsing.
+            return min(end, start + max(1, self.remaining_bytes))
+        if self.tail:
+            joint = (
+                self.tail + self.input[start : start + BLANK_LINE_TAIL_BYTES]
+            )
+            found = joint.find(BLANK_LINE)
+            if found >= 0:
+                return start + found + len(BLANK_LINE) - len(self.tail)
+        end = min(end, start + PIECE_BYTES)
+        found = self.input.find(BLANK_LINE, start, end)
+        return end if found < 0 else found + len(BLANK_LINE)
+
+    def parse_piece(self) -> bool:
+        """Parse a piece of the input; return whether there was any."""
+        self.skip_blank_lines()
+        if not self.input or self.error is not None:
+            return self.error is not None
+        piece = self.take_piece()
+        self.feed_parser(piece)
+        if self.parts:
+            self.framing_bytes = 0
+        else:
+            self.count_framing(len(piece))
+        if self.error is not None:
+            self.advance(len(self.input))
+        return True
+
+    def take_piece(self) -> bytes:
+        """Take a piece off the input."""
+        end = self.find_piece_end()
+        piece = self.input[self.position : end]
+        self.advance(end)
+        if not self.is_in_body:
+            if not self.is_in_head:
+                self.framing_bytes = 0
+        elif self.remaining_bytes is not None:
+            self.remaining_bytes -= len(piece)
+            return piece
+        last_bytes = piece[-BLANK_LINE_TAIL_BYTES:]
+        if len(last_bytes) < BLANK_LINE_TAIL_BYTES:
+            last_bytes = (self.tail + last_bytes)[-BLANK_LINE_TAIL_BYTES:]
+        self.tail = last_bytes
+        return piece
+
     def feed_parser(self, data: bytes) -> None:
+        """Parse bytes; keep the first error, if any."""
+        try:
+            self.feed_until_upgrade(data)
+        except httptools.HttpParserError as error:
+            if self.error is None:
+                self.error = RequestError(str(error))
+
+    def feed_until_upgrade(self, data: bytes) -> None:
         """Parse bytes; raises HttpParserError."""
-        while True:
-            try:
-                self.parser.feed_data(data)
-            except httptools.HttpParserUpgrade as upgrade:
-                if self.parser.get_method() == CONNECT:
-                    self.error = RequestError("bytes after an upgrade")
-                    return
-                (position,) = upgrade.args
-                data = data[position:]
-                self.decline_upgrade()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            if self.parser.get_method() == CONNECT:
+                self.error = RequestError("bytes after an upgrade")
             else:
-                return
+                self.decline_upgrade()
 
     def decline_upgrade(self) -> None:
         """Parse what follows a request that offers another protocol as HTTP.
@@ -137,19 +267,6 @@
         self.is_repeated_head = True
         self.parser.feed_data(write_head_without_upgrade(head, version))
 
-    def next_part(self) -> RequestPart | None:
-        """Return the next parsed part, if any; raises RequestError."""
-        if self.parts:
-            return self.parts.popleft()
-        if self.error is not None:
-            raise self.error
-        return None
-
-    @property
-    def has_input(self) -> bool:
-        """Return whether bytes of another request have arrived."""
-        return bool(self.parts or self.is_in_head or self.error)
-
     def on_message_begin(self) -> None:
         """Start a request."""
         if self.is_repeated_head:
@@ -175,13 +292,21 @@
             return
         self.is_in_head = False
         self.is_in_body = True
+        self.tail = b""
         version = self.parser.get_http_version()
-        hosts = [value for name, value in self.headers if name == HOST]
+        read = [each for each in self.headers if each[0] in READ_HEADERS]
+        hosts = [value for name, value in read if name == HOST]
         if len(hosts) > 1 or (not hosts and version == HTTP_1_1):
             self.fail("a request names one host")
         if not VISIBLE_ASCII.fullmatch(self.target):
             self.fail("the target holds other than visible ASCII")
-        expectations = [v.lower() for n, v in self.headers if n == EXPECT]
+        lengths = [value for name, value in read if name == CONTENT_LENGTH]
+        is_chunked = any(name == TRANSFER_ENCODING for name, _ in read)
+        # httptools has checked that a length is a number.
+        self.remaining_bytes = (
+            None if is_chunked else int(lengths[0]) if lengths else 0
+        )
+        expectations = [v.lower() for name, v in read if name == EXPECT]
         self.parts.append(
             RequestHead(
                 CallerHead(
@@ -209,6 +334,7 @@
         if is_offer and self.parser.get_method() != CONNECT:
             return
         self.is_in_body = False
+        self.tail = b""
         self.parts.append(RequestEnd(self.parser.should_keep_alive()))
 
 
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -1,6 +1,7 @@
 """Serve the HTTP requests of one caller's connection."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from traceback import format_exception
 from typing import NamedTuple
 
@@ -8,8 +9,11 @@
 
 from berylcart import events
 from berylcart.clock import now_s
-from berylcart.coordination.gateway.buffer_budget import BufferBudget
+from berylcart.coordination.gateway.buffer_budget import (
+    BufferBudget,
+)
 from berylcart.coordination.gateway.drain import draining_error
+from berylcart.coordination.gateway.input_turns import InputTurns
 from berylcart.protocol.http_requests import (
     CONNECTION,
     CONTENT_LENGTH,
@@ -34,8 +38,9 @@
 from berylcart.transport.channel import Channel
 
 MS_PER_S = 1000
-# How much a caller may pipeline while its request is served.
-READ_AHEAD_BYTES = 64 * 2**10
+# How much of a pipelining caller is read while its request is served. The rest
+# stays with the system, which then makes the caller wait.
+READ_AHEAD_BYTES = 16 * 2**10
 # Minimum average rate of a body after a grace period. It is below the rate of
 # the slowest mobile links (GPRS, 1 KB/s).
 MIN_BODY_BYTES_PER_S = 512
@@ -145,9 +150,15 @@
 class CallerConnection:
     """Serve one connection until it closes."""
 
-    def __init__(self, channel: Channel, options: ConnectionOptions) -> None:
+    def __init__(
+        self,
+        channel: Channel,
+        options: ConnectionOptions,
+        input_turns: InputTurns,
+    ) -> None:
         self.channel = channel
         self.options = options
+        self.input_turns = input_turns
         self.parser = RequestParser(options.limits().head_bytes)
         self.idle_scope: anyio.CancelScope | None = None
         # Cancelled to refuse a request that has not arrived completely.
@@ -159,12 +170,28 @@
         self.buffer_account = options.buffer_budget.open_account(
             lambda: self.scope.cancel()
         )
+        # What the account holds of the parser's memory.
+        self.input_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes within the limits in force."""
         self.parser.max_head_bytes = self.options.limits().head_bytes
         self.parser.feed(data)
 
+    def count_input(self) -> None:
+        """Count what the parser holds of the input."""
+        change_bytes = self.parser.held_bytes - self.input_bytes
+        if change_bytes:
+            self.input_bytes += change_bytes
+            self.buffer_account.add(change_bytes)
+
+    def finish_request(self) -> None:
+        """Release the memory of a request; count what was sent ahead."""
+        self.buffer_account.release()
+        self.input_bytes = 0
+        if self.parser.unparsed_bytes:
+            self.count_input()
+
     def closes_after(self) -> bool:
         """Return whether to close the connection after this response."""
         return not self.keep_alive or self.options.is_closing()
@@ -174,7 +201,7 @@
         try:
             with self.scope:
                 while await self.serve_next():
-                    self.buffer_account.release()
+                    self.finish_request()
         except OSError as error:
             events.debug("caller.connection_lost", detail=str(error))
         finally:
@@ -223,18 +250,19 @@
             tasks.cancel_scope.cancel()
 
     async def watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
-        """Parse pipelined input; cancel the scope when the caller leaves."""
-        read_ahead_bytes = 0
-        while read_ahead_bytes < READ_AHEAD_BYTES:
-            try:
-                data = await self.channel.receive()
-            except OSError:
-                data = b""
-            if not data:
-                scope.cancel()
-                return
-            read_ahead_bytes += len(data)
-            self.feed(data)
+        """Read ahead to a limit; cancel the scope when the caller leaves."""
+        with suppress(OSError):
+            while (
+                room_bytes := READ_AHEAD_BYTES - self.parser.unparsed_bytes
+            ) > 0:
+                data = await self.channel.receive(room_bytes)
+                if not data:
+                    break
+                self.feed(data)
+                self.count_input()
+            else:
+                await self.channel.wait_for_end()
+        scope.cancel()
 
     async def read_request(self) -> Exchange | None:
         """Read the next complete request, None when the connection ends.
@@ -283,6 +311,8 @@
     async def wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request, up to the idle timeout."""
         if self.parser.has_input:
+            if self.has_served:
+                await self.input_turns.wait()
             return True
         idle_timeout_s = self.options.limits().idle_timeout_ms / MS_PER_S
         with anyio.move_on_after(idle_timeout_s) as scope:
@@ -307,6 +337,7 @@
         """
         while True:
             part = self.parser.next_part()
+            self.count_input()
             if part is not None:
                 return part
             data = await self.channel.receive()
@@ -362,7 +393,7 @@
     ) -> bytes | None:
         """Read the body of a request; raises BerylcartError."""
         reserved_bytes = self.reserve_memory(head, limits)
-        if head.expects_continue and not self.parser.parts:
+        if head.expects_continue and not self.parser.has_rest:
             await self.channel.send(CONTINUE_RESPONSE)
         body = bytearray()
         idle_timeout_s = limits.idle_timeout_ms / MS_PER_S
--- a/packages/berylcart/src/berylcart/transport/caller_server.py
+++ b/packages/berylcart/src/berylcart/transport/caller_server.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup
 
 from berylcart import events
+from berylcart.coordination.gateway.input_turns import InputTurns
 from berylcart.transport.caller_connection import (
     CallerConnection,
     ConnectionOptions,
@@ -30,6 +31,7 @@
     ) -> None:
         self.options = options
         self.max_connections = max_connections
+        self.input_turns = InputTurns()
         self.sock = bind(address)
         self.sock.setblocking(False)
         self.sock.listen(BACKLOG)
@@ -74,7 +76,9 @@
         try:
             # Setting options may fail if the caller has already disconnected.
             connection = CallerConnection(
-                Channel(sock, NO_USER_TIMEOUT_MS), self.options
+                Channel(sock, NO_USER_TIMEOUT_MS),
+                self.options,
+                self.input_turns,
             )
         except Exception as error:
             events.info("caller.connection_lost", detail=str(error))
--- a/packages/berylcart/src/berylcart/transport/channel.py
+++ b/packages/berylcart/src/berylcart/transport/channel.py
@@ -21,6 +21,9 @@
 READ_BYTES = 64 * 2**10
 # How often the peer's acknowledgement of the last bytes is looked for.
 ACKNOWLEDGEMENT_POLL_S = 0.01
+# How often the peer's end is looked for behind input that is left unread; well
+# within the half second in which work for a peer that left is to end.
+END_POLL_S = 0.1
 NO_OUTPUT = memoryview(b"")
 # Well below the shortest timeout that relies on detecting a dead connection.
 USER_TIMEOUT_MS = 2000
@@ -182,7 +185,7 @@
             if is_pending:
                 await anyio.sleep(ACKNOWLEDGEMENT_POLL_S)
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int = READ_BYTES) -> bytes:
         """Receive some bytes, empty at the end of the connection.
 
         A fast sender can make every read succeed without waiting. Each full
@@ -199,7 +202,7 @@
             if self.is_input_drained:
                 await self.wait_for_input()
             try:
-                data = self.sock.recv(READ_BYTES)
+                data = self.sock.recv(max_bytes)
             except BlockingIOError:
                 self.is_input_drained = True
                 continue
@@ -207,10 +210,22 @@
                 raise self.fail(error) from None
             if not data and self.error is not None:
                 raise self.error
-            self.is_input_drained = 0 < len(data) < READ_BYTES
-            self.was_read_full = len(data) == READ_BYTES
+            self.is_input_drained = 0 < len(data) < max_bytes
+            self.was_read_full = len(data) == max_bytes
             return data
 
+    async def wait_for_end(self) -> None:
+        """Wait until the peer ends the connection, leaving input unread.
+
+        Waits on where the system does not tell the state of a connection.
+        """
+        while True:
+            await anyio.sleep(END_POLL_S)
+            self.check_open()
+            info = read_tcp_info(self.sock)
+            if info is not None and info.has_peer_ended:
+                return
+
     async def wait(
         self, condition: Callable[[socket.socket], Awaitable[None]]
     ) -> None:
--- a/packages/berylcart/src/berylcart/transport/tcp_info.py
+++ b/packages/berylcart/src/berylcart/transport/tcp_info.py
@@ -8,7 +8,10 @@
 
 # The start of Linux's struct tcp_info: eight single bytes, then 32-bit fields.
 LAYOUT = struct.Struct("=8B13I")
-RETRANSMITS, PROBES, LAST_ACK_MS = 2, 3, 20
+STATE, RETRANSMITS, PROBES, LAST_ACK_MS = 0, 2, 3, 20
+# States of Linux's tcp_states.h in which the peer has ended the connection or
+# its sending direction: TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING.
+ENDED_STATES = frozenset((6, 7, 8, 9, 11))
 COUNT = struct.Struct("=i")
 # A single transmission may be lost on a connection that is sound.
 MIN_UNANSWERED = 2
@@ -17,12 +20,15 @@
 class TcpInfo(NamedTuple):
     """Transmissions since the peer's last answer, and that answer's age.
 
-    unanswered counts repeated segments and probes of a closed window, which a
-    peer that is alive acknowledges even if it reads nothing.
+    has_peer_ended is set once the peer's end of the connection has arrived,
+    also behind unread input. unanswered counts repeated segments and probes of
+    a closed window, which a peer that is alive acknowledges even if it reads
+    nothing.
     """
 
     unanswered: int
     last_ack_ms: int
+    has_peer_ended: bool = False
 
     def is_unanswered_for(self, limit_ms: int) -> bool:
         """Return whether the peer left transmissions unanswered so long.
@@ -48,7 +54,11 @@
     if len(data) < LAYOUT.size:
         return None
     fields = LAYOUT.unpack(data)
-    return TcpInfo(fields[RETRANSMITS] + fields[PROBES], fields[LAST_ACK_MS])
+    return TcpInfo(
+        fields[RETRANSMITS] + fields[PROBES],
+        fields[LAST_ACK_MS],
+        fields[STATE] in ENDED_STATES,
+    )
 
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
--- a/packages/berylcart/tests/protocol/test_http_requests.py
+++ b/packages/berylcart/tests/protocol/test_http_requests.py
@@ -205,3 +205,37 @@
     parts = parse(data)
     assert b"".join(p for p in parts if isinstance(p, bytes)) == 100 * b"x"
     assert parts[-1] == RequestEnd(keep_alive=True)
+
+
+def test_requests_sent_ahead_stay_bytes():
+    """A whole read was parsed, each short request into kilobytes."""
+    parser = RequestParser(MAX_HEAD)
+    request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+    parser.feed(request * 1000)
+    for number in range(1, 4):
+        assert isinstance(parser.next_part(), RequestHead)
+        assert isinstance(parser.next_part(), RequestEnd)
+        assert not parser.parts
+        assert parser.unparsed_bytes == (1000 - number) * len(request)
+        assert parser.has_input
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 5, 1000])
+def test_no_piece_goes_beyond_the_end_of_a_request(step):
+    requests = (
+        b"\r\n" + POST,
+        CHUNKED_HEAD + b"4\r\n\r\n\r\n\r\n0\r\nx: y\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nHost: h\r\n" + OFFER + b"\r\n",
+    )
+    data = b"".join(requests) * 2
+    parser = RequestParser(MAX_HEAD)
+    ends = []
+    for start in range(0, len(data), step):
+        parser.feed(data[start : start + step])
+        while (part := parser.next_part()) is not None:
+            if isinstance(part, RequestEnd):
+                assert not parser.parts
+                fed_bytes = min(start + step, len(data))
+                ends.append(fed_bytes - parser.unparsed_bytes)
+    sizes = [len(each) for each in requests * 2]
+    assert ends == [sum(sizes[: n + 1]) for n in range(len(sizes))]
