Measure heads by the bytes that were received

Cause: the size was computed from the parsed lines, with a blank after each colon whether it was sent or not. Change: the size of the received bytes without the blank line at the end, which the parser knows as its pieces end with a head.

The new tests failed before: seven of the parser, and the largest legal head, answered 431, on a connection.

--- a/packages/berylcart/src/berylcart/protocol/http_requests.py
+++ b/packages/berylcart/src/berylcart/protocol/http_requests.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from berylcart.state.relay_messages import CallerHead, Headers
+from berylcart.state.relay_messages import CallerHead
 
 HOST = b"host"
 CONTENT_LENGTH = b"content-length"
@@ -50,12 +50,14 @@
     """Hold a request's head.
 
     expects_continue is set when the caller sends the body only after an
-    interim response with status 100.
+    interim response with status 100. size_bytes is the size of the head as it
+    was received, without the blank line at its end.
     """
 
     head: CallerHead
     version: str
     expects_continue: bool
+    size_bytes: int
 
 
 class RequestEnd(NamedTuple):
@@ -103,6 +105,8 @@
         self.is_repeated_head = False
         # Bytes parsed since the last part was completed.
         self.framing_bytes = 0
+        # Size of the last head, as far as it is parsed.
+        self.head_bytes = 0
         self.error: RequestError | None = None
 
     def feed(self, data: bytes) -> None:
@@ -223,7 +227,8 @@
         self.advance(end)
         if not self.is_in_body:
             if not self.is_in_head:
-                self.framing_bytes = 0
+                self.head_bytes = self.framing_bytes = 0
+            self.head_bytes += len(piece)
         elif self.remaining_bytes is not None:
             self.remaining_bytes -= len(piece)
             return piece
@@ -316,6 +321,7 @@
                 ),
                 version,
                 version == HTTP_1_1 and CONTINUE in expectations,
+                self.head_bytes - LINE_END_BYTES,
             )
         )
 
@@ -423,23 +429,6 @@
     return b"\r\n".join([*lines, b"", b""])
 
 
-def header_sizes(headers: Headers) -> Iterable[int]:
-    """Yield the serialized size of each header."""
-    return (len(name) + len(value) + len(": \r\n") for name, value in headers)
-
-
-def head_bytes(head: CallerHead) -> int:
-    """Return the serialized size of a request's head.
-
-    >>> head_bytes(CallerHead("GET", "/", ((b"a", b"b"),)))
-    22
-    """
-    request_line_bytes = (
-        len(head.method) + len(head.target) + len("  HTTP/1.1\r\n")
-    )
-    return request_line_bytes + sum(header_sizes(head.headers))
-
-
 def has_ambiguous_length(head: CallerHead) -> bool:
     """Return whether the length of the body is given more than once.
 
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -26,7 +26,6 @@
     RequestPart,
     ResponseWriter,
     has_ambiguous_length,
-    head_bytes,
 )
 from berylcart.state.errors import BerylcartError, Code
 from berylcart.state.relay_messages import (
@@ -350,7 +349,7 @@
         part = await self.next_part()
         if not isinstance(part, RequestHead):
             return None
-        if head_bytes(part.head) > limits.head_bytes:
+        if part.size_bytes > limits.head_bytes:
             raise BerylcartError(
                 Code.HEAD_TOO_LARGE,
                 f"the head exceeds {limits.head_bytes} bytes",
--- a/packages/berylcart/tests/protocol/test_http_requests.py
+++ b/packages/berylcart/tests/protocol/test_http_requests.py
@@ -239,3 +239,23 @@
                 ends.append(fed_bytes - parser.unparsed_bytes)
     sizes = [len(each) for each in requests * 2]
     assert ends == [sum(sizes[: n + 1]) for n in range(len(sizes))]
+
+
+@pytest.mark.parametrize("line", [b"a:\r\n", b"a:b\r\n", b"!~:\t\r\n"])
+@pytest.mark.parametrize("step", [1, 1000])
+def test_head_size_is_that_of_the_received_bytes(line, step):
+    """A blank was counted after each colon, and legal heads got 431."""
+    start = b"GET / HTTP/1.1\r\nHost: h\r\n"
+    head = start + line * ((MAX_HEAD - len(start) - 4) // len(line))
+    head += b"a:%s\r\n" % (b"b" * (MAX_HEAD - len(head) - 4))
+    assert len(head) == MAX_HEAD
+    parts = parse(b"\r\n" + head + b"\r\n", step)
+    assert parts[0].size_bytes == MAX_HEAD
+
+
+def test_head_above_the_limit_tells_its_size_or_raises():
+    head = b"GET / HTTP/1.1\r\nHost: h\r\na:" + b"b" * MAX_HEAD + b"\r\n\r\n"
+    assert parse(head, len(head))[0].size_bytes == len(head) - 2
+    with pytest.raises(RequestError) as raised:
+        parse(head, 1)
+    assert raised.value.is_head_too_large
--- a/packages/berylcart/tests/transport/test_caller_connection.py
+++ b/packages/berylcart/tests/transport/test_caller_connection.py
@@ -153,7 +153,9 @@
     data = b""
     with anyio.fail_after(5):
         while not data.endswith(suffix):
-            data += await channel.receive()
+            part = await channel.receive()
+            assert part, data
+            data += part
     return data
 
 
@@ -598,6 +600,18 @@
     assert len(handler.handled) == count
 
 
+async def test_largest_legal_head_is_served():
+    async with run_server() as (server, _):
+        start, _, body = PLAIN.partition(b"\r\n\r\n")
+        lines = (LIMITS.head_bytes - len(start) - 2) // 4
+        head = start + b"\r\n" + b"a:\r\n" * lines
+        channel = await connect(server.address)
+        await channel.send(head + b"\r\n" + body)
+        response = await read_until(channel, b"hi")
+        channel.close()
+    assert response.startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize("body", [b"", b"hi"])
 async def test_continue_is_sent_only_before_a_body_that_is_waited_for(body):
     head = PLAIN[:-2].replace(b"Host: h", b"Host: h\r\nExpect: 100-continue")
