Count heads in the buffer budget by what they take

Cause: a line of 4 bytes takes 100 to 200 bytes as objects, and heads did not count in the buffer budget. Change: a head counts from its first line until its request has been answered, as its bytes and 216 B for each line. Heads over 16 KB together get half of the budget, so that usual requests find room beside them; what does not fit is refused with 503 before it runs, and dropped before the refusal is sent. The count of lines has no bound.

--- a/packages/berylcart/src/berylcart/coordination/gateway/buffer_budget.py
+++ b/packages/berylcart/src/berylcart/coordination/gateway/buffer_budget.py
@@ -12,6 +12,9 @@
 # allocator does not return.
 HELD_SHARE = 0.4
 BYTES_PER_MB = 10**6
+# Large heads of requests are taken up to this share of the limit, so that they
+# leave room for the bodies of requests within usual sizes.
+HEAD_SHARE = 0.5
 # Bodies of requests are taken up to this share of the limit, so that there is
 # room for the responses to those that were taken.
 REQUEST_SHARE = 0.75
@@ -138,12 +141,17 @@
         """Return whether more bytes of a response may be buffered."""
         return not self.excess_bytes(count_bytes, RESPONSE_SHARE)
 
-    def make_room(self, count_bytes: int, own: BufferAccount) -> bool:
-        """Return whether bytes of a request fit.
+    def make_room(
+        self,
+        count_bytes: int,
+        own: BufferAccount,
+        share: float = REQUEST_SHARE,
+    ) -> bool:
+        """Return whether bytes of a request fit into a share of the limit.
 
         Slow connections are closed if that helps.
         """
-        excess_bytes = self.excess_bytes(count_bytes, REQUEST_SHARE)
+        excess_bytes = self.excess_bytes(count_bytes, share)
         if not count_bytes or not excess_bytes:
             return True
         at_s = now_s()
@@ -156,7 +164,7 @@
             return False
         for each in sorted_for_eviction(slow, at_s):
             self.evict(each)
-            if not self.excess_bytes(count_bytes, REQUEST_SHARE):
+            if not self.excess_bytes(count_bytes, share):
                 break
         return True
 
--- a/packages/berylcart/src/berylcart/protocol/http_requests.py
+++ b/packages/berylcart/src/berylcart/protocol/http_requests.py
@@ -34,6 +34,9 @@
 # Input of unknown structure is parsed in pieces, so that the time that one
 # piece takes is bounded.
 PIECE_BYTES = 16 * 2**10
+# Memory of a header beside its characters, with CPython: a tuple, two byte
+# strings, and its places in the lists that a request passes through.
+HEADER_OVERHEAD_BYTES = 216
 
 
 class RequestError(Exception):
@@ -149,8 +152,23 @@
 
     @property
     def held_bytes(self) -> int:
-        """Return the memory that the input takes."""
-        return len(self.input)
+        """Return the memory that the input and the last head take."""
+        head_bytes = self.head_bytes
+        head_bytes += HEADER_OVERHEAD_BYTES * len(self.headers)
+        return len(self.input) + head_bytes
+
+    def discard(self) -> None:
+        """Drop all that is held; nothing more is parsed."""
+        self.error = self.error or RequestError("the input was discarded")
+        self.parts.clear()
+        self.advance(len(self.input))
+        self.release_head()
+
+    def release_head(self) -> None:
+        """Drop the head of a request that has been served."""
+        self.target = b""
+        self.headers = []
+        self.head_bytes = 0
 
     def find_request(self) -> int:
         """Return the position in the input after blank lines."""
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -10,6 +10,8 @@
 from berylcart import events
 from berylcart.clock import now_s
 from berylcart.coordination.gateway.buffer_budget import (
+    HEAD_SHARE,
+    REQUEST_SHARE,
     BufferBudget,
 )
 from berylcart.coordination.gateway.drain import draining_error
@@ -40,6 +42,9 @@
 # How much of a pipelining caller is read while its request is served. The rest
 # stays with the system, which then makes the caller wait.
 READ_AHEAD_BYTES = 16 * 2**10
+# Heads that take no more memory than this are not refused for lack of it. It
+# is several times what a request within usual sizes takes.
+SMALL_HEAD_BYTES = 16 * 2**10
 # Minimum average rate of a body after a grace period. It is below the rate of
 # the slowest mobile links (GPRS, 1 KB/s).
 MIN_BODY_BYTES_PER_S = 512
@@ -177,15 +182,24 @@
         self.parser.max_head_bytes = self.options.limits().head_bytes
         self.parser.feed(data)
 
-    def count_input(self) -> None:
-        """Count what the parser holds of the input."""
-        change_bytes = self.parser.held_bytes - self.input_bytes
-        if change_bytes:
-            self.input_bytes += change_bytes
-            self.buffer_account.add(change_bytes)
+    def count_input(self, *, is_checked: bool = False) -> None:
+        """Count what the parser holds of the input and the last head.
+
+        Raises BerylcartError OVERLOADED if it is checked and memory lacks
+        room for a large head.
+        """
+        held_bytes = self.parser.held_bytes
+        change_bytes = held_bytes - self.input_bytes
+        if not change_bytes:
+            return
+        if is_checked and held_bytes > SMALL_HEAD_BYTES and change_bytes > 0:
+            self.check_memory(change_bytes, HEAD_SHARE)
+        self.input_bytes = held_bytes
+        self.buffer_account.add(change_bytes)
 
     def finish_request(self) -> None:
         """Release the memory of a request; count what was sent ahead."""
+        self.parser.release_head()
         self.buffer_account.release()
         self.input_bytes = 0
         if self.parser.unparsed_bytes:
@@ -271,6 +285,7 @@
         """
         if not await self.wait_for_bytes():
             return None
+        self.buffer_account.waiting_since_s = now_s()
         with anyio.CancelScope() as scope:
             self.reading_scope = scope
             try:
@@ -329,14 +344,14 @@
         self.feed(data)
         return True
 
-    async def next_part(self) -> RequestPart | None:
+    async def next_part(self, *, is_head: bool = False) -> RequestPart | None:
         """Read the next part of a request, None when the connection ends.
 
-        Raises RequestError.
+        Raises RequestError, and BerylcartError OVERLOADED on a large head.
         """
         while True:
             part = self.parser.next_part()
-            self.count_input()
+            self.count_input(is_checked=is_head)
             if part is not None:
                 return part
             data = await self.channel.receive()
@@ -346,7 +361,7 @@
 
     async def read_head(self, limits: CallerLimits) -> RequestHead | None:
         """Read the head of a request; raises BerylcartError."""
-        part = await self.next_part()
+        part = await self.next_part(is_head=True)
         if not isinstance(part, RequestHead):
             return None
         if part.size_bytes > limits.head_bytes:
@@ -376,10 +391,12 @@
         self.buffer_account.add(body_bytes)
         return body_bytes
 
-    def check_memory(self, count_bytes: int) -> None:
-        """Raise BerylcartError OVERLOADED if memory lacks room for a body."""
+    def check_memory(
+        self, count_bytes: int, share: float = REQUEST_SHARE
+    ) -> None:
+        """Raise BerylcartError OVERLOADED without room in a share."""
         if not self.options.buffer_budget.make_room(
-            count_bytes, self.buffer_account
+            count_bytes, self.buffer_account, share
         ):
             raise BerylcartError(
                 Code.OVERLOADED,
@@ -441,6 +458,7 @@
             code=int(error.code),
             detail=error.detail,
         )
+        self.parser.discard()
         refusal = self.options.refuse(error)
         content_length = str(len(refusal.body)).encode()
         writer = ResponseWriter("", HTTP_1_1)
--- a/packages/berylcart/tests/protocol/test_http_requests.py
+++ b/packages/berylcart/tests/protocol/test_http_requests.py
@@ -259,3 +259,24 @@
     with pytest.raises(RequestError) as raised:
         parse(head, 1)
     assert raised.value.is_head_too_large
+
+
+def test_memory_of_short_lines_is_counted_while_the_head_arrives():
+    parser = RequestParser(2**14)
+    parser.feed(b"GET / HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 1000)
+    assert parser.next_part() is None
+    assert parser.held_bytes > 100 * 1000
+    parser.discard()
+    assert parser.held_bytes == 0
+    with pytest.raises(RequestError):
+        parser.next_part()
+
+
+def test_memory_of_a_head_is_counted_until_it_is_released():
+    parser = RequestParser(MAX_HEAD)
+    parser.feed(POST)
+    while parser.next_part() is not None:
+        pass
+    assert parser.held_bytes > len(POST)
+    parser.release_head()
+    assert parser.held_bytes == 0
