Process large input in turns and tiny chunks together

Cause: each chunk was a part with a time limit and a check of the memory, and all that a read had brought was processed before another task ran. Change: the input is parsed in pieces of 16 KB, the chunks of a piece are one part, and a connection that has parsed more than 512 lines or chunks waits for its turn, one in each pass of the event loop.

--- a/packages/berylcart/src/berylcart/protocol/http_requests.py
+++ b/packages/berylcart/src/berylcart/protocol/http_requests.py
@@ -104,12 +104,15 @@
         self.is_in_body = False
         # Bytes of the body that are yet to be parsed, None if it is chunked.
         self.remaining_bytes: int | None = 0
+        self.body_pieces: list[bytes] = []
         # Whether the parser is given a head whose parts are known.
         self.is_repeated_head = False
         # Bytes parsed since the last part was completed.
         self.framing_bytes = 0
         # Size of the last head, as far as it is parsed.
         self.head_bytes = 0
+        # Lines of heads and pieces of bodies parsed so far.
+        self.parsed_items = 0
         self.error: RequestError | None = None
 
     def feed(self, data: bytes) -> None:
@@ -161,6 +164,7 @@
         """Drop all that is held; nothing more is parsed."""
         self.error = self.error or RequestError("the input was discarded")
         self.parts.clear()
+        self.body_pieces = []
         self.advance(len(self.input))
         self.release_head()
 
@@ -230,6 +234,8 @@
             return self.error is not None
         piece = self.take_piece()
         self.feed_parser(piece)
+        if self.body_pieces:
+            self.flush_body()
         if self.parts:
             self.framing_bytes = 0
         else:
@@ -274,6 +280,16 @@
             else:
                 self.decline_upgrade()
 
+    def flush_body(self) -> None:
+        """Add the body's bytes as one part, before the end if it is there."""
+        self.parsed_items += len(self.body_pieces)
+        body = b"".join(self.body_pieces)
+        self.body_pieces = []
+        if self.parts and isinstance(self.parts[-1], RequestEnd):
+            self.parts.insert(len(self.parts) - 1, body)
+        else:
+            self.parts.append(body)
+
     def decline_upgrade(self) -> None:
         """Parse what follows a request that offers another protocol as HTTP.
 
@@ -316,6 +332,7 @@
         self.is_in_head = False
         self.is_in_body = True
         self.tail = b""
+        self.parsed_items += len(self.headers)
         version = self.parser.get_http_version()
         read = [each for each in self.headers if each[0] in READ_HEADERS]
         hosts = [value for name, value in read if name == HOST]
@@ -350,7 +367,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append bytes of the body."""
-        self.parts.append(data)
+        self.body_pieces.append(data)
 
     def on_message_complete(self) -> None:
         """Finish a request, unless its body is yet to be parsed."""
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -15,7 +15,7 @@
     BufferBudget,
 )
 from berylcart.coordination.gateway.drain import draining_error
-from berylcart.coordination.gateway.input_turns import InputTurns
+from berylcart.coordination.gateway.input_turns import InputTurns, TurnMeter
 from berylcart.protocol.http_requests import (
     CONNECTION,
     CONTENT_LENGTH,
@@ -176,6 +176,7 @@
         )
         # What the account holds of the parser's memory.
         self.input_bytes = 0
+        self.turn_meter = TurnMeter()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes within the limits in force."""
@@ -205,6 +206,11 @@
         if self.parser.unparsed_bytes:
             self.count_input()
 
+    async def wait_for_turn(self) -> None:
+        """Let others run before more input is processed."""
+        await self.input_turns.wait()
+        self.turn_meter.start(self.parser.parsed_items)
+
     def closes_after(self) -> bool:
         """Return whether to close the connection after this response."""
         return not self.keep_alive or self.options.is_closing()
@@ -319,6 +325,8 @@
         body = await self.read_body(head, limits)
         if body is None:
             return None
+        if self.turn_meter.is_used_up(self.parser.parsed_items):
+            await self.wait_for_turn()
         writer = ResponseWriter(head.head.method, head.version)
         return Exchange(self, head.head, body, writer)
 
@@ -326,7 +334,7 @@
         """Wait for the first bytes of a request, up to the idle timeout."""
         if self.parser.has_input:
             if self.has_served:
-                await self.input_turns.wait()
+                await self.wait_for_turn()
             return True
         idle_timeout_s = self.options.limits().idle_timeout_ms / MS_PER_S
         with anyio.move_on_after(idle_timeout_s) as scope:
@@ -350,6 +358,8 @@
         Raises RequestError, and BerylcartError OVERLOADED on a large head.
         """
         while True:
+            if self.turn_meter.is_used_up(self.parser.parsed_items):
+                await self.wait_for_turn()
             part = self.parser.next_part()
             self.count_input(is_checked=is_head)
             if part is not None:
--- a/packages/berylcart/tests/protocol/test_http_requests.py
+++ b/packages/berylcart/tests/protocol/test_http_requests.py
@@ -261,6 +261,14 @@
     assert raised.value.is_head_too_large
 
 
+def test_tiny_chunks_arrive_as_one_part():
+    parser = RequestParser(MAX_HEAD)
+    parser.feed(CHUNKED_HEAD + b"1\r\nx\r\n" * 1000 + b"0\r\n\r\n")
+    assert isinstance(parser.next_part(), RequestHead)
+    assert parser.next_part() == b"x" * 1000
+    assert isinstance(parser.next_part(), RequestEnd)
+
+
 def test_memory_of_short_lines_is_counted_while_the_head_arrives():
     parser = RequestParser(2**14)
     parser.feed(b"GET / HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 1000)
