Give the places of idle connections to new callers

Cause: at the limit of connections the newest was closed, whoever held the others. Change: a new connection takes the place of an idle one without unread input, first of a caller that never sent a request, then of the one that has waited longest.

--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -165,6 +165,7 @@
         self.input_turns = input_turns
         self.parser = RequestParser(options.limits().head_bytes)
         self.idle_scope: anyio.CancelScope | None = None
+        self.idle_since_s = now_s()
         # Cancelled to refuse a request that has not arrived completely.
         self.reading_scope: anyio.CancelScope | None = None
         self.has_served = False
@@ -215,6 +216,17 @@
         """Return whether to close the connection after this response."""
         return not self.keep_alive or self.options.is_closing()
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the connection waits for the start of a request."""
+        return self.idle_scope is not None
+
+    def close_idle(self) -> None:
+        """Close the connection if it waits for the start of a request."""
+        if self.idle_scope is not None:
+            self.idle_scope.cancel()
+            self.idle_scope = None
+
     async def run(self) -> None:
         """Serve requests one after another."""
         try:
@@ -337,6 +349,7 @@
                 await self.wait_for_turn()
             return True
         idle_timeout_s = self.options.limits().idle_timeout_ms / MS_PER_S
+        self.idle_since_s = now_s()
         with anyio.move_on_after(idle_timeout_s) as scope:
             self.idle_scope = scope
             if self.has_served and self.closes_after():
--- a/packages/berylcart/src/berylcart/transport/caller_server.py
+++ b/packages/berylcart/src/berylcart/transport/caller_server.py
@@ -1,6 +1,7 @@
 """Accept callers' connections on an address."""
 
 import socket
+from collections.abc import Iterable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -23,6 +24,19 @@
 ACCEPT_RETRY_DELAY_S = 0.05
 
 
+def choose_idle(
+    connections: Iterable[CallerConnection],
+) -> CallerConnection | None:
+    """Choose which connection gives its place to a new one, if any.
+
+    Callers that never sent a request come first, then those that have waited
+    for the longest. None is chosen that a request is read or served on.
+    """
+    idle = [each for each in connections if each.is_idle]
+    idle.sort(key=lambda each: (each.has_served, each.idle_since_s))
+    return next((each for each in idle if each.channel.is_idle()), None)
+
+
 class CallerServer:
     """Serve each connection to an IP:PORT address in its own task."""
 
@@ -64,11 +78,16 @@
             await anyio.sleep(ACCEPT_RETRY_DELAY_S)
             return
         if len(self.connections) >= self.max_connections:
+            idle = choose_idle(self.connections)
             events.warning(
-                "caller.connection_limit_reached", count=len(self.connections)
+                "caller.connection_limit_reached",
+                count=len(self.connections),
+                is_idle_closed=idle is not None,
             )
-            sock.close()
-            return
+            if idle is None:
+                sock.close()
+                return
+            idle.close_idle()
         tasks.start_soon(self.serve, sock)
 
     async def serve(self, sock: socket.socket) -> None:
@@ -99,8 +118,7 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in self.connections:
-            if connection.idle_scope is not None:
-                connection.idle_scope.cancel()
+            connection.close_idle()
 
     def refuse_incomplete(self) -> None:
         """Refuse the requests that have not arrived completely."""
@@ -112,6 +130,6 @@
 
         Connections must be closing, so that each ends with its response.
         """
-        while any(each.idle_scope is None for each in self.connections):
+        while any(not each.is_idle for each in self.connections):
             self.ended = anyio.Event()
             await self.ended.wait()
