Limit connections of daemons on which no frame has arrived

Cause: its server has no limit, as the number of daemons is not known. Change: of the connections without a whole frame the newest 256 stay.

--- a/packages/berylcart/src/berylcart/transport/peer_connection.py
+++ b/packages/berylcart/src/berylcart/transport/peer_connection.py
@@ -50,12 +50,16 @@
         on_notification: NotificationHandler | None = None,
         on_connection_lost: Callable[["PeerConnection"], None] | None = None,
         buffer_budget: BufferBudget | None = None,
+        on_first_frame: Callable[["PeerConnection"], None] | None = None,
     ) -> None:
         self.on_request = on_request
         self.on_notification = on_notification
         self.on_connection_lost = on_connection_lost
+        self.on_first_frame = on_first_frame
         self.transport: asyncio.Transport | None = None
-        self.reader = FrameReader(MAX_MESSAGE_BYTES)
+        # Created with the first bytes and dropped at the end, as it holds
+        # buffers and connections are freed by the garbage collector only.
+        self.reader: FrameReader | None = None
         self.last_number = 0
         self.pending_calls: dict[int, asyncio.Future[bytes]] = {}
         self.request_tasks: dict[int, asyncio.Task[None]] = {}
@@ -76,6 +80,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the outgoing calls and cancel the incoming requests."""
         self.transport = None
+        self.reader = None
         self.buffer_account.release()
         self.read_account.release()
         self.stop_frame_timer()
@@ -95,26 +100,32 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle the frames in received bytes; close on a malformed one."""
+        if self.reader is None:
+            self.reader = FrameReader(MAX_MESSAGE_BYTES)
+        reader = self.reader
         try:
-            for frame in self.reader.feed(data):
+            for frame in reader.feed(data):
                 self.stop_frame_timer()
+                if self.on_first_frame is not None:
+                    self.on_first_frame(self)
+                    self.on_first_frame = None
                 self.handle_frame(frame)
         except Exception as error:
             # msgpack raises several unrelated types on malformed input.
             self.close_malformed(f"{type(error).__name__}: {error}")
             return
-        self.count_received_bytes()
-        if self.reader.has_partial_frame and self.frame_timer is None:
+        self.count_received_bytes(reader.pending_bytes)
+        if reader.has_partial_frame and self.frame_timer is None:
             self.frame_timer = asyncio.get_running_loop().call_later(
                 FRAME_TIMEOUT_S,
                 self.close_malformed,
                 f"frame incomplete after {FRAME_TIMEOUT_S} s",
             )
 
-    def count_received_bytes(self) -> None:
+    def count_received_bytes(self, pending_bytes: int) -> None:
         """Count the incomplete frame as buffered."""
         account = self.read_account
-        change_bytes = self.reader.pending_bytes - account.count_bytes
+        change_bytes = pending_bytes - account.count_bytes
         if not change_bytes:
             return
         if account.waiting_since_s is None:
--- a/packages/berylcart/src/berylcart/transport/peer_server.py
+++ b/packages/berylcart/src/berylcart/transport/peer_server.py
@@ -24,6 +24,9 @@
 from berylcart.transport.socket_addresses import bind, bound_address
 
 CLOSE_GRACE_S = 5.0
+# Connections on which no whole frame has arrived; above this number the oldest
+# one is closed. A peer sends its first frame as soon as it has connected.
+MAX_SILENT_CONNECTIONS = 256
 FREE_PIECES = "FreePieces"
 TELL_ATTEMPT = "TellAttempt"
 
@@ -254,6 +257,8 @@
         self._socket = bind(address)
         self._server: asyncio.Server | None = None
         self._connections: set[PeerConnection] = set()
+        # In the order of their age.
+        self._silent: dict[PeerConnection, None] = {}
 
     @property
     def address(self) -> str:
@@ -271,12 +276,30 @@
         connection = PeerConnection(
             self._service.handle_request,
             self._service.handle_notification,
-            self._connections.discard,
+            self._forget,
             self._buffer_budget,
+            self._record_first_frame,
         )
         self._connections.add(connection)
+        self._silent[connection] = None
+        if len(self._silent) > MAX_SILENT_CONNECTIONS:
+            oldest = next(iter(self._silent))
+            events.warning(
+                "peer.silent_limit_reached", count=len(self._silent)
+            )
+            del self._silent[oldest]
+            oldest.abort()
         return connection
 
+    def _record_first_frame(self, connection: PeerConnection) -> None:
+        """Stop counting a connection among those without a frame."""
+        self._silent.pop(connection, None)
+
+    def _forget(self, connection: PeerConnection) -> None:
+        """Drop a connection that has ended."""
+        self._silent.pop(connection, None)
+        self._connections.discard(connection)
+
     async def close(self, grace_s: float = CLOSE_GRACE_S) -> None:
         """Reject new calls, finish those in progress and close the server."""
         try:
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -29,7 +29,7 @@
 )
 from berylcart.state.records import Checkpoint, Verdict
 from berylcart.state.relay_messages import PromptPart
-from berylcart.transport import peer_connection
+from berylcart.transport import peer_connection, peer_server
 from berylcart.transport.peer_client import PeerChannel, RpcPeers
 from berylcart.transport.peer_connection import (
     MAX_MESSAGE_BYTES,
@@ -611,3 +611,42 @@
         await close_all(listener, writers)
 
     run_with_server(scenario)
+
+
+async def wait_until(condition):
+    """Wait until a condition holds."""
+    for _ in range(500):
+        if condition():
+            return
+        await anyio.sleep(0.01)
+    raise AssertionError
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_oldest_silent_connection_gives_way(monkeypatch):
+    """Connections without a frame took all descriptors."""
+    monkeypatch.setattr(peer_server, "MAX_SILENT_CONNECTIONS", 3)
+    server = PeerServer(EchoHandlers(), "127.0.0.1:0")
+    await server.start()
+    host, _, port = server.address.rpartition(":")
+    streams = []
+    try:
+        for _ in range(2):
+            streams.append(await anyio.connect_tcp(host, int(port)))
+            await streams[-1].send(write_notification("unknown", b""))
+        await wait_until(
+            lambda: len(server._connections) == 2 and not server._silent
+        )
+        for _ in range(5):
+            streams.append(await anyio.connect_tcp(host, int(port)))
+            await anyio.sleep(0.01)
+        await wait_until(lambda: len(server._connections) == 5)
+        assert not any(each.reader for each in server._silent)
+        for stream in streams[2:4]:
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await stream.receive()
+    finally:
+        for stream in streams:
+            await stream.aclose()
+        await server.close(0)
