Parse large input of the own interface in turns and count heads

Cause: uvicorn parses what one read brings, up to 256 KB, before any other task runs; heads did not count, and an idle connection kept its last one. Change: reads of 8 KB, turns for what is more than a usual request, heads over 16 KB counted in limits.total_body_bytes, and heads dropped with their response.

--- a/packages/berylcart-daemon/src/berylcart_daemon/api.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/api.py
@@ -19,6 +19,7 @@
 from berylcart_daemon.caller_request import (
     BodyBudget,
     BodyShare,
+    large_head_bytes,
     parse_request,
 )
 from berylcart_daemon.facade import UNKNOWN, DaemonFacade
@@ -60,6 +61,7 @@
         reply = ReplyStream(send)
         try:
             self.context.facade.check_open()
+            share.add(large_head_bytes(caller.scope["headers"]))
             request = await parse_request(
                 caller,
                 share,
--- a/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
+++ b/packages/berylcart-daemon/src/berylcart_daemon/caller_request.py
@@ -8,7 +8,9 @@
 
 import anyio
 from berylcart.clock import now_s
+from berylcart.protocol.http_requests import HEADER_OVERHEAD_BYTES
 from berylcart.state.errors import BerylcartError, Code
+from berylcart.state.relay_messages import Headers
 from berylcart.state.request import ServeRequest
 from pydantic_core import from_json
 from starlette.requests import ClientDisconnect, Request
@@ -20,6 +22,8 @@
 KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}")
 REQUEST_ID_PATTERN = re.compile(r"[0-9A-Za-z._-]{1,64}")
 REQUEST_ID_BYTES = 8
+# Heads that take no more memory than this do not count.
+USUAL_HEAD_BYTES = 16 * 2**10
 EVENT_STREAM = "text/event-stream"
 
 
@@ -66,8 +70,23 @@
     return int(text)
 
 
+def large_head_bytes(headers: Headers) -> int:
+    """Return what the lines of a head take in memory, 0 for a usual head.
+
+    >>> large_head_bytes(((b"host", b"h"),))
+    0
+    >>> large_head_bytes(((b"a", b""),) * 1000)
+    217000
+    """
+    count_bytes = sum(
+        HEADER_OVERHEAD_BYTES + len(name) + len(value)
+        for name, value in headers
+    )
+    return count_bytes if count_bytes > USUAL_HEAD_BYTES else 0
+
+
 class BodyBudget:
-    """Limit the total size of the request bodies held in memory.
+    """Limit the memory of the bodies and large heads of requests.
 
     >>> budget = BodyBudget(10)
     >>> with budget.open_share() as share:
@@ -104,7 +123,7 @@
         if self.budget.held_bytes + count > self.budget.limit_bytes:
             raise BerylcartError(
                 Code.OVERLOADED,
-                "the bodies of requests in flight fill their memory",
+                "the requests in flight fill their memory",
                 retry_after_ms=MS_PER_S,
             )
         self.held_bytes += count
--- a/packages/berylcart/src/berylcart/transport/http_server.py
+++ b/packages/berylcart/src/berylcart/transport/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Iterator
 from typing import Any
 
@@ -9,19 +10,30 @@
 import uvicorn
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from berylcart.coordination.gateway.input_turns import InputTurns
+
 BACKLOG = 2048
 KEEP_ALIVE_S = 30
+# Bounds the time that one read takes to parse.
+READ_BYTES = 8 * 2**10
+# Input up to this size is parsed at once; a usual request is smaller.
+USUAL_READ_BYTES = 2 * 2**10
 
 
 class LimitedProtocol(H11Protocol):
-    """Close connections whose request head does not arrive in time."""
+    """Limit the time for a request head, and parse large input in turns."""
 
     head_timeout_s = 5.0
     max_connections = 2048
+    input_turns = InputTurns()
 
     def connection_made(self, transport: Any) -> None:
         """Accept a connection, or close it if there are too many."""
         super().connection_made(transport)
+        # Honoured by asyncio's transports.
+        transport.max_size = READ_BYTES
+        self.waiting_data: deque[bytes] = deque()
+        self.parse_task: asyncio.Task[None] | None = None
         self.head_timer: asyncio.TimerHandle | None = None
         if len(self.connections) > self.max_connections:
             transport.close()
@@ -29,6 +41,26 @@
         self.start_head_timer()
 
     def data_received(self, data: bytes) -> None:
+        """Parse bytes, if they are many when it is this connection's turn."""
+        if len(data) <= USUAL_READ_BYTES and self.parse_task is None:
+            self.parse(data)
+            return
+        self.transport.pause_reading()
+        # The base class may resume reading while earlier bytes wait.
+        self.waiting_data.append(data)
+        if self.parse_task is None:
+            self.parse_task = self.loop.create_task(self.parse_in_turns())
+
+    async def parse_in_turns(self) -> None:
+        """Parse reads, each after those of connections that wait already."""
+        while self.waiting_data and not self.transport.is_closing():
+            await self.input_turns.wait()
+            self.parse(self.waiting_data.popleft())
+        self.parse_task = None
+        if not (self.transport.is_closing() or self.flow.read_paused):
+            self.transport.resume_reading()
+
+    def parse(self, data: bytes) -> None:
         """Parse bytes; start the timer if they begin a request head."""
         super().data_received(data)
         is_head_open = self.conn.their_state is h11.IDLE
@@ -40,8 +72,16 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer of a closed connection."""
         self.stop_head_timer()
+        if self.parse_task is not None:
+            self.parse_task.cancel()
         super().connection_lost(exc)
 
+    def on_response_complete(self) -> None:
+        """Drop the request's head, which an idle connection would keep."""
+        # Applications may have put a list of their own into the scope.
+        self.headers = self.scope["headers"] = []
+        super().on_response_complete()
+
     def start_head_timer(self) -> None:
         """Start the timer if it is not running."""
         if self.head_timer is None:
@@ -80,6 +120,7 @@
     limits = {
         "head_timeout_s": head_timeout_s,
         "max_connections": max_connections,
+        "input_turns": InputTurns(),
     }
     protocol = type("ConfiguredProtocol", (LimitedProtocol,), limits)
     config = uvicorn.Config(
--- a/packages/berylcart/tests/transport/test_http_server.py
+++ b/packages/berylcart/tests/transport/test_http_server.py
@@ -17,13 +17,13 @@
     await send({"type": "http.response.body", "body": b"hello"})
 
 
-def run_with_server(scenario):
+def run_with_server(scenario, app=hello_app):
     """Run a scenario against a server on a free port."""
 
     async def main():
         sock = bind("127.0.0.1:0")
         server = make_asgi_server(
-            hello_app,
+            app,
             header_bytes=HEADER_BYTES,
             head_timeout_s=HEAD_TIMEOUT_S,
             max_connections=MAX_CONNECTIONS,
@@ -119,3 +119,46 @@
             await stream.aclose()
 
     run_with_server(scenario)
+
+
+async def echo_app(scope, receive, send):
+    """Respond with the body and the number of header lines."""
+    body, has_more = b"", True
+    while has_more:
+        message = await receive()
+        body += message["body"]
+        has_more = message["more_body"]
+    body += b" %d" % len(scope["headers"])
+    headers = [(b"content-length", b"%d" % len(body))]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+def test_large_input_in_turns_keeps_its_order():
+    body = bytes(range(256)) * 1000
+    chunks = b"".join(
+        b"3\r\n%s\r\n" % body[at : at + 3] for at in range(0, 255_000, 3)
+    )
+    head = b"POST / HTTP/1.1\r\nHost: a\r\n"
+    lines = b"a:\r\n" * 900
+    requests = (
+        head + lines + b"Content-Length: 2\r\n\r\nhi",
+        head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n",
+        head + b"Content-Length: 2\r\nConnection: close\r\n\r\nhi",
+    )
+
+    async def scenario(host, port):
+        async with (
+            await anyio.connect_tcp(host, port) as stream,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(stream.send, b"".join(requests))
+            response = await read_all(stream)
+        assert response.count(b"HTTP/1.1 200") == 3
+        assert b"\r\n\r\nhi 902HTTP" in response
+        assert body[:255_000] + b" 2HTTP" in response
+        assert response.endswith(b"\r\n\r\nhi 3")
+
+    run_with_server(scenario, echo_app)
--- a/packages/berylcart/tests/transport/test_peer_server.py
+++ b/packages/berylcart/tests/transport/test_peer_server.py
@@ -613,15 +613,6 @@
     run_with_server(scenario)
 
 
-async def wait_until(condition):
-    """Wait until a condition holds."""
-    for _ in range(500):
-        if condition():
-            return
-        await anyio.sleep(0.01)
-    raise AssertionError
-
-
 @pytest.mark.anyio
 @pytest.mark.parametrize("anyio_backend", ["asyncio"])
 async def test_oldest_silent_connection_gives_way(monkeypatch):
