Count items of lists in headers

Cause: a list of 16 KB is parsed into a tuple, a string and a number for each item, which did not count. Change: 184 B for each comma of a head, also towards its turn. The start of a wait is recorded only where input is waited for.

--- a/packages/berylcart/src/berylcart/protocol/http_requests.py
+++ b/packages/berylcart/src/berylcart/protocol/http_requests.py
@@ -37,6 +37,9 @@
 # Memory of a header beside its characters, with CPython: a tuple, two byte
 # strings, and its places in the lists that a request passes through.
 HEADER_OVERHEAD_BYTES = 216
+# Memory of an item of a list in a header once it is parsed: a tuple of a
+# string and a number, and its place in a tuple.
+LIST_ITEM_OVERHEAD_BYTES = 184
 
 
 class RequestError(Exception):
@@ -111,7 +114,9 @@
         self.framing_bytes = 0
         # Size of the last head, as far as it is parsed.
         self.head_bytes = 0
-        # Lines of heads and pieces of bodies parsed so far.
+        # Items of lists in its headers, by their commas.
+        self.head_items = 0
+        # Lines and items of heads and pieces of bodies parsed so far.
         self.parsed_items = 0
         self.error: RequestError | None = None
 
@@ -156,9 +161,9 @@
     @property
     def held_bytes(self) -> int:
         """Return the memory that the input and the last head take."""
-        head_bytes = self.head_bytes
-        head_bytes += HEADER_OVERHEAD_BYTES * len(self.headers)
-        return len(self.input) + head_bytes
+        lines_bytes = HEADER_OVERHEAD_BYTES * len(self.headers)
+        items_bytes = LIST_ITEM_OVERHEAD_BYTES * self.head_items
+        return len(self.input) + self.head_bytes + lines_bytes + items_bytes
 
     def discard(self) -> None:
         """Drop all that is held; nothing more is parsed."""
@@ -172,7 +177,7 @@
         """Drop the head of a request that has been served."""
         self.target = b""
         self.headers = []
-        self.head_bytes = 0
+        self.head_bytes = self.head_items = 0
 
     def find_request(self) -> int:
         """Return the position in the input after blank lines."""
@@ -251,8 +256,9 @@
         self.advance(end)
         if not self.is_in_body:
             if not self.is_in_head:
-                self.head_bytes = self.framing_bytes = 0
+                self.head_bytes = self.head_items = self.framing_bytes = 0
             self.head_bytes += len(piece)
+            self.head_items += piece.count(b",")
         elif self.remaining_bytes is not None:
             self.remaining_bytes -= len(piece)
             return piece
@@ -332,7 +338,7 @@
         self.is_in_head = False
         self.is_in_body = True
         self.tail = b""
-        self.parsed_items += len(self.headers)
+        self.parsed_items += len(self.headers) + self.head_items
         version = self.parser.get_http_version()
         read = [each for each in self.headers if each[0] in READ_HEADERS]
         hosts = [value for name, value in read if name == HOST]
--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from math import inf
 from traceback import format_exception
 from typing import NamedTuple
 
@@ -165,7 +166,6 @@
         self.input_turns = input_turns
         self.parser = RequestParser(options.limits().head_bytes)
         self.idle_scope: anyio.CancelScope | None = None
-        self.idle_since_s = now_s()
         # Cancelled to refuse a request that has not arrived completely.
         self.reading_scope: anyio.CancelScope | None = None
         self.has_served = False
@@ -221,6 +221,11 @@
         """Return whether the connection waits for the start of a request."""
         return self.idle_scope is not None
 
+    @property
+    def idle_end_s(self) -> float:
+        """Return when an idle connection is closed, in the runtime's time."""
+        return inf if self.idle_scope is None else self.idle_scope.deadline
+
     def close_idle(self) -> None:
         """Close the connection if it waits for the start of a request."""
         if self.idle_scope is not None:
@@ -303,7 +308,6 @@
         """
         if not await self.wait_for_bytes():
             return None
-        self.buffer_account.waiting_since_s = now_s()
         with anyio.CancelScope() as scope:
             self.reading_scope = scope
             try:
@@ -349,7 +353,6 @@
                 await self.wait_for_turn()
             return True
         idle_timeout_s = self.options.limits().idle_timeout_ms / MS_PER_S
-        self.idle_since_s = now_s()
         with anyio.move_on_after(idle_timeout_s) as scope:
             self.idle_scope = scope
             if self.has_served and self.closes_after():
@@ -377,6 +380,8 @@
             self.count_input(is_checked=is_head)
             if part is not None:
                 return part
+            if self.buffer_account.waiting_since_s is None:
+                self.buffer_account.waiting_since_s = now_s()
             data = await self.channel.receive()
             if not data:
                 return None
--- a/packages/berylcart/src/berylcart/transport/caller_server.py
+++ b/packages/berylcart/src/berylcart/transport/caller_server.py
@@ -33,7 +33,7 @@
     for the longest. None is chosen that a request is read or served on.
     """
     idle = [each for each in connections if each.is_idle]
-    idle.sort(key=lambda each: (each.has_served, each.idle_since_s))
+    idle.sort(key=lambda each: (each.has_served, each.idle_end_s))
     return next((each for each in idle if each.channel.is_idle()), None)
 
 
--- a/packages/berylcart/tests/protocol/test_http_requests.py
+++ b/packages/berylcart/tests/protocol/test_http_requests.py
@@ -280,6 +280,16 @@
         parser.next_part()
 
 
+def test_memory_of_lists_in_headers_is_counted():
+    """A list of 16 KB became half a megabyte of prompt parts."""
+    head = b"GET / HTTP/1.1\r\nHost: h\r\nPrefix-Hash: " + b"a1:999," * 1000
+    parser = RequestParser(2**14)
+    parser.feed(head + b"\r\n\r\n")
+    parser.next_part()
+    assert parser.held_bytes > 100 * 1000
+    assert parser.parsed_items > 1000
+
+
 def test_memory_of_a_head_is_counted_until_it_is_released():
     parser = RequestParser(MAX_HEAD)
     parser.feed(POST)
