--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -107,8 +107,7 @@
         """Write bytes; those that wait for the caller count as buffered."""
         unsent = self.connection.channel.try_send(data)
         if unsent:
-            with self.connection.buffer_account.waiting(len(unsent)):
-                await self.connection.channel.send(unsent)
+            await self.connection.send_slowly(unsent)
 
     def may_buffer(self, count_bytes: int) -> bool:
         """Return whether memory has room for more bytes of a response."""
@@ -175,10 +174,32 @@
         self.buffer_account = options.buffer_budget.open_account(
             lambda: self.scope.cancel()
         )
+        # Start of the wait for the caller to read a response, if it is
+        # waited for.
+        self.unread_since_s: float | None = None
         # What the account holds of the parser's memory.
         self.input_bytes = 0
         self.turn_meter = TurnMeter()
 
+    async def send_slowly(self, data: memoryview) -> None:
+        """Send bytes that wait for the caller; they count as buffered."""
+        self.unread_since_s = now_s()
+        try:
+            with self.buffer_account.waiting(len(data)):
+                await self.channel.send(data)
+        finally:
+            self.unread_since_s = None
+
+    def unread_s(self) -> float:
+        """Return for how long the caller has not read what was sent."""
+        since_s = self.unread_since_s
+        return 0.0 if since_s is None else now_s() - since_s
+
+    def abort(self) -> None:
+        """Reset the connection, whatever it is used for."""
+        self.channel.reset()
+        self.scope.cancel()
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes within the limits in force."""
         self.parser.max_head_bytes = self.options.limits().head_bytes
--- a/packages/berylcart/src/berylcart/transport/caller_server.py
+++ b/packages/berylcart/src/berylcart/transport/caller_server.py
@@ -9,6 +9,7 @@
 from berylcart import events
 from berylcart.coordination.gateway.input_turns import InputTurns
 from berylcart.transport.caller_connection import (
+    MS_PER_S,
     CallerConnection,
     ConnectionOptions,
 )
@@ -37,6 +38,19 @@
     return next((each for each in idle if each.channel.is_idle()), None)
 
 
+def choose_unread(
+    connections: Iterable[CallerConnection], min_unread_s: float
+) -> CallerConnection | None:
+    """Choose the connection whose caller has left a response unread longest.
+
+    None is chosen that has waited for less than min_unread_s.
+    """
+    longest = max(connections, key=CallerConnection.unread_s, default=None)
+    if longest is None or longest.unread_s() < min_unread_s:
+        return None
+    return longest
+
+
 class CallerServer:
     """Serve each connection to an IP:PORT address in its own task."""
 
@@ -78,18 +92,30 @@
             await anyio.sleep(ACCEPT_RETRY_DELAY_S)
             return
         if len(self.connections) >= self.max_connections:
-            idle = choose_idle(self.connections)
+            is_place_free = self.free_place()
             events.warning(
                 "caller.connection_limit_reached",
                 count=len(self.connections),
-                is_idle_closed=idle is not None,
+                is_other_closed=is_place_free,
             )
-            if idle is None:
+            if not is_place_free:
                 sock.close()
                 return
-            idle.close_idle()
         tasks.start_soon(self.serve, sock)
 
+    def free_place(self) -> bool:
+        """Close a connection that does nothing, if any; return whether."""
+        idle = choose_idle(self.connections)
+        if idle is not None:
+            idle.close_idle()
+            return True
+        idle_timeout_s = self.options.limits().idle_timeout_ms / MS_PER_S
+        unread = choose_unread(self.connections, idle_timeout_s)
+        if unread is None:
+            return False
+        unread.abort()
+        return True
+
     async def serve(self, sock: socket.socket) -> None:
         """Serve one connection; an exception closes only this connection."""
         try:
--- a/packages/berylcart/tests/transport/test_caller_connection.py
+++ b/packages/berylcart/tests/transport/test_caller_connection.py
@@ -719,3 +719,28 @@
         response += await read_until(channel, b"hi")
         channel.close()
     assert response.count(b"HTTP/1.1 100") == (not body)
+
+
+async def test_caller_that_leaves_a_response_unread_gives_its_place():
+    """New callers were closed while others left responses unread."""
+    async with run_server() as (server, handler):
+        held = [await connect(server.address) for _ in range(8)]
+        for channel in held:
+            await channel.send(PLAIN.replace(b"/a", b"/large"))
+        await wait_until(
+            lambda: (
+                sum(each.unread_s() > 0 for each in server.connections) == 8
+            )
+        )
+        handler.limits = LIMITS._replace(idle_timeout_ms=60_000)
+        extra = await connect(server.address)
+        assert await read_all(extra) == b""
+        extra.close()
+        handler.limits = LIMITS._replace(idle_timeout_ms=1)
+        await anyio.sleep(0.01)
+        extra = await connect(server.address)
+        await extra.send(PLAIN)
+        assert (await read_until(extra, b"hi")).startswith(b"HTTP/1.1 200")
+        await wait_until(lambda: len(server.connections) == 8)
+        for channel in (*held, extra):
+            channel.close()
