Drop waiting input of a connection that is closing

A connection of the own interface that was closed while its input waited for a turn would still have parsed it.

--- a/packages/berylcart/src/berylcart/transport/http_server.py
+++ b/packages/berylcart/src/berylcart/transport/http_server.py
@@ -53,11 +53,13 @@
 
     async def parse_in_turns(self) -> None:
         """Parse reads, each after those of connections that wait already."""
-        while self.waiting_data and not self.transport.is_closing():
+        while self.waiting_data:
             await self.input_turns.wait()
+            if self.transport.is_closing():
+                return
             self.parse(self.waiting_data.popleft())
         self.parse_task = None
-        if not (self.transport.is_closing() or self.flow.read_paused):
+        if not self.flow.read_paused:
             self.transport.resume_reading()
 
     def parse(self, data: bytes) -> None:
