--- a/packages/berylcart/src/berylcart/transport/caller_connection.py
+++ b/packages/berylcart/src/berylcart/transport/caller_connection.py
@@ -210,7 +210,6 @@
         except BerylcartError as error:
             # The traceback holds what has been read of the body.
             error.__traceback__ = None
-            self.buffer_account.release()
             await self.refuse(error)
             return False
         if exchange is None:
@@ -441,6 +440,7 @@
             detail=error.detail,
         )
         self.parser.discard()
+        self.buffer_account.release()
         refusal = self.options.refuse(error)
         content_length = str(len(refusal.body)).encode()
         writer = ResponseWriter("", HTTP_1_1)
