Give places of silent connections at the own interface to new ones

The oldest without any input is closed for a new one. The new test failed before; the test of the limit has served connections now, as four silent ones no longer keep a fifth out.

--- a/packages/berylcart/src/berylcart/transport/http_server.py
+++ b/packages/berylcart/src/berylcart/transport/http_server.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, ClassVar
 
 import h11
 import uvicorn
@@ -21,27 +21,36 @@
 
 
 class LimitedProtocol(H11Protocol):
-    """Limit the time for a request head, and parse large input in turns."""
+    """Limit the time for a request head, and parse large input in turns.
+
+    silent holds the connections without any input, the oldest first.
+    """
 
     head_timeout_s = 5.0
     max_connections = 2048
     input_turns = InputTurns()
+    silent: ClassVar[dict["LimitedProtocol", None]] = {}
 
     def connection_made(self, transport: Any) -> None:
-        """Accept a connection, or close it if there are too many."""
+        """Accept a connection; if there are too many, close a silent one."""
         super().connection_made(transport)
         # Honoured by asyncio's transports.
         transport.max_size = READ_BYTES
         self.waiting_data: deque[bytes] = deque()
         self.parse_task: asyncio.Task[None] | None = None
         self.head_timer: asyncio.TimerHandle | None = None
+        self.silent[self] = None
         if len(self.connections) > self.max_connections:
-            transport.close()
-            return
+            oldest = next(iter(self.silent))
+            del self.silent[oldest]
+            oldest.transport.close()
+            if oldest is self:
+                return
         self.start_head_timer()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, if they are many when it is this connection's turn."""
+        self.silent.pop(self, None)
         if len(data) <= USUAL_READ_BYTES and self.parse_task is None:
             self.parse(data)
             return
@@ -72,7 +81,8 @@
             self.stop_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer of a closed connection."""
+        """Cancel the timer and the task of a closed connection."""
+        self.silent.pop(self, None)
         self.stop_head_timer()
         if self.parse_task is not None:
             self.parse_task.cancel()
@@ -123,6 +133,7 @@
         "head_timeout_s": head_timeout_s,
         "max_connections": max_connections,
         "input_turns": InputTurns(),
+        "silent": {},
     }
     protocol = type("ConfiguredProtocol", (LimitedProtocol,), limits)
     config = uvicorn.Config(
